--- /dev/null
+++ b/adapters/http/headers.hpp
@@ -0,0 +1,24 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_HEADERS_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_HEADERS_HPP
+
+namespace hemlockshelf::headers {
+
+/// Client account of the caller.
+inline constexpr auto account = "Hemlockshelf-Account";
+/// Time that is left for the request, in milliseconds.
+inline constexpr auto deadline_ms = "Hemlockshelf-Deadline-Ms";
+inline constexpr auto request_id = "Hemlockshelf-Request-Id";
+inline constexpr auto idempotency_key = "Idempotency-Key";
+/// On a refusal that says that the request was not run, and nowhere else.
+inline constexpr auto not_run = "Hemlockshelf-Not-Run";
+/// Name of the error kind of a refusal.
+inline constexpr auto error = "Hemlockshelf-Error";
+inline constexpr auto pool = "Hemlockshelf-Pool";
+inline constexpr auto traffic_class = "Hemlockshelf-Class";
+inline constexpr auto entry_vm = "Hemlockshelf-Entry-Vm";
+inline constexpr auto attempt = "Hemlockshelf-Attempt";
+inline constexpr auto free_slots = "Hemlockshelf-Free-Slots";
+
+} // namespace hemlockshelf::headers
+
+#endif
--- /dev/null
+++ b/adapters/http/http_client.cpp
@@ -0,0 +1,138 @@
+#include "adapters/http/http_client.hpp"
+
+#include <optional>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+
+namespace hemlockshelf {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
+
+tl::unexpected<error> exchange_error(
+    error_kind kind,
+    const endpoint& server,
+    const boost::system::error_code& failure)
+{
+    return make_error(
+        kind, fmt::format("{}: {}", to_string(server), failure.message()));
+}
+
+boost::system::error_code
+bind_source(beast::tcp_stream& stream, const std::string& source)
+{
+    boost::system::error_code failure;
+    if (source.empty())
+    {
+        return failure;
+    }
+    auto& socket = stream.socket();
+    socket.open(tcp::v4(), failure);
+    if (!failure)
+    {
+        const auto address = asio::ip::make_address_v4(source, failure);
+        socket.bind(tcp::endpoint(address, 0), failure);
+    }
+    return failure;
+}
+
+} // namespace
+
+http_request make_request(
+    http::verb method, const std::string& path, const std::string& body)
+{
+    http_request request{method, path, 11};
+    request.set(http::field::host, "hemlockshelf");
+    if (!body.empty())
+    {
+        request.set(http::field::content_type, "application/json");
+    }
+    request.body() = body;
+    request.prepare_payload();
+    return request;
+}
+
+asio::awaitable<result<http_response>>
+async_exchange(http_target target, http_request request)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(target.timeout_);
+    boost::system::error_code failure =
+        bind_source(stream, target.source_address_);
+    if (failure)
+    {
+        co_return exchange_error(
+            error_kind::unreachable, target.server_, failure);
+    }
+    const tcp::endpoint server(
+        asio::ip::make_address_v4(target.server_.address_),
+        target.server_.port_);
+    co_await stream.async_connect(
+        server, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+    {
+        co_return exchange_error(
+            error_kind::unreachable, target.server_, failure);
+    }
+    stream.socket().set_option(tcp::no_delay(true), failure);
+    co_await http::async_write(
+        stream, request, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+    {
+        co_return exchange_error(
+            error_kind::outcome_unknown, target.server_, failure);
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_body_bytes);
+    co_await http::async_read(
+        stream, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+    {
+        co_return exchange_error(
+            error_kind::outcome_unknown, target.server_, failure);
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_both, failure);
+    co_return parser.release();
+}
+
+result<http_response>
+blocking_exchange(const http_target& target, const http_request& request)
+{
+    asio::io_context context(1);
+    std::optional<result<http_response>> answer;
+    asio::co_spawn(
+        context, async_exchange(target, request),
+        [&answer](const std::exception_ptr&, result<http_response> value)
+        {
+            answer = std::move(value);
+        });
+    context.run();
+    if (!answer)
+    {
+        return make_error(error_kind::internal, "exchange: no result");
+    }
+    return std::move(*answer);
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/http/http_client.hpp
@@ -0,0 +1,42 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_HTTP_CLIENT_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_HTTP_CLIENT_HPP
+
+#include <chrono>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "adapters/http/endpoint.hpp"
+#include "adapters/http/http_message.hpp"
+#include "hemlockshelf/core/error.hpp"
+
+namespace hemlockshelf {
+
+/// Where a request goes and how long it may take.
+struct http_target
+{
+    endpoint server_;
+    /// Local address of the connection; empty lets the system choose.
+    std::string source_address_;
+    std::chrono::milliseconds timeout_{2000};
+};
+
+/// Sends a request on a new connection and reads the whole answer. The errors
+/// are `unreachable` if the request was certainly not sent, and
+/// `outcome_unknown` if the answer is missing.
+boost::asio::awaitable<result<http_response>>
+async_exchange(http_target target, http_request request);
+
+/// Blocking form of `async_exchange`.
+result<http_response>
+blocking_exchange(const http_target& target, const http_request& request);
+
+/// Makes a request with the headers that the project's servers expect.
+http_request make_request(
+    boost::beast::http::verb method,
+    const std::string& path,
+    const std::string& body = {});
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/http/json_server.hpp
@@ -0,0 +1,70 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_JSON_SERVER_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_JSON_SERVER_HPP
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <nlohmann/json.hpp>
+
+#include "adapters/http/endpoint.hpp"
+#include "adapters/http/http_message.hpp"
+#include "hemlockshelf/core/error.hpp"
+
+namespace hemlockshelf {
+
+/// HTTP server for small messages. Handlers may block: they run on a pool of
+/// threads of their own.
+class json_server
+{
+public:
+    /// Gets a request and the address of its sender.
+    using handler =
+        std::function<http_response(const http_request&, const std::string&)>;
+
+    /// Listens on `where`. Throws `boost::system::system_error` if the address
+    /// can't be bound.
+    json_server(
+        boost::asio::io_context& context,
+        const endpoint& where,
+        std::size_t threads,
+        handler handle);
+    ~json_server();
+
+    json_server(const json_server&) = delete;
+    json_server& operator=(const json_server&) = delete;
+
+    /// Accepts no further connections.
+    void stop();
+
+private:
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::io_context& context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::thread_pool workers_;
+    handler handle_;
+};
+
+/// Makes an answer with a JSON body.
+http_response json_response(unsigned status, const nlohmann::json& body);
+
+/// Makes the answer that the error table gives for an error.
+http_response error_response(const error& failure);
+
+/// Returns a decoded query parameter of a request's target, or an empty text.
+std::string query_parameter(const http_request& request, std::string_view name);
+
+/// Returns the target of a request without its query.
+std::string path_of(const http_request& request);
+
+/// Reads a JSON body. The error is `bad_request`.
+result<nlohmann::json> parse_json(const std::string& text);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/node/admin_handler.hpp
@@ -0,0 +1,32 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_ADMIN_HANDLER_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_ADMIN_HANDLER_HPP
+
+#include <string>
+
+#include "adapters/http/http_message.hpp"
+#include "adapters/node/own_upstream.hpp"
+#include "adapters/settings/node_settings.hpp"
+#include "hemlockshelf/config/snapshot_store.hpp"
+#include "hemlockshelf/editing/editor.hpp"
+
+namespace hemlockshelf {
+
+/// Parts of the node that the admin interface reaches.
+struct admin_context
+{
+    const node_settings* settings_ = nullptr;
+    const snapshot_store* snapshots_ = nullptr;
+    table_service* tables_ = nullptr;
+    editor* editor_ = nullptr;
+    own_upstream* upstream_ = nullptr;
+};
+
+/// Answers a request on the admin address. `peer` is the sender's address.
+http_response handle_admin_request(
+    const admin_context& context,
+    const http_request& request,
+    const std::string& peer);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/node/node.hpp
@@ -0,0 +1,32 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_NODE_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_NODE_HPP
+
+#include <memory>
+
+#include "adapters/settings/node_settings.hpp"
+
+namespace hemlockshelf {
+
+/// One node of the mesh: entry, gate, control and admin interface.
+class node
+{
+public:
+    /// Binds every listener. Throws `boost::system::system_error` if an
+    /// address can't be bound.
+    explicit node(node_settings settings);
+    ~node();
+
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    /// Runs until SIGINT or SIGTERM.
+    void run();
+
+private:
+    class parts;
+    std::unique_ptr<parts> parts_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/node/operator_tokens.hpp
@@ -0,0 +1,24 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_OPERATOR_TOKENS_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_OPERATOR_TOKENS_HPP
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// Returns the SHA-256 of a text in hexadecimal.
+std::string sha256_hex(std::string_view text);
+
+/// Finds the account whose token an `Authorization` header carries. The error
+/// is `unauthorized`; it doesn't tell which part was wrong.
+result<client_account_id> authenticate(
+    const std::map<client_account_id, std::string>& token_hashes,
+    std::string_view authorization);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/node/own_upstream.cpp
@@ -0,0 +1,33 @@
+#include "adapters/node/own_upstream.hpp"
+
+#include <chrono>
+
+namespace hemlockshelf {
+
+namespace {
+
+// Upstreams announce themselves every second; three may be missed.
+constexpr std::chrono::seconds announcement_lifetime{3};
+
+} // namespace
+
+own_upstream::own_upstream(const clock& time) : time_(time) {}
+
+void own_upstream::announce(const upstream_announcement& announcement)
+{
+    const std::lock_guard lock(mutex_);
+    last_ = announcement;
+    announced_at_ = time_.now();
+}
+
+std::optional<upstream_announcement> own_upstream::current() const
+{
+    const std::lock_guard lock(mutex_);
+    if (!last_ || time_.now() - announced_at_ > announcement_lifetime)
+    {
+        return std::nullopt;
+    }
+    return last_;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/settings/node_settings.hpp
@@ -0,0 +1,44 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_SETTINGS_NODE_SETTINGS_HPP
+#define HEMLOCKSHELF_ADAPTERS_SETTINGS_NODE_SETTINGS_HPP
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "adapters/http/endpoint.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// Settings of `hemlockshelfd`, read from a YAML file.
+struct node_settings
+{
+    vm_id vm_;
+    failure_domain_id failure_domain_;
+    region_id region_;
+    /// Where the node listens.
+    endpoint calls_;
+    endpoint gate_;
+    endpoint control_;
+    endpoint admin_;
+    /// Addresses that peers use, which differ from the bound ones where
+    /// traffic passes a relay.
+    endpoint advertised_gate_;
+    endpoint advertised_control_;
+    /// Local address of outgoing connections; empty lets the system choose.
+    std::string source_address_;
+    endpoint platform_;
+    /// Control addresses of nodes for the first contact.
+    std::vector<endpoint> peers_;
+    /// SHA-256 of each account's operator token, in hexadecimal.
+    std::map<client_account_id, std::string> token_hashes_;
+};
+
+/// Reads and checks a settings file. The error is `settings_invalid` and names
+/// the file, the line, what was given and what was expected.
+result<node_settings> load_node_settings(const std::string& path);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/daemons/hemlockshelfd/main.cpp
@@ -0,0 +1,41 @@
+// The node: one process on each upstream VM.
+
+#include <exception>
+#include <iostream>
+
+#include <gflags/gflags.h>
+#include <spdlog/spdlog.h>
+
+#include "adapters/node/node.hpp"
+#include "adapters/settings/node_settings.hpp"
+#include "hemlockshelf/core/error_table.hpp"
+
+DEFINE_string(settings, "", "path of the settings file (YAML)");
+DEFINE_bool(check, false, "check the settings file and exit");
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("hemlockshelfd --settings FILE [--check]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    auto settings = hemlockshelf::load_node_settings(FLAGS_settings);
+    if (!settings)
+    {
+        std::cerr << settings.error().message_ << "\n";
+        return static_cast<int>(hemlockshelf::exit_code::settings_invalid);
+    }
+    if (FLAGS_check)
+    {
+        return 0;
+    }
+    try
+    {
+        hemlockshelf::node instance(std::move(*settings));
+        instance.run();
+    }
+    catch (const std::exception& failure)
+    {
+        spdlog::error("the node cannot run: {}", failure.what());
+        return static_cast<int>(hemlockshelf::exit_code::internal);
+    }
+    return 0;
+}
--- /dev/null
+++ b/include/hemlockshelf/config/config_delta.hpp
@@ -0,0 +1,40 @@
+#ifndef HEMLOCKSHELF_CONFIG_CONFIG_DELTA_HPP
+#define HEMLOCKSHELF_CONFIG_CONFIG_DELTA_HPP
+
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "hemlockshelf/config/row_change.hpp"
+#include "hemlockshelf/core/content_hash.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// The change from revision `to_ - 1` to revision `to_`.
+struct config_delta
+{
+    revision to_;
+    std::vector<row_change> changes_;
+    /// Content hash of the tables after the change.
+    content_hash result_hash_;
+
+    friend bool operator==(const config_delta&, const config_delta&) = default;
+};
+
+/// Returns `{"upserts":[{"table","key","row"}],"deletes":[{"table","key"}]}`.
+nlohmann::json changes_to_json(const std::vector<row_change>& changes);
+
+/// Reads what `changes_to_json` wrote; `invalid_row` if it is malformed.
+result<std::vector<row_change>> changes_from_json(const nlohmann::json& json);
+
+/// Returns `{"revision","hash","delta"}`.
+nlohmann::json to_json(const config_delta& delta);
+
+/// Reads what `to_json` wrote, and a change row, whose other fields it skips.
+result<config_delta> delta_from_json(const nlohmann::json& json);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/config/config_tables.hpp
@@ -0,0 +1,36 @@
+#ifndef HEMLOCKSHELF_CONFIG_CONFIG_TABLES_HPP
+#define HEMLOCKSHELF_CONFIG_CONFIG_TABLES_HPP
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "hemlockshelf/config/row_change.hpp"
+#include "hemlockshelf/core/content_hash.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// The rows of both tables and their content hash. Rows are shared between
+/// copies, so that a copy costs pointers and not texts.
+struct config_tables
+{
+    std::map<row_key, std::shared_ptr<const route_row>> routes_;
+    std::map<row_key, std::shared_ptr<const pool_row>> pools_;
+    content_hash hash_;
+};
+
+/// Writes one change into the tables and keeps the hash current.
+void apply_change(config_tables& tables, const row_change& change);
+
+/// Checks that every route's pool exists and is open to the route's account.
+/// The error is `invalid_row` and names the route and the pool.
+result<void> check_references(const config_tables& tables);
+
+/// Returns every row as an upsert, for a whole snapshot.
+std::vector<row_change> all_rows(const config_tables& tables);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/config/table_id.hpp
@@ -0,0 +1,24 @@
+#ifndef HEMLOCKSHELF_CONFIG_TABLE_ID_HPP
+#define HEMLOCKSHELF_CONFIG_TABLE_ID_HPP
+
+#include <optional>
+#include <string_view>
+
+namespace hemlockshelf {
+
+/// The two tables that operators edit.
+enum class table_id
+{
+    routes,
+    pools,
+};
+
+/// Returns the table's name, as in the table service.
+std::string_view to_string(table_id table);
+
+/// Returns the table called `name`, or nothing if there is none.
+std::optional<table_id> find_table(std::string_view name);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/config/traffic_class.hpp
@@ -0,0 +1,25 @@
+#ifndef HEMLOCKSHELF_CONFIG_TRAFFIC_CLASS_HPP
+#define HEMLOCKSHELF_CONFIG_TRAFFIC_CLASS_HPP
+
+#include <optional>
+#include <string_view>
+
+namespace hemlockshelf {
+
+/// Class of a route's requests; the gate keeps a reserve for lookups.
+enum class traffic_class
+{
+    lookup,
+    standard,
+    bulk,
+};
+
+/// Returns the class's name, as in a route's row.
+std::string_view to_string(traffic_class value);
+
+/// Returns the class called `name`, or nothing if there is none.
+std::optional<traffic_class> find_traffic_class(std::string_view name);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/core/error_kind.hpp
@@ -0,0 +1,43 @@
+#ifndef HEMLOCKSHELF_CORE_ERROR_KIND_HPP
+#define HEMLOCKSHELF_CORE_ERROR_KIND_HPP
+
+namespace hemlockshelf {
+
+/// The closed list of error kinds. `error_table` maps each to its answer.
+enum class error_kind
+{
+    bad_request,
+    unauthorized,
+    forbidden,
+    unknown_account,
+    not_found,
+    conflict,
+    invalid_row,
+    quota_exceeded,
+    rate_limited,
+    header_too_large,
+    body_too_large,
+    no_route,
+    no_upstream,
+    overloaded,
+    draining,
+    not_ready,
+    deadline_exceeded,
+    gate_unreachable,
+    upstream_failed,
+    outcome_unknown,
+    duplicate_request,
+    platform_unavailable,
+    busy,
+    hash_mismatch,
+    stale_revision,
+    revision_gap,
+    unreachable,
+    settings_invalid,
+    usage,
+    internal,
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/core/ids.hpp
@@ -0,0 +1,49 @@
+#ifndef HEMLOCKSHELF_CORE_IDS_HPP
+#define HEMLOCKSHELF_CORE_IDS_HPP
+
+#include <cstdint>
+#include <string>
+
+#include "hemlockshelf/core/strong_type.hpp"
+
+namespace hemlockshelf {
+
+/// Names a machine and the node that runs on it.
+using vm_id = strong_type<struct vm_id_tag, std::string>;
+/// Names a zone whose machines fail together.
+using failure_domain_id =
+    strong_type<struct failure_domain_id_tag, std::string>;
+/// Names a region, a group of failure domains.
+using region_id = strong_type<struct region_id_tag, std::string>;
+/// Names a customer of the mesh.
+using client_account_id =
+    strong_type<struct client_account_id_tag, std::string>;
+/// Names a service that upstreams announce.
+using service_name = strong_type<struct service_name_tag, std::string>;
+/// Key of a row, `<client_account>/<name>`.
+using row_key = strong_type<struct row_key_tag, std::string>;
+/// Identifies one edit across retries and lost answers.
+using change_id = strong_type<struct change_id_tag, std::string>;
+/// Identifies one request of a caller.
+using request_id = strong_type<struct request_id_tag, std::string>;
+
+/// Number of a version of the configuration; it only rises.
+using revision = strong_type<struct revision_tag, std::uint64_t>;
+/// Start of a node's process, in microseconds of wall-clock time.
+using incarnation = strong_type<struct incarnation_tag, std::uint64_t>;
+/// Number of a member record within one incarnation.
+using sequence = strong_type<struct sequence_tag, std::uint64_t>;
+/// Version that the table service gives to a row; 0 means absent.
+using row_version = strong_type<struct row_version_tag, std::uint64_t>;
+
+/// Number of requests that an upstream can run at once.
+using slot_count = strong_type<struct slot_count_tag, std::uint32_t>;
+/// Number of connections that an upstream accepts.
+using connection_count =
+    strong_type<struct connection_count_tag, std::uint32_t>;
+/// Size of a body or a message in bytes.
+using byte_count = strong_type<struct byte_count_tag, std::uint64_t>;
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/editing/change_record.hpp
@@ -0,0 +1,51 @@
+#ifndef HEMLOCKSHELF_EDITING_CHANGE_RECORD_HPP
+#define HEMLOCKSHELF_EDITING_CHANGE_RECORD_HPP
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "hemlockshelf/config/config_delta.hpp"
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// A row of an audit entry; null stands for an absent row.
+struct audited_row
+{
+    table_id table_ = table_id::routes;
+    row_key key_;
+    nlohmann::json before_;
+    nlohmann::json after_;
+};
+
+/// Who changed what, when and through which node.
+struct audit_entry
+{
+    std::string actor_;
+    client_account_id account_;
+    wall_time at_;
+    vm_id vm_;
+    std::vector<audited_row> rows_;
+};
+
+/// The row that one revision writes into the table of changes.
+struct change_record
+{
+    change_id id_;
+    config_delta delta_;
+    audit_entry audit_;
+};
+
+nlohmann::json to_json(const audit_entry& entry);
+nlohmann::json to_json(const change_record& record);
+
+/// Reads what `to_json` wrote; `invalid_row` if it is malformed.
+result<change_record> change_record_from_json(const nlohmann::json& json);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/editing/platform_tables.hpp
@@ -0,0 +1,24 @@
+#ifndef HEMLOCKSHELF_EDITING_PLATFORM_TABLES_HPP
+#define HEMLOCKSHELF_EDITING_PLATFORM_TABLES_HPP
+
+#include <string>
+
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf::platform_tables {
+
+inline constexpr auto head = "head";
+inline constexpr auto head_key = "config";
+inline constexpr auto routes = "routes";
+inline constexpr auto pools = "pools";
+inline constexpr auto changes = "changes";
+inline constexpr auto change_ids = "change_ids";
+inline constexpr auto directory = "directory";
+
+/// Returns the key of a revision's change row: 20 digits, so that the order
+/// of the keys is that of the revisions.
+std::string change_key(revision number);
+
+} // namespace hemlockshelf::platform_tables
+
+#endif
--- /dev/null
+++ b/src/config/config_delta.cpp
@@ -0,0 +1,175 @@
+#include "hemlockshelf/config/config_delta.hpp"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "hemlockshelf/config/row_codec.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+result<row_change> read_target(const nlohmann::json& json)
+{
+    const auto is_text = [&json](const char* field)
+    {
+        return json.is_object() && json.contains(field) &&
+               json.at(field).is_string();
+    };
+    if (!is_text("table") || !is_text("key"))
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "change: expected the fields \"table\" and \"key\", given {}",
+                json.dump()));
+    }
+    const auto table = find_table(json.at("table").get<std::string>());
+    if (!table)
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "change: expected the table \"routes\" or \"pools\", given {}",
+                json.at("table").dump()));
+    }
+    row_change change;
+    change.table_ = *table;
+    change.key_ = row_key{json.at("key").get<std::string>()};
+    const auto key = check_key(change.key_);
+    if (!key)
+    {
+        return tl::unexpected<error>(key.error());
+    }
+    return change;
+}
+
+result<row_change> read_upsert(const nlohmann::json& json)
+{
+    auto change = read_target(json);
+    if (!change)
+    {
+        return change;
+    }
+    const auto row = json.value("row", nlohmann::json{});
+    if (change->table_ == table_id::routes)
+    {
+        return route_from_json(row).map(
+            [&change](route_row&& route)
+            {
+                change->row_ = std::move(route);
+                return *change;
+            });
+    }
+    return pool_from_json(row).map(
+        [&change](pool_row&& pool)
+        {
+            change->row_ = std::move(pool);
+            return *change;
+        });
+}
+
+nlohmann::json row_to_json(const row_change& change)
+{
+    if (const auto* route = std::get_if<route_row>(&change.row_))
+    {
+        return to_json(*route);
+    }
+    return to_json(std::get<pool_row>(change.row_));
+}
+
+} // namespace
+
+nlohmann::json changes_to_json(const std::vector<row_change>& changes)
+{
+    auto upserts = nlohmann::json::array();
+    auto deletes = nlohmann::json::array();
+    for (const auto& change : changes)
+    {
+        nlohmann::json item{
+            {"table", to_string(change.table_)}, {"key", change.key_.value()}};
+        if (std::holds_alternative<row_deletion>(change.row_))
+        {
+            deletes.push_back(std::move(item));
+            continue;
+        }
+        item["row"] = row_to_json(change);
+        upserts.push_back(std::move(item));
+    }
+    return {{"upserts", std::move(upserts)}, {"deletes", std::move(deletes)}};
+}
+
+result<std::vector<row_change>> changes_from_json(const nlohmann::json& json)
+{
+    if (!json.is_object())
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format("delta: expected an object, given {}", json.dump()));
+    }
+    std::vector<row_change> changes;
+    for (const auto& item : json.value("upserts", nlohmann::json::array()))
+    {
+        auto change = read_upsert(item);
+        if (!change)
+        {
+            return tl::unexpected<error>(change.error());
+        }
+        changes.push_back(std::move(*change));
+    }
+    for (const auto& item : json.value("deletes", nlohmann::json::array()))
+    {
+        auto change = read_target(item);
+        if (!change)
+        {
+            return tl::unexpected<error>(change.error());
+        }
+        changes.push_back(std::move(*change));
+    }
+    return changes;
+}
+
+nlohmann::json to_json(const config_delta& delta)
+{
+    return {
+        {"revision", delta.to_.value()},
+        {"hash", delta.result_hash_.to_string()},
+        {"delta", changes_to_json(delta.changes_)}};
+}
+
+result<config_delta> delta_from_json(const nlohmann::json& json)
+{
+    const bool well_formed =
+        json.is_object() && json.contains("revision") &&
+        json.at("revision").is_number_unsigned() && json.contains("hash") &&
+        json.at("hash").is_string() && json.contains("delta");
+    if (!well_formed)
+    {
+        return make_error(
+            error_kind::invalid_row,
+            "delta: expected the fields \"revision\", \"hash\" and \"delta\"");
+    }
+    const auto hash =
+        content_hash::from_string(json.at("hash").get<std::string>());
+    if (!hash)
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "delta: expected a hash of 32 hexadecimal digits, given {}",
+                json.at("hash").dump()));
+    }
+    auto changes = changes_from_json(json.at("delta"));
+    if (!changes)
+    {
+        return tl::unexpected<error>(changes.error());
+    }
+    return config_delta{
+        revision{json.at("revision").get<std::uint64_t>()}, std::move(*changes),
+        *hash};
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/src/config/config_tables.cpp
@@ -0,0 +1,91 @@
+#include "hemlockshelf/config/config_tables.hpp"
+
+#include <string>
+#include <variant>
+
+#include <fmt/format.h>
+
+#include "hemlockshelf/config/row_codec.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+template <class Row>
+void replace_row(
+    std::map<row_key, std::shared_ptr<const Row>>& rows,
+    content_hash& hash,
+    const row_change& change)
+{
+    const auto existing = rows.find(change.key_);
+    if (existing != rows.end())
+    {
+        hash.remove(hash_text_of(
+            change.table_, change.key_, to_json(*existing->second)));
+        rows.erase(existing);
+    }
+    const auto* row = std::get_if<Row>(&change.row_);
+    if (row == nullptr)
+    {
+        return;
+    }
+    hash.add(hash_text_of(change.table_, change.key_, to_json(*row)));
+    rows.emplace(change.key_, std::make_shared<const Row>(*row));
+}
+
+} // namespace
+
+void apply_change(config_tables& tables, const row_change& change)
+{
+    if (change.table_ == table_id::routes)
+    {
+        replace_row(tables.routes_, tables.hash_, change);
+        return;
+    }
+    replace_row(tables.pools_, tables.hash_, change);
+}
+
+result<void> check_references(const config_tables& tables)
+{
+    for (const auto& [key, route] : tables.routes_)
+    {
+        const auto pool = tables.pools_.find(route->pool_);
+        if (pool == tables.pools_.end())
+        {
+            return make_error(
+                error_kind::invalid_row,
+                fmt::format(
+                    "route \"{}\": its pool \"{}\" does not exist", key.value(),
+                    route->pool_.value()));
+        }
+        const auto account = account_of(key);
+        if (account != account_of(route->pool_) &&
+            !pool->second->shared_with_.contains(account))
+        {
+            return make_error(
+                error_kind::invalid_row,
+                fmt::format(
+                    "route \"{}\": its pool \"{}\" is not shared with the "
+                    "account \"{}\"",
+                    key.value(), route->pool_.value(), account.value()));
+        }
+    }
+    return {};
+}
+
+std::vector<row_change> all_rows(const config_tables& tables)
+{
+    std::vector<row_change> rows;
+    rows.reserve(tables.routes_.size() + tables.pools_.size());
+    for (const auto& [key, pool] : tables.pools_)
+    {
+        rows.push_back({table_id::pools, key, *pool});
+    }
+    for (const auto& [key, route] : tables.routes_)
+    {
+        rows.push_back({table_id::routes, key, *route});
+    }
+    return rows;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/src/config/row_codec.cpp
@@ -0,0 +1,328 @@
+#include "hemlockshelf/config/row_codec.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <initializer_list>
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace hemlockshelf {
+
+namespace {
+
+constexpr std::size_t max_key_length = 128;
+constexpr std::size_t max_text_length = 512;
+constexpr std::int64_t min_timeout_ms = 1;
+constexpr std::int64_t max_timeout_ms = 600'000;
+constexpr std::int64_t max_calls_limit = 1'000'000;
+
+bool is_name_character(char character)
+{
+    const bool letter = (character >= 'a' && character <= 'z') ||
+                        (character >= 'A' && character <= 'Z');
+    const bool digit = character >= '0' && character <= '9';
+    return letter || digit || character == '-' || character == '_' ||
+           character == '.';
+}
+
+bool is_name(std::string_view text)
+{
+    return !text.empty() && std::ranges::all_of(text, is_name_character);
+}
+
+result<void> check_fields(
+    const nlohmann::json& json, std::initializer_list<std::string_view> known)
+{
+    if (!json.is_object())
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format("row: expected an object, given {}", json.type_name()));
+    }
+    for (const auto& item : json.items())
+    {
+        if (std::ranges::find(known, item.key()) == known.end())
+        {
+            return make_error(
+                error_kind::invalid_row,
+                fmt::format("row: unknown field \"{}\"", item.key()));
+        }
+    }
+    return {};
+}
+
+result<std::string>
+read_text(const nlohmann::json& json, const char* field, const char* fallback)
+{
+    const auto found = json.find(field);
+    if (found == json.end() && fallback != nullptr)
+    {
+        return std::string(fallback);
+    }
+    if (found == json.end())
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format("field \"{}\": expected text, given nothing", field));
+    }
+    if (!found->is_string())
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"{}\": expected text, given {}", field, found->dump()));
+    }
+    auto text = found->get<std::string>();
+    if (text.empty() || text.size() > max_text_length)
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"{}\": expected 1 to {} characters, given {}", field,
+                max_text_length, text.size()));
+    }
+    return text;
+}
+
+result<bool>
+read_flag(const nlohmann::json& json, const char* field, bool fallback)
+{
+    const auto found = json.find(field);
+    if (found == json.end())
+    {
+        return fallback;
+    }
+    if (!found->is_boolean())
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"{}\": expected true or false, given {}", field,
+                found->dump()));
+    }
+    return found->get<bool>();
+}
+
+struct number_range
+{
+    std::int64_t low_;
+    std::int64_t high_;
+};
+
+result<std::int64_t> read_number(
+    const nlohmann::json& json,
+    const char* field,
+    number_range range,
+    std::int64_t fallback)
+{
+    const auto found = json.find(field);
+    if (found == json.end())
+    {
+        return fallback;
+    }
+    const bool in_range = found->is_number_integer() &&
+                          found->get<double>() >= double(range.low_) &&
+                          found->get<double>() <= double(range.high_);
+    if (!in_range)
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"{}\": expected a whole number from {} to {}, given {}",
+                field, range.low_, range.high_, found->dump()));
+    }
+    return found->get<std::int64_t>();
+}
+
+result<std::set<client_account_id>>
+read_accounts(const nlohmann::json& json, const char* field)
+{
+    std::set<client_account_id> accounts;
+    const auto found = json.find(field);
+    if (found == json.end())
+    {
+        return accounts;
+    }
+    const auto is_account = [](const nlohmann::json& item)
+    {
+        return item.is_string() && is_name(item.get<std::string>());
+    };
+    if (!found->is_array() || !std::ranges::all_of(*found, is_account))
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"{}\": expected a list of account names, given {}",
+                field, found->dump()));
+    }
+    for (const auto& item : *found)
+    {
+        accounts.emplace(item.get<std::string>());
+    }
+    return accounts;
+}
+
+} // namespace
+
+nlohmann::json to_json(const route_row& row)
+{
+    return nlohmann::json{
+        {"host", row.host_},
+        {"path_prefix", row.path_prefix_},
+        {"pool", row.pool_.value()},
+        {"class", to_string(row.class_)},
+        {"timeout_ms", row.timeout_.count()},
+        {"idempotent", row.idempotent_},
+    };
+}
+
+nlohmann::json to_json(const pool_row& row)
+{
+    auto shared = nlohmann::json::array();
+    for (const auto& account : row.shared_with_)
+    {
+        shared.push_back(account.value());
+    }
+    return nlohmann::json{
+        {"service", row.service_.value()},
+        {"shared_with", std::move(shared)},
+        {"shed_is_not_run", row.shed_is_not_run_},
+        {"max_concurrent_calls", row.max_concurrent_calls_},
+    };
+}
+
+result<route_row> route_from_json(const nlohmann::json& json)
+{
+    const auto fields = check_fields(
+        json,
+        {"host", "path_prefix", "pool", "class", "timeout_ms", "idempotent"});
+    const auto host =
+        fields ? read_text(json, "host", nullptr)
+               : result<std::string>(tl::unexpected<error>(fields.error()));
+    if (!host)
+    {
+        return tl::unexpected<error>(host.error());
+    }
+    const auto prefix = read_text(json, "path_prefix", "/");
+    if (!prefix)
+    {
+        return tl::unexpected<error>(prefix.error());
+    }
+    if (prefix->front() != '/')
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"path_prefix\": expected a path that starts with /, "
+                "given \"{}\"",
+                *prefix));
+    }
+    const auto pool = read_text(json, "pool", nullptr);
+    if (!pool)
+    {
+        return tl::unexpected<error>(pool.error());
+    }
+    const auto class_text = read_text(json, "class", "standard");
+    if (!class_text)
+    {
+        return tl::unexpected<error>(class_text.error());
+    }
+    const auto class_value = find_traffic_class(*class_text);
+    if (!class_value)
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"class\": expected lookup, standard or bulk, given "
+                "\"{}\"",
+                *class_text));
+    }
+    const auto timeout =
+        read_number(json, "timeout_ms", {min_timeout_ms, max_timeout_ms}, 2000);
+    if (!timeout)
+    {
+        return tl::unexpected<error>(timeout.error());
+    }
+    const auto idempotent = read_flag(json, "idempotent", false);
+    if (!idempotent)
+    {
+        return tl::unexpected<error>(idempotent.error());
+    }
+    return route_row{
+        *host,
+        *prefix,
+        row_key{*pool},
+        *class_value,
+        std::chrono::milliseconds{*timeout},
+        *idempotent};
+}
+
+result<pool_row> pool_from_json(const nlohmann::json& json)
+{
+    const auto fields = check_fields(
+        json,
+        {"service", "shared_with", "shed_is_not_run", "max_concurrent_calls"});
+    if (!fields)
+    {
+        return tl::unexpected<error>(fields.error());
+    }
+    const auto service = read_text(json, "service", nullptr);
+    if (!service)
+    {
+        return tl::unexpected<error>(service.error());
+    }
+    const auto shared = read_accounts(json, "shared_with");
+    if (!shared)
+    {
+        return tl::unexpected<error>(shared.error());
+    }
+    const auto shed = read_flag(json, "shed_is_not_run", false);
+    if (!shed)
+    {
+        return tl::unexpected<error>(shed.error());
+    }
+    const auto calls =
+        read_number(json, "max_concurrent_calls", {1, max_calls_limit}, 200);
+    if (!calls)
+    {
+        return tl::unexpected<error>(calls.error());
+    }
+    return pool_row{
+        service_name{*service}, *shared, *shed,
+        static_cast<std::uint32_t>(*calls)};
+}
+
+std::string
+hash_text_of(table_id table, const row_key& key, const nlohmann::json& row)
+{
+    return fmt::format("{}\n{}\n{}", to_string(table), key.value(), row.dump());
+}
+
+client_account_id account_of(const row_key& key)
+{
+    const auto& text = key.value();
+    return client_account_id{text.substr(0, text.find('/'))};
+}
+
+result<void> check_key(const row_key& key)
+{
+    const std::string_view text = key.value();
+    const auto slash = text.find('/');
+    const bool well_formed =
+        slash != std::string_view::npos && text.size() <= max_key_length &&
+        is_name(text.substr(0, slash)) && is_name(text.substr(slash + 1));
+    if (!well_formed)
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "key: expected <client_account>/<name> of at most {} "
+                "characters, given \"{}\"",
+                max_key_length, text.substr(0, max_key_length)));
+    }
+    return {};
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/src/membership/upstream_announcement.cpp
@@ -0,0 +1,83 @@
+#include "hemlockshelf/membership/upstream_announcement.hpp"
+
+#include <cstdint>
+#include <initializer_list>
+
+#include <fmt/format.h>
+
+namespace hemlockshelf {
+
+namespace {
+
+constexpr std::uint32_t max_count = 1'000'000;
+
+result<void> check_texts(const nlohmann::json& json)
+{
+    for (const auto* field : {"service", "client_account", "address", "state"})
+    {
+        if (!json.is_object() || !json.contains(field) ||
+            !json.at(field).is_string())
+        {
+            return make_error(
+                error_kind::bad_request,
+                fmt::format("announcement: expected text in \"{}\"", field));
+        }
+    }
+    return {};
+}
+
+result<std::uint32_t> read_count(const nlohmann::json& json, const char* field)
+{
+    const auto found = json.find(field);
+    if (found == json.end() || !found->is_number_unsigned() ||
+        found->get<std::uint64_t>() == 0 ||
+        found->get<std::uint64_t>() > max_count)
+    {
+        return make_error(
+            error_kind::bad_request,
+            fmt::format(
+                "announcement: expected a whole number from 1 to {} in \"{}\"",
+                max_count, field));
+    }
+    return found->get<std::uint32_t>();
+}
+
+} // namespace
+
+result<upstream_announcement> announcement_from_json(const nlohmann::json& json)
+{
+    const auto texts = check_texts(json);
+    if (!texts)
+    {
+        return tl::unexpected<error>(texts.error());
+    }
+    const auto slots = read_count(json, "slots");
+    if (!slots)
+    {
+        return tl::unexpected<error>(slots.error());
+    }
+    const auto connections = read_count(json, "connections");
+    if (!connections)
+    {
+        return tl::unexpected<error>(connections.error());
+    }
+    const auto state = json.at("state").get<std::string>();
+    if (state != "ready" && state != "draining")
+    {
+        return make_error(
+            error_kind::bad_request,
+            fmt::format(
+                "announcement: expected the state ready or draining, given "
+                "\"{}\"",
+                state));
+    }
+    return upstream_announcement{
+        service_name{json.at("service").get<std::string>()},
+        client_account_id{json.at("client_account").get<std::string>()},
+        json.at("address").get<std::string>(),
+        slot_count{*slots},
+        connection_count{*connections},
+        state == "draining"};
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/standins/platform/memory_tables.cpp
@@ -0,0 +1,97 @@
+#include "standins/platform/memory_tables.hpp"
+
+#include <fmt/format.h>
+
+namespace hemlockshelf {
+
+result<std::optional<stored_row>>
+memory_tables::read(const std::string& table, const std::string& key)
+{
+    const std::lock_guard lock(mutex_);
+    const auto& rows = tables_[table];
+    const auto found = rows.find(key);
+    if (found == rows.end())
+    {
+        return std::nullopt;
+    }
+    return std::optional(found->second);
+}
+
+result<std::vector<stored_row>> memory_tables::scan(const scan_range& range)
+{
+    const std::lock_guard lock(mutex_);
+    const auto& rows = tables_[range.table_];
+    std::vector<stored_row> found;
+    for (auto row = rows.upper_bound(range.after_);
+         row != rows.end() && found.size() < range.limit_; ++row)
+    {
+        if (row->first.starts_with(range.prefix_))
+        {
+            found.push_back(row->second);
+        }
+    }
+    return found;
+}
+
+result<void> memory_tables::commit(const transaction& writes)
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto& check : writes.checks_)
+    {
+        const auto version = version_of(check.table_, check.key_);
+        if (version != check.version_.value())
+        {
+            return make_error(
+                error_kind::conflict,
+                fmt::format(
+                    "row \"{}\" of \"{}\": expected version {}, found {}",
+                    check.key_, check.table_, check.version_.value(), version));
+        }
+    }
+    ++last_version_;
+    for (const auto& write : writes.writes_)
+    {
+        auto& rows = tables_[write.table_];
+        if (write.value_.is_null())
+        {
+            rows.erase(write.key_);
+            continue;
+        }
+        rows[write.key_] = {
+            write.key_, row_version{last_version_}, write.value_};
+    }
+    return {};
+}
+
+result<void>
+memory_tables::put(const std::string& name, const std::string& content)
+{
+    const std::lock_guard lock(mutex_);
+    objects_.emplace(name, content);
+    return {};
+}
+
+result<std::optional<std::string>> memory_tables::get(const std::string& name)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = objects_.find(name);
+    if (found == objects_.end())
+    {
+        return std::nullopt;
+    }
+    return std::optional(found->second);
+}
+
+std::uint64_t memory_tables::version_of(
+    const std::string& table, const std::string& key) const
+{
+    const auto rows = tables_.find(table);
+    if (rows == tables_.end())
+    {
+        return 0;
+    }
+    const auto row = rows->second.find(key);
+    return row == rows->second.end() ? 0 : row->second.version_.value();
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/test/editing/test_editor.cpp
@@ -0,0 +1,99 @@
+#include "hemlockshelf/editing/editor.hpp"
+
+#include "hemlockshelf/config/snapshot_store.hpp"
+#include "hemlockshelf/core/manual_clock.hpp"
+#include "standins/platform/memory_tables.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+
+namespace {
+
+struct fixture
+{
+    memory_tables tables_;
+    manual_clock time_;
+    snapshot_store snapshots_;
+    editor editor_{
+        tables_, time_, vm_id{"vm-1"},
+        [this]
+        {
+            return snapshots_.current();
+        },
+        [this](const change_record& record)
+        {
+            const auto next = apply_delta(*snapshots_.current(), record.delta_);
+            cr_assert(next.has_value());
+            cr_assert(snapshots_.advance(*next).has_value());
+        }};
+};
+
+edit_request pool_edit(const char* id, const char* key)
+{
+    return {
+        change_id{id},
+        "operator",
+        client_account_id{"regie"},
+        false,
+        {{{table_id::pools, row_key{key},
+           pool_row{service_name{"catalogue"}, {}, false, 10}},
+          std::nullopt}}};
+}
+
+edit_request route_edit(const char* id, const char* pool)
+{
+    route_row route;
+    route.host_ = "catalogue.regie";
+    route.pool_ = row_key{pool};
+    return {
+        change_id{id},
+        "operator",
+        client_account_id{"regie"},
+        false,
+        {{{table_id::routes, row_key{"regie/all"}, route}, std::nullopt}}};
+}
+
+} // namespace
+
+// Guards against an accepted edit that has no change row or audit entry.
+Test(editor, an_accepted_edit_is_recorded)
+{
+    fixture under_test;
+    const auto outcome = under_test.editor_.submit(pool_edit("c1", "regie/a"));
+    cr_assert(outcome.has_value());
+    cr_assert(outcome->revision_ == revision{1});
+    cr_assert(under_test.snapshots_.current()->number() == revision{1});
+    const auto records = read_changes(under_test.tables_, revision{0}, 10);
+    cr_assert(records->size() == 1);
+    cr_assert(records->front().audit_.actor_ == "operator");
+    cr_assert(records->front().id_ == change_id{"c1"});
+}
+
+// Guards against a change that is written twice when it is submitted again.
+Test(editor, the_same_change_id_is_accepted_once)
+{
+    fixture under_test;
+    const auto first = under_test.editor_.submit(pool_edit("c1", "regie/a"));
+    const auto again = under_test.editor_.submit(pool_edit("c1", "regie/a"));
+    cr_assert(again.has_value());
+    cr_assert(again->revision_ == first->revision_);
+    cr_assert(under_test.snapshots_.current()->number() == revision{1});
+}
+
+// Guards against a route that is accepted without its pool.
+Test(editor, a_dangling_route_is_refused)
+{
+    fixture under_test;
+    const auto outcome =
+        under_test.editor_.submit(route_edit("c1", "regie/missing"));
+    cr_assert(outcome.error().kind_ == error_kind::invalid_row);
+}
+
+// Guards against an account that edits another account's rows.
+Test(editor, a_row_of_another_account_is_refused)
+{
+    fixture under_test;
+    const auto outcome = under_test.editor_.submit(pool_edit("c1", "guild/a"));
+    cr_assert(outcome.error().kind_ == error_kind::forbidden);
+}
