--- a/src/editing/editor.cpp
+++ b/src/editing/editor.cpp
@@ -145,7 +145,7 @@
         // The head is read first: if it has moved and the change id is absent
         // afterwards, the transaction can no longer commit.
         const auto now = read_head(tables_);
-        const auto found = now ? find(id) : result<edit_outcome>{};
+        auto found = now ? find(id) : result<edit_outcome>{};
         if (now && found)
         {
             if (found->revision_ == edit.record_.delta_.to_)
