--- /dev/null
+++ b/include/hemlockshelf/core/metric_sink.hpp
@@ -0,0 +1,37 @@
+#ifndef HEMLOCKSHELF_CORE_METRIC_SINK_HPP
+#define HEMLOCKSHELF_CORE_METRIC_SINK_HPP
+
+#include <string_view>
+
+#include "hemlockshelf/core/metric_id.hpp"
+
+namespace hemlockshelf {
+
+/// Port to which the parts report what they did. Thread-safe and cheap enough
+/// for each call. `label` is the value of the metric's only label, from a
+/// small closed set; it is empty for a metric without one.
+class metric_sink
+{
+public:
+    virtual ~metric_sink() = default;
+
+    /// Adds to a counter.
+    virtual void
+    add(metric_id id, std::string_view label = {}, double amount = 1) = 0;
+
+    /// Sets a gauge.
+    virtual void set(metric_id id, std::string_view label, double value) = 0;
+
+    /// Adds an observation to a histogram, in the metric's unit.
+    virtual void
+    observe(metric_id id, std::string_view label, double value) = 0;
+
+protected:
+    metric_sink() = default;
+    metric_sink(const metric_sink&) = default;
+    metric_sink& operator=(const metric_sink&) = default;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/membership/member_record.hpp
@@ -0,0 +1,57 @@
+#ifndef HEMLOCKSHELF_MEMBERSHIP_MEMBER_RECORD_HPP
+#define HEMLOCKSHELF_MEMBERSHIP_MEMBER_RECORD_HPP
+
+#include <string>
+
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// State of the upstream beside a node, as that node reports it.
+enum class upstream_state
+{
+    absent,
+    warming,
+    ready,
+    draining,
+    left,
+};
+
+/// What other nodes hold about a member's reachability.
+enum class liveness
+{
+    alive,
+    /// Heartbeats are missing; only lowers the preference for the member.
+    suspect,
+    /// The member's whole failure domain or region can't be reached.
+    unreachable,
+    /// Confirmed through other nodes to be down.
+    down,
+};
+
+/// A node and its upstream. Only the node itself writes its record; copies
+/// merge by the highest (incarnation, sequence).
+struct member_record
+{
+    vm_id vm_;
+    failure_domain_id failure_domain_;
+    region_id region_;
+    /// `address:port` of the node's gate, as peers reach it.
+    std::string gate_address_;
+    /// `address:port` of the node's control listener, as peers reach it.
+    std::string control_address_;
+    incarnation incarnation_;
+    sequence sequence_;
+    upstream_state state_ = upstream_state::absent;
+    client_account_id account_;
+    service_name service_;
+    slot_count slots_;
+    connection_count connections_;
+
+    friend bool
+    operator==(const member_record&, const member_record&) = default;
+};
+
+} // namespace hemlockshelf
+
+#endif
