--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -8,6 +8,7 @@
 #include "adapters/http/endpoint.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/editing/editing_settings.hpp"
 
 namespace hemlockshelf {
 
@@ -33,6 +34,7 @@
     std::vector<endpoint> peers_;
     /// SHA-256 of each account's operator token, in hexadecimal.
     std::map<client_account_id, std::string> token_hashes_;
+    editing_settings editing_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
--- a/include/hemlockshelf/config/config_snapshot.hpp
+++ b/include/hemlockshelf/config/config_snapshot.hpp
@@ -68,6 +68,10 @@
     std::unordered_map<std::string, std::vector<resolved_route>> index_;
 };
 
+/// Checks that a delta to `next` follows `held`. The errors are
+/// `stale_revision` and `revision_gap`.
+result<void> check_follows(revision held, revision next);
+
 /// Builds the snapshot that follows `base` by `delta`. The errors are
 /// `stale_revision` and `revision_gap` if the delta does not follow,
 /// `hash_mismatch` if the result differs from what the delta says, and
--- a/include/hemlockshelf/config/config_tables.hpp
+++ b/include/hemlockshelf/config/config_tables.hpp
@@ -28,6 +28,10 @@
 /// The error is `invalid_row` and names the route and the pool.
 result<void> check_references(const config_tables& tables);
 
+/// Checks the hash of the tables. The error is `hash_mismatch`.
+result<void>
+check_hash(const config_tables& tables, const content_hash& expected);
+
 /// Returns every row as an upsert, for a whole snapshot.
 std::vector<row_change> all_rows(const config_tables& tables);
 
--- a/src/config/config_snapshot.cpp
+++ b/src/config/config_snapshot.cpp
@@ -19,20 +19,6 @@
     return key;
 }
 
-result<void>
-check_hash(const content_hash& actual, const content_hash& expected)
-{
-    if (actual == expected)
-    {
-        return {};
-    }
-    return make_error(
-        error_kind::hash_mismatch,
-        fmt::format(
-            "snapshot: expected the hash {}, computed {}", expected.to_string(),
-            actual.to_string()));
-}
-
 } // namespace
 
 config_snapshot::config_snapshot(revision number, config_tables tables)
@@ -111,32 +97,41 @@
     return owns(tables_.routes_) || owns(tables_.pools_);
 }
 
-result<std::shared_ptr<const config_snapshot>>
-apply_delta(const config_snapshot& base, const config_delta& delta)
+result<void> check_follows(revision held, revision next)
 {
-    const auto held = base.number().value();
-    if (delta.to_.value() <= held)
+    if (next <= held)
     {
         return make_error(
             error_kind::stale_revision,
             fmt::format(
                 "delta to revision {}: revision {} is already held",
-                delta.to_.value(), held));
+                next.value(), held.value()));
     }
-    if (delta.to_.value() != held + 1)
+    if (next.value() != held.value() + 1)
     {
         return make_error(
             error_kind::revision_gap,
             fmt::format(
                 "delta to revision {}: expected one that follows revision {}",
-                delta.to_.value(), held));
+                next.value(), held.value()));
+    }
+    return {};
+}
+
+result<std::shared_ptr<const config_snapshot>>
+apply_delta(const config_snapshot& base, const config_delta& delta)
+{
+    const auto follows = check_follows(base.number(), delta.to_);
+    if (!follows)
+    {
+        return tl::unexpected<error>(follows.error());
     }
     auto tables = base.tables();
     for (const auto& change : delta.changes_)
     {
         apply_change(tables, change);
     }
-    const auto checked = check_hash(tables.hash_, delta.result_hash_);
+    const auto checked = check_hash(tables, delta.result_hash_);
     if (!checked)
     {
         return tl::unexpected<error>(checked.error());
@@ -154,7 +149,7 @@
     {
         apply_change(tables, row);
     }
-    const auto checked = check_hash(tables.hash_, expected);
+    const auto checked = check_hash(tables, expected);
     if (!checked)
     {
         return tl::unexpected<error>(checked.error());
--- a/src/config/config_tables.cpp
+++ b/src/config/config_tables.cpp
@@ -73,6 +73,20 @@
     return {};
 }
 
+result<void>
+check_hash(const config_tables& tables, const content_hash& expected)
+{
+    if (tables.hash_ == expected)
+    {
+        return {};
+    }
+    return make_error(
+        error_kind::hash_mismatch,
+        fmt::format(
+            "tables: expected the hash {}, computed {}", expected.to_string(),
+            tables.hash_.to_string()));
+}
+
 std::vector<row_change> all_rows(const config_tables& tables)
 {
     std::vector<row_change> rows;
