editing: end a failed expected version as a conflict and add quotas

An edit whose `expected_version` did not hold was read back by change id until the attempts ran out and ended as `outcome_unknown`, although the platform had said that nothing was written. A failed check is now resolved at once: the change id is looked up, then the rows with an expected version are read, and the message names both sides. Retries wait a random time.

A change id that belongs to another edit is a conflict, so that no edit is reported as accepted for another's sake. Deleting an absent row, listing a row twice, unknown fields and a `dry_run` that is not a boolean are refused.

Accounts get quotas of rows, of accepted edits per second, counted over the change records before the head, and of edits submitted to one node. The editor keeps its base and reads only the change rows that are new to it.

Ruled out: a lock around commits of one node, which would let a slow request of one account hold up the others.

--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -32,18 +32,7 @@
           control_(
               settings_, time_, platform_, snapshots_, members_, upstream_),
           calls_(settings_, time_, snapshots_, members_, upstream_),
-          editor_(
-              platform_,
-              time_,
-              settings_.vm_,
-              [this]
-              {
-                  return snapshots_.current();
-              },
-              [this](const change_record& record)
-              {
-                  control_.accept(record);
-              }),
+          editor_(make_editor_ports(), settings_.vm_, settings_.editing_),
           admin_{&settings_, &snapshots_, &platform_, &editor_, &upstream_},
           admin_server_(
               context_,
@@ -72,6 +61,22 @@
 
 private:
     node_settings settings_;
+    editor_ports make_editor_ports()
+    {
+        editor_ports ports;
+        ports.tables_ = &platform_;
+        ports.time_ = &time_;
+        ports.held_ = [this]
+        {
+            return snapshots_.current();
+        };
+        ports.on_accepted_ = [this](const auto& record, const auto&)
+        {
+            control_.accept(record);
+        };
+        return ports;
+    }
+
     real_clock time_;
     asio::io_context context_;
     platform_client platform_;
--- /dev/null
+++ b/include/hemlockshelf/editing/edit_base.hpp
@@ -0,0 +1,78 @@
+#ifndef HEMLOCKSHELF_EDITING_EDIT_BASE_HPP
+#define HEMLOCKSHELF_EDITING_EDIT_BASE_HPP
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "hemlockshelf/config/config_snapshot.hpp"
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/editing/change_record.hpp"
+#include "hemlockshelf/editing/config_reader.hpp"
+#include "hemlockshelf/editing/table_service.hpp"
+
+namespace hemlockshelf {
+
+/// Who changed the configuration and when, for the quota of accepted edits.
+struct recent_change
+{
+    revision revision_;
+    client_account_id account_;
+    wall_time at_;
+};
+
+/// What an edit is checked against: the configuration at a head and the
+/// changes that led to it.
+struct edit_base
+{
+    std::shared_ptr<const config_snapshot> snapshot_;
+    /// The last changes up to the snapshot's revision, in order.
+    std::vector<recent_change> recent_;
+};
+
+using edit_base_pointer = std::shared_ptr<const edit_base>;
+
+/// Changes kept in an `edit_base`. The platform takes a few hundred writes a
+/// second, so that these cover more than the quota's window.
+inline constexpr std::size_t recent_change_limit = 256;
+
+/// Returns the base that follows `base` by a committed record.
+edit_base next_base(
+    const edit_base& base,
+    std::shared_ptr<const config_snapshot> snapshot,
+    const change_record& record);
+
+/// Finds the base of an edit. Keeps the newest one, so that an edit reads only
+/// the change rows that are new to this node. Thread-safe; no lock is held
+/// while the platform is asked.
+class edit_base_cache
+{
+public:
+    using snapshot_source =
+        std::function<std::shared_ptr<const config_snapshot>()>;
+
+    /// `held` returns the newest snapshot of this node.
+    edit_base_cache(table_service& tables, snapshot_source held);
+
+    /// Returns the base at `head`. The errors are `platform_unavailable`, also
+    /// if the head is older than what this node holds, and `revision_gap`.
+    result<edit_base_pointer> at(const config_head& head);
+
+    /// Keeps `base` if it is the newest.
+    void keep(edit_base_pointer base);
+
+private:
+    [[nodiscard]] edit_base_pointer newest() const;
+
+    table_service& tables_;
+    snapshot_source held_;
+    mutable std::mutex mutex_;
+    edit_base_pointer newest_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/editing/edit_plan.hpp
@@ -0,0 +1,39 @@
+#ifndef HEMLOCKSHELF_EDITING_EDIT_PLAN_HPP
+#define HEMLOCKSHELF_EDITING_EDIT_PLAN_HPP
+
+#include "hemlockshelf/config/config_tables.hpp"
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/editing/change_record.hpp"
+#include "hemlockshelf/editing/config_reader.hpp"
+#include "hemlockshelf/editing/edit_base.hpp"
+#include "hemlockshelf/editing/edit_request.hpp"
+#include "hemlockshelf/editing/editing_settings.hpp"
+#include "hemlockshelf/editing/table_service.hpp"
+
+namespace hemlockshelf {
+
+/// An edit that passed every check against one head, ready to be committed.
+struct edit_plan
+{
+    change_record record_;
+    /// The tables after the edit.
+    config_tables tables_;
+    /// Checks that the head has not moved and that the change id is unused.
+    transaction writes_;
+};
+
+/// Checks an edit against its base and plans its transaction. The errors are
+/// `invalid_row`, `not_found` and `quota_exceeded`.
+result<edit_plan> plan_edit(
+    const edit_request& request,
+    const edit_base& base,
+    const config_head& head,
+    const edit_quotas& quotas,
+    wall_time now,
+    const vm_id& vm);
+
+} // namespace hemlockshelf
+
+#endif
--- a/include/hemlockshelf/editing/editing_settings.hpp
+++ b/include/hemlockshelf/editing/editing_settings.hpp
@@ -37,8 +37,9 @@
     /// Reads by change id after a lost answer.
     int max_read_backs_ = 10;
     std::chrono::milliseconds read_back_interval_{200};
-    /// Time after which no further attempt starts. The command line waits for
-    /// 10 s, and the last attempt takes up to the platform's timeout.
+    /// Time after which no further attempt or read by change id starts. The
+    /// command line waits for 10 s, and a last attempt asks the platform twice,
+    /// which takes up to 4 s.
     std::chrono::milliseconds give_up_after_{6000};
 };
 
--- a/include/hemlockshelf/editing/editor.hpp
+++ b/include/hemlockshelf/editing/editor.hpp
@@ -1,41 +1,65 @@
 #ifndef HEMLOCKSHELF_EDITING_EDITOR_HPP
 #define HEMLOCKSHELF_EDITING_EDITOR_HPP
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "hemlockshelf/config/config_snapshot.hpp"
 #include "hemlockshelf/core/clock.hpp"
 #include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/metric_sink.hpp"
 #include "hemlockshelf/editing/change_record.hpp"
-#include "hemlockshelf/editing/config_reader.hpp"
+#include "hemlockshelf/editing/edit_base.hpp"
+#include "hemlockshelf/editing/edit_plan.hpp"
 #include "hemlockshelf/editing/edit_request.hpp"
+#include "hemlockshelf/editing/editing_settings.hpp"
+#include "hemlockshelf/editing/submission_limiter.hpp"
 #include "hemlockshelf/editing/table_service.hpp"
 
 namespace hemlockshelf {
 
+/// What an editor works with.
+struct editor_ports
+{
+    using snapshot_pointer = std::shared_ptr<const config_snapshot>;
+
+    table_service* tables_ = nullptr;
+    const clock* time_ = nullptr;
+    /// May be null.
+    metric_sink* metrics_ = nullptr;
+    /// Returns the newest snapshot of this node, from which the editor
+    /// catches up to the head.
+    std::function<snapshot_pointer()> held_;
+    /// Called for each edit of this node that is known to have committed,
+    /// with the snapshot that it leads to, before `submit` returns. Edits of
+    /// several threads may arrive out of the order of their revisions.
+    std::function<void(const change_record&, const snapshot_pointer&)>
+        on_accepted_;
+    /// Waits before an attempt is repeated; sleeps if it is empty.
+    std::function<void(std::chrono::milliseconds)> pause_;
+};
+
 /// Accepts operators' edits: checks each against the head that it commits on
 /// and writes it in one transaction. Thread-safe as far as its ports are.
 class editor
 {
 public:
-    using snapshot_source =
-        std::function<std::shared_ptr<const config_snapshot>()>;
-    using accepted_handler = std::function<void(const change_record&)>;
-
-    /// `held` returns the newest snapshot of this node, from which the editor
-    /// catches up to the head. `on_accepted` is called for each edit that is
-    /// known to have committed, before `submit` returns.
-    editor(
-        table_service& tables,
-        const clock& time,
-        vm_id vm,
-        snapshot_source held,
-        accepted_handler on_accepted);
+    editor(editor_ports ports, vm_id vm, editing_settings settings = {});
 
-    /// Commits an edit. The errors are `conflict`, `forbidden`, `invalid_row`,
-    /// `platform_unavailable` and, if the answer was lost and could not be
-    /// read back, `outcome_unknown` with the change id.
+    /// Commits an edit as a whole, or with `dry_run` checks it. An edit that
+    /// was committed before under the same change id gives the same outcome.
+    /// The errors are
+    /// - `bad_request`, `forbidden`, `invalid_row`, `not_found` (a row to
+    ///   delete) if a part of it is wrong;
+    /// - `conflict` if a row does not have the expected version, or the change
+    ///   id belongs to another edit;
+    /// - `rate_limited` and `quota_exceeded` by the account's limits;
+    /// - `busy` if other edits won every attempt;
+    /// - `platform_unavailable` if it certainly was not committed;
+    /// - `outcome_unknown`, with the change id, if the platform's answer was
+    ///   lost and could not be read back.
     result<edit_outcome> submit(const edit_request& request);
 
     /// Returns the revision at which a change was accepted. `not_found` if no
@@ -43,24 +67,34 @@
     result<edit_outcome> find(const change_id& id);
 
 private:
-    struct prepared_edit
-    {
-        change_record record_;
-        transaction writes_;
-    };
+    /// The outcome, or nothing if another edit won the revision.
+    using attempt_result = result<std::optional<edit_outcome>>;
 
-    result<prepared_edit>
-    prepare(const edit_request& request, const config_head& head);
-    result<edit_outcome> try_commit(
-        const edit_request& request, const config_head& head, bool& head_moved);
-    result<edit_outcome> read_back(
-        const prepared_edit& edit, const config_head& head, bool& head_moved);
+    result<edit_outcome> run(const edit_request& request);
+    attempt_result attempt(const edit_request& request, steady_time give_up);
+    attempt_result
+    finish_dry_run(const edit_request& request, const config_head& head);
+    attempt_result
+    explain_refusal(const edit_request& request, const error& refusal);
+    attempt_result resolve_conflict(const edit_request& request);
+    attempt_result read_back(
+        const edit_request& request,
+        const edit_plan& plan,
+        const edit_base& base,
+        const config_head& head,
+        steady_time give_up);
+    /// Finds the edit under its change id; nothing if the id is unused.
+    attempt_result find_same(const edit_request& request);
+    result<void> check_expected_versions(const edit_request& request);
+    edit_outcome accept(const edit_plan& plan, const edit_base& base);
+    void wait_before(int attempt, const change_id& id) const;
+    void pause(std::chrono::milliseconds time) const;
 
-    table_service& tables_;
-    const clock& time_;
+    editor_ports ports_;
     vm_id vm_;
-    snapshot_source held_;
-    accepted_handler on_accepted_;
+    editing_settings settings_;
+    edit_base_cache bases_;
+    submission_limiter limiter_;
 };
 
 } // namespace hemlockshelf
--- a/src/editing/change_record.cpp
+++ b/src/editing/change_record.cpp
@@ -17,9 +17,11 @@
 
 audited_row audited_row_from_json(const nlohmann::json& json)
 {
-    const auto table = find_table(json.at("table").get<std::string>());
+    // An unknown table counts as a missing one, which `at` reports.
+    static const nlohmann::json tables{
+        {"routes", table_id::routes}, {"pools", table_id::pools}};
     return {
-        table.value_or(table_id::routes),
+        tables.at(json.at("table").get<std::string>()).get<table_id>(),
         row_key{json.at("key").get<std::string>()}, json.at("before"),
         json.at("after")};
 }
--- /dev/null
+++ b/src/editing/edit_plan.cpp
@@ -0,0 +1,122 @@
+#include "hemlockshelf/editing/edit_plan.hpp"
+
+#include <string>
+#include <utility>
+
+#include "hemlockshelf/config/row_codec.hpp"
+#include "hemlockshelf/editing/edit_checks.hpp"
+#include "hemlockshelf/editing/platform_tables.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+template <class Rows>
+nlohmann::json find_row(const Rows& rows, const row_key& key)
+{
+    const auto found = rows.find(key);
+    return found == rows.end() ? nlohmann::json{} : to_json(*found->second);
+}
+
+nlohmann::json row_json(const config_tables& tables, const row_change& change)
+{
+    return change.table_ == table_id::routes
+               ? find_row(tables.routes_, change.key_)
+               : find_row(tables.pools_, change.key_);
+}
+
+void plan_row(edit_plan& plan, const row_edit& edit)
+{
+    const auto& change = edit.change_;
+    const std::string table(to_string(change.table_));
+    auto before = row_json(plan.tables_, change);
+    apply_change(plan.tables_, change);
+    auto after = row_json(plan.tables_, change);
+    plan.writes_.writes_.push_back({table, change.key_.value(), after});
+    if (edit.expected_version_)
+    {
+        plan.writes_.checks_.push_back(
+            {table, change.key_.value(), *edit.expected_version_});
+    }
+    plan.record_.audit_.rows_.push_back(
+        {change.table_, change.key_, std::move(before), std::move(after)});
+    plan.record_.delta_.changes_.push_back(change);
+}
+
+result<void> check_plan(
+    const edit_plan& plan,
+    const edit_request& request,
+    const edit_base& base,
+    const edit_quotas& quotas)
+{
+    const auto& before = base.snapshot_->tables();
+    auto deletions = check_deletions(request, before);
+    if (!deletions)
+    {
+        return deletions;
+    }
+    auto references = check_references(plan.tables_);
+    if (!references)
+    {
+        return references;
+    }
+    auto rows = check_row_quota(request.account_, before, plan.tables_, quotas);
+    if (!rows)
+    {
+        return rows;
+    }
+    return check_accepted_quota(
+        request.account_, base.recent_, plan.record_.audit_.at_, quotas);
+}
+
+void plan_common_rows(edit_plan& plan, const config_head& head)
+{
+    const auto next = plan.record_.delta_.to_;
+    const auto& id = plan.record_.id_.value();
+    auto& checks = plan.writes_.checks_;
+    checks.push_back(
+        {platform_tables::head, platform_tables::head_key, head.version_});
+    checks.push_back({platform_tables::change_ids, id, row_version{0}});
+    auto& writes = plan.writes_.writes_;
+    writes.push_back(
+        {platform_tables::head,
+         platform_tables::head_key,
+         {{"revision", next.value()},
+          {"hash", plan.tables_.hash_.to_string()}}});
+    writes.push_back(
+        {platform_tables::changes, platform_tables::change_key(next),
+         to_json(plan.record_)});
+    writes.push_back(
+        {platform_tables::change_ids, id, {{"revision", next.value()}}});
+}
+
+} // namespace
+
+result<edit_plan> plan_edit(
+    const edit_request& request,
+    const edit_base& base,
+    const config_head& head,
+    const edit_quotas& quotas,
+    wall_time now,
+    const vm_id& vm)
+{
+    edit_plan plan;
+    plan.record_.id_ = request.id_;
+    plan.record_.audit_ = {request.actor_, request.account_, now, vm, {}};
+    plan.tables_ = base.snapshot_->tables();
+    for (const auto& edit : request.edits_)
+    {
+        plan_row(plan, edit);
+    }
+    const auto checked = check_plan(plan, request, base, quotas);
+    if (!checked)
+    {
+        return tl::unexpected<error>(checked.error());
+    }
+    plan.record_.delta_.to_ = revision{head.revision_.value() + 1};
+    plan.record_.delta_.result_hash_ = plan.tables_.hash_;
+    plan_common_rows(plan, head);
+    return plan;
+}
+
+} // namespace hemlockshelf
--- a/src/editing/edit_request.cpp
+++ b/src/editing/edit_request.cpp
@@ -1,7 +1,10 @@
 #include "hemlockshelf/editing/edit_request.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <initializer_list>
+#include <string_view>
 #include <utility>
 
 #include <fmt/format.h>
@@ -15,33 +18,87 @@
 constexpr std::size_t max_id_length = 64;
 constexpr std::size_t max_edits = 1000;
 
+// An unknown field is refused: a misspelt `expected_version` or `dry_run` would
+// otherwise commit what the operator meant to protect.
+result<void> check_fields(
+    const nlohmann::json& json, std::initializer_list<std::string_view> known)
+{
+    for (const auto& item : json.items())
+    {
+        if (std::ranges::find(known, item.key()) == known.end())
+        {
+            return make_error(
+                error_kind::bad_request,
+                fmt::format("edit: unknown field \"{}\"", item.key()));
+        }
+    }
+    return {};
+}
+
+result<std::optional<row_version>> read_version(const nlohmann::json& json)
+{
+    const auto found = json.find("expected_version");
+    if (found == json.end())
+    {
+        return std::nullopt;
+    }
+    if (!found->is_number_unsigned())
+    {
+        return make_error(
+            error_kind::bad_request,
+            fmt::format(
+                "field \"expected_version\": expected a whole number, given {}",
+                found->dump()));
+    }
+    return row_version{found->get<std::uint64_t>()};
+}
+
 result<row_edit> read_edit(const nlohmann::json& json)
 {
-    const auto has_row =
-        json.is_object() && json.contains("row") && !json.at("row").is_null();
-    const nlohmann::json wrapped{
-        {has_row ? "upserts" : "deletes", nlohmann::json::array({json})}};
-    auto changes = changes_from_json(wrapped);
+    if (!json.is_object() || !json.contains("row"))
+    {
+        return make_error(
+            error_kind::bad_request,
+            fmt::format(
+                "edit: expected an object with the field \"row\" (null "
+                "deletes), given {}",
+                json.dump()));
+    }
+    const auto fields =
+        check_fields(json, {"table", "key", "row", "expected_version"});
+    if (!fields)
+    {
+        return tl::unexpected<error>(fields.error());
+    }
+    const auto* list = json.at("row").is_null() ? "deletes" : "upserts";
+    auto changes = changes_from_json({{list, nlohmann::json::array({json})}});
     if (!changes)
     {
         return tl::unexpected<error>(changes.error());
     }
-    row_edit edit{std::move(changes->front()), std::nullopt};
-    if (!json.contains("expected_version"))
+    return read_version(json).map(
+        [&changes](std::optional<row_version> version)
+        {
+            return row_edit{std::move(changes->front()), version};
+        });
+}
+
+result<bool> read_dry_run(const nlohmann::json& json)
+{
+    const auto found = json.find("dry_run");
+    if (found == json.end())
     {
-        return edit;
+        return false;
     }
-    const auto& version = json.at("expected_version");
-    if (!version.is_number_unsigned())
+    if (!found->is_boolean())
     {
         return make_error(
             error_kind::bad_request,
             fmt::format(
-                "field \"expected_version\": expected a whole number, given {}",
-                version.dump()));
+                "field \"dry_run\": expected true or false, given {}",
+                found->dump()));
     }
-    edit.expected_version_ = row_version{version.get<std::uint64_t>()};
-    return edit;
+    return found->get<bool>();
 }
 
 result<std::string> read_id_text(const nlohmann::json& json, const char* field)
@@ -73,6 +130,12 @@
             error_kind::bad_request,
             "edit: expected an object with the list \"edits\"");
     }
+    const auto fields =
+        check_fields(json, {"change_id", "actor", "dry_run", "edits"});
+    if (!fields)
+    {
+        return tl::unexpected<error>(fields.error());
+    }
     const auto& items = json.at("edits");
     if (items.empty() || items.size() > max_edits)
     {
@@ -92,13 +155,16 @@
     {
         return tl::unexpected<error>(actor.error());
     }
+    const auto dry_run = read_dry_run(json);
+    if (!dry_run)
+    {
+        return tl::unexpected<error>(dry_run.error());
+    }
     edit_request request;
     request.id_ = change_id{std::move(*id)};
     request.actor_ = std::move(*actor);
     request.account_ = account;
-    const auto dry_run = json.find("dry_run");
-    request.dry_run_ =
-        dry_run != json.end() && dry_run->is_boolean() && dry_run->get<bool>();
+    request.dry_run_ = *dry_run;
     for (const auto& item : items)
     {
         auto edit = read_edit(item);
--- a/src/editing/editor.cpp
+++ b/src/editing/editor.cpp
@@ -1,101 +1,93 @@
 #include "hemlockshelf/editing/editor.hpp"
 
-#include <chrono>
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 
 #include <fmt/format.h>
 
-#include "hemlockshelf/config/row_codec.hpp"
+#include "hemlockshelf/core/content_hash.hpp"
+#include "hemlockshelf/core/error_table.hpp"
+#include "hemlockshelf/editing/config_reader.hpp"
+#include "hemlockshelf/editing/edit_checks.hpp"
 #include "hemlockshelf/editing/platform_tables.hpp"
 
 namespace hemlockshelf {
 
 namespace {
 
-// Racing editors each lose at most once per revision that another wins.
-constexpr int max_commit_attempts = 32;
-constexpr int max_read_back_attempts = 10;
-constexpr std::chrono::milliseconds read_back_interval{200};
-
-result<void> check_ownership(const edit_request& request)
+result<edit_outcome>
+outcome_from_row(const change_id& id, const nlohmann::json& value)
 {
-    for (const auto& edit : request.edits_)
+    if (!value.is_object() || !value.contains("revision") ||
+        !value.at("revision").is_number_unsigned())
     {
-        if (account_of(edit.change_.key_) != request.account_)
-        {
-            return make_error(
-                error_kind::forbidden,
-                fmt::format(
-                    "row \"{}\": the account \"{}\" may only edit its own rows",
-                    edit.change_.key_.value(), request.account_.value()));
-        }
+        return make_error(
+            error_kind::platform_unavailable,
+            fmt::format(
+                "row \"{}\" of \"{}\": expected a revision, given {}",
+                id.value(), platform_tables::change_ids, value.dump()));
     }
-    return {};
+    return edit_outcome{
+        id, revision{value.at("revision").get<std::uint64_t>()}};
 }
 
-nlohmann::json row_json(const config_tables& tables, const row_change& change)
+bool same_edit(const edit_request& request, const change_record& record)
 {
-    if (change.table_ == table_id::routes)
-    {
-        const auto found = tables.routes_.find(change.key_);
-        return found == tables.routes_.end() ? nlohmann::json{}
-                                             : to_json(*found->second);
-    }
-    const auto found = tables.pools_.find(change.key_);
-    return found == tables.pools_.end() ? nlohmann::json{}
-                                        : to_json(*found->second);
+    return record.audit_.account_ == request.account_ &&
+           std::ranges::is_permutation(
+               request.edits_, record.delta_.changes_, {}, &row_edit::change_);
 }
 
-std::string table_name(const row_change& change)
+result<void>
+check_version(const row_edit& edit, const std::optional<stored_row>& row)
 {
-    return std::string(to_string(change.table_));
+    const auto found = row ? row->version_ : row_version{0};
+    if (found == *edit.expected_version_)
+    {
+        return {};
+    }
+    return make_error(
+        error_kind::conflict,
+        fmt::format(
+            "row \"{}\" of \"{}\": expected version {}, found {}",
+            edit.change_.key_.value(), to_string(edit.change_.table_),
+            edit.expected_version_->value(),
+            row ? fmt::format(
+                      "version {} with {}", found.value(), row->value_.dump())
+                : std::string("no row")));
 }
 
 } // namespace
 
-editor::editor(
-    table_service& tables,
-    const clock& time,
-    vm_id vm,
-    snapshot_source held,
-    accepted_handler on_accepted)
-    : tables_(tables), time_(time), vm_(std::move(vm)), held_(std::move(held)),
-      on_accepted_(std::move(on_accepted))
+editor::editor(editor_ports ports, vm_id vm, editing_settings settings)
+    : ports_(std::move(ports)), vm_(std::move(vm)), settings_(settings),
+      bases_(*ports_.tables_, ports_.held_), limiter_(settings_.quotas_)
 {}
 
 result<edit_outcome> editor::submit(const edit_request& request)
 {
-    const auto owned = check_ownership(request);
-    if (!owned)
+    const auto permit = limiter_.admit(request.account_, ports_.time_->now());
+    auto outcome =
+        permit ? run(request)
+               : result<edit_outcome>(tl::unexpected<error>(permit.error()));
+    if (ports_.metrics_ != nullptr)
     {
-        return tl::unexpected<error>(owned.error());
+        ports_.metrics_->add(
+            metric_id::edits, outcome
+                                  ? std::string_view("accepted")
+                                  : answer_for(outcome.error().kind_).name_);
     }
-    for (int attempt = 0; attempt < max_commit_attempts; ++attempt)
-    {
-        const auto head = read_head(tables_);
-        if (!head)
-        {
-            return tl::unexpected<error>(head.error());
-        }
-        bool head_moved = false;
-        auto outcome = try_commit(request, *head, head_moved);
-        if (!head_moved)
-        {
-            return outcome;
-        }
-    }
-    return make_error(
-        error_kind::busy, fmt::format(
-                              "edit \"{}\": other edits won {} times in a row",
-                              request.id_.value(), max_commit_attempts));
+    return outcome;
 }
 
 result<edit_outcome> editor::find(const change_id& id)
 {
-    const auto row = tables_.read(platform_tables::change_ids, id.value());
+    const auto row =
+        ports_.tables_->read(platform_tables::change_ids, id.value());
     if (!row)
     {
         return tl::unexpected<error>(row.error());
@@ -106,137 +98,254 @@
             error_kind::not_found,
             fmt::format("change id \"{}\": not found", id.value()));
     }
-    return edit_outcome{
-        id, revision{(*row)->value_.value("revision", std::uint64_t{0})}};
+    return outcome_from_row(id, (*row)->value_);
 }
 
-result<edit_outcome> editor::try_commit(
-    const edit_request& request, const config_head& head, bool& head_moved)
+result<edit_outcome> editor::run(const edit_request& request)
 {
-    const auto edit = prepare(request, head);
-    if (!edit)
+    const auto checked = check_request(request);
+    if (!checked)
     {
-        return tl::unexpected<error>(edit.error());
+        return tl::unexpected<error>(checked.error());
+    }
+    const auto give_up = ports_.time_->now() + settings_.retry_.give_up_after_;
+    int attempts = 0;
+    do
+    {
+        wait_before(attempts, request.id_);
+        ++attempts;
+        const auto outcome = attempt(request, give_up);
+        if (!outcome)
+        {
+            return tl::unexpected<error>(outcome.error());
+        }
+        if (*outcome)
+        {
+            return **outcome;
+        }
+    } while (attempts < settings_.retry_.max_attempts_ &&
+             ports_.time_->now() < give_up);
+    return make_error(
+        error_kind::busy,
+        fmt::format(
+            "edit \"{}\": not committed, other edits won {} times in a row",
+            request.id_.value(), attempts));
+}
+
+editor::attempt_result
+editor::attempt(const edit_request& request, steady_time give_up)
+{
+    const auto head = read_head(*ports_.tables_);
+    if (!head)
+    {
+        return tl::unexpected<error>(head.error());
+    }
+    const auto base = bases_.at(*head);
+    if (!base)
+    {
+        return tl::unexpected<error>(base.error());
+    }
+    const auto plan = plan_edit(
+        request, **base, *head, settings_.quotas_, ports_.time_->wall_now(),
+        vm_);
+    if (!plan)
+    {
+        return explain_refusal(request, plan.error());
     }
     if (request.dry_run_)
     {
-        return edit_outcome{request.id_, head.revision_};
+        return finish_dry_run(request, *head);
     }
-    const auto committed = tables_.commit(edit->writes_);
+    const auto committed = ports_.tables_->commit(plan->writes_);
     if (committed)
     {
-        on_accepted_(edit->record_);
-        return edit_outcome{request.id_, edit->record_.delta_.to_};
+        return accept(*plan, **base);
+    }
+    switch (committed.error().kind_)
+    {
+    case error_kind::conflict:
+        return resolve_conflict(request);
+    case error_kind::outcome_unknown:
+        return read_back(request, *plan, **base, *head, give_up);
+    default:
+        return tl::unexpected<error>(committed.error());
+    }
+}
+
+editor::attempt_result
+editor::finish_dry_run(const edit_request& request, const config_head& head)
+{
+    const auto expected = check_expected_versions(request);
+    if (!expected)
+    {
+        return tl::unexpected<error>(expected.error());
+    }
+    return edit_outcome{request.id_, head.revision_};
+}
+
+editor::attempt_result
+editor::explain_refusal(const edit_request& request, const error& refusal)
+{
+    // An edit that committed before may be wrong on the head that followed,
+    // for example if it deletes a row.
+    auto same = resolve_conflict(request);
+    if (!same || *same)
+    {
+        return same;
+    }
+    return tl::unexpected<error>(refusal);
+}
+
+editor::attempt_result editor::resolve_conflict(const edit_request& request)
+{
+    auto same = find_same(request);
+    if (!same || *same)
+    {
+        return same;
     }
-    const auto kind = committed.error().kind_;
-    if (kind == error_kind::conflict || kind == error_kind::outcome_unknown)
+    const auto expected = check_expected_versions(request);
+    if (!expected)
     {
-        return read_back(*edit, head, head_moved);
+        return tl::unexpected<error>(expected.error());
     }
-    return tl::unexpected<error>(committed.error());
+    return std::nullopt;
 }
 
-result<edit_outcome> editor::read_back(
-    const prepared_edit& edit, const config_head& head, bool& head_moved)
+editor::attempt_result editor::read_back(
+    const edit_request& request,
+    const edit_plan& plan,
+    const edit_base& base,
+    const config_head& head,
+    steady_time give_up)
 {
-    const auto& id = edit.record_.id_;
-    for (int attempt = 0; attempt < max_read_back_attempts; ++attempt)
+    const int limit = settings_.retry_.max_read_backs_;
+    for (int count = 0;
+         count < limit && (count == 0 || ports_.time_->now() < give_up);
+         ++count)
     {
         // The head is read first: if it has moved and the change id is absent
         // afterwards, the transaction can no longer commit.
-        const auto now = read_head(tables_);
-        auto found = now ? find(id) : result<edit_outcome>{};
-        if (now && found)
+        const auto now = read_head(*ports_.tables_);
+        const auto found = find(request.id_);
+        if (found && found->revision_ == plan.record_.delta_.to_)
         {
-            if (found->revision_ == edit.record_.delta_.to_)
-            {
-                on_accepted_(edit.record_);
-            }
-            return found;
+            return accept(plan, base);
         }
-        if (now && found.error().kind_ == error_kind::not_found &&
-            now->version_ != head.version_)
+        if (found)
         {
-            head_moved = true;
-            return edit_outcome{};
+            return find_same(request);
         }
-        std::this_thread::sleep_for(read_back_interval);
+        const bool absent = found.error().kind_ == error_kind::not_found;
+        if (now && absent && now->version_ != head.version_)
+        {
+            return resolve_conflict(request);
+        }
+        pause(settings_.retry_.read_back_interval_);
     }
     return make_error(
         error_kind::outcome_unknown,
         fmt::format(
             "edit \"{}\": the platform's answer was lost; ask for the outcome "
             "by this change id",
-            id.value()));
+            request.id_.value()));
 }
 
-result<editor::prepared_edit>
-editor::prepare(const edit_request& request, const config_head& head)
+editor::attempt_result editor::find_same(const edit_request& request)
 {
-    auto base = held_();
-    if (base->number() > head.revision_)
+    const auto found = find(request.id_);
+    if (!found && found.error().kind_ == error_kind::not_found)
     {
-        return make_error(
-            error_kind::platform_unavailable,
-            fmt::format(
-                "head row: expected revision {} or later, read {}",
-                base->number().value(), head.revision_.value()));
+        return std::nullopt;
     }
-    auto caught_up = catch_up(tables_, base, head.revision_);
-    if (!caught_up)
+    if (!found)
     {
-        return tl::unexpected<error>(caught_up.error());
+        return tl::unexpected<error>(found.error());
     }
-    base = std::move(*caught_up);
+    const auto records = read_changes(
+        *ports_.tables_, revision{found->revision_.value() - 1}, 1);
+    if (!records)
+    {
+        return tl::unexpected<error>(records.error());
+    }
+    if (!records->empty() && records->front().id_ == request.id_ &&
+        same_edit(request, records->front()))
+    {
+        return *found;
+    }
+    return make_error(
+        error_kind::conflict,
+        fmt::format(
+            "change id \"{}\": expected an unused one, found another edit at "
+            "revision {}",
+            request.id_.value(), found->revision_.value()));
+}
 
-    prepared_edit edit;
-    edit.record_.id_ = request.id_;
-    edit.record_.audit_ = {
-        request.actor_, request.account_, time_.wall_now(), vm_, {}};
-    auto tables = base->tables();
-    for (const auto& row : request.edits_)
+result<void> editor::check_expected_versions(const edit_request& request)
+{
+    for (const auto& edit : request.edits_)
     {
-        auto before = row_json(tables, row.change_);
-        apply_change(tables, row.change_);
-        auto after = row_json(tables, row.change_);
-        edit.writes_.writes_.push_back(
-            {table_name(row.change_), row.change_.key_.value(), after});
-        if (row.expected_version_)
+        if (!edit.expected_version_)
+        {
+            continue;
+        }
+        const auto row = ports_.tables_->read(
+            std::string(to_string(edit.change_.table_)),
+            edit.change_.key_.value());
+        if (!row)
+        {
+            return tl::unexpected<error>(row.error());
+        }
+        auto checked = check_version(edit, *row);
+        if (!checked)
         {
-            edit.writes_.checks_.push_back(
-                {table_name(row.change_), row.change_.key_.value(),
-                 *row.expected_version_});
+            return checked;
         }
-        edit.record_.audit_.rows_.push_back(
-            {row.change_.table_, row.change_.key_, std::move(before),
-             std::move(after)});
-        edit.record_.delta_.changes_.push_back(row.change_);
     }
-    const auto checked = check_references(tables);
-    if (!checked)
+    return {};
+}
+
+edit_outcome editor::accept(const edit_plan& plan, const edit_base& base)
+{
+    const auto& record = plan.record_;
+    // The plan has checked the references, so that this cannot fail.
+    const auto snapshot =
+        config_snapshot::build(record.delta_.to_, plan.tables_);
+    if (snapshot)
     {
-        return tl::unexpected<error>(checked.error());
+        bases_.keep(std::make_shared<const edit_base>(
+            next_base(base, *snapshot, record)));
+        ports_.on_accepted_(record, *snapshot);
+    }
+    return {record.id_, record.delta_.to_};
+}
+
+void editor::wait_before(int attempt, const change_id& id) const
+{
+    if (attempt == 0)
+    {
+        return;
+    }
+    // The delay is uniform between 0 and a limit that doubles, so that racing
+    // editors spread out. Hashing the id gives each edit its own sequence.
+    constexpr int max_doublings = 16;
+    const auto& retry = settings_.retry_;
+    const auto limit = std::min(
+        retry.max_delay_,
+        retry.first_delay_ * (1 << std::min(attempt - 1, max_doublings)));
+    const auto random =
+        hash_text(id.value() + vm_.value(), static_cast<unsigned>(attempt));
+    const auto span = static_cast<std::uint64_t>(limit.count()) + 1;
+    pause(std::chrono::milliseconds{random % span});
+}
+
+void editor::pause(std::chrono::milliseconds time) const
+{
+    if (ports_.pause_)
+    {
+        ports_.pause_(time);
+        return;
     }
-    const revision next{head.revision_.value() + 1};
-    edit.record_.delta_.to_ = next;
-    edit.record_.delta_.result_hash_ = tables.hash_;
-    auto& writes = edit.writes_;
-    writes.checks_.push_back(
-        {platform_tables::head, platform_tables::head_key, head.version_});
-    writes.checks_.push_back(
-        {platform_tables::change_ids, request.id_.value(), row_version{0}});
-    writes.writes_.push_back(
-        {platform_tables::head,
-         platform_tables::head_key,
-         {{"revision", next.value()}, {"hash", tables.hash_.to_string()}}});
-    writes.writes_.push_back(
-        {platform_tables::changes, platform_tables::change_key(next),
-         to_json(edit.record_)});
-    writes.writes_.push_back(
-        {platform_tables::change_ids,
-         request.id_.value(),
-         {{"revision", next.value()}}});
-    return edit;
+    std::this_thread::sleep_for(time);
 }
 
 } // namespace hemlockshelf
--- a/test/editing/test_editor.cpp
+++ b/test/editing/test_editor.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/core/manual_clock.hpp"
+#include "hemlockshelf/editing/config_reader.hpp"
 #include "standins/platform/memory_tables.hpp"
 
 #include <criterion/criterion.h>
@@ -15,18 +16,24 @@
     memory_tables tables_;
     manual_clock time_;
     snapshot_store snapshots_;
-    editor editor_{
-        tables_, time_, vm_id{"vm-1"},
-        [this]
+    editor editor_{make_ports(), vm_id{"vm-1"}};
+
+    editor_ports make_ports()
+    {
+        editor_ports ports;
+        ports.tables_ = &tables_;
+        ports.time_ = &time_;
+        ports.held_ = [this]
         {
             return snapshots_.current();
-        },
-        [this](const change_record& record)
+        };
+        ports.on_accepted_ = [this](const change_record&, const auto& snapshot)
         {
-            const auto next = apply_delta(*snapshots_.current(), record.delta_);
-            cr_assert(next.has_value());
-            cr_assert(snapshots_.advance(*next).has_value());
-        }};
+            cr_assert(snapshots_.advance(snapshot).has_value());
+        };
+        ports.pause_ = [](std::chrono::milliseconds) {};
+        return ports;
+    }
 };
 
 edit_request pool_edit(const char* id, const char* key)
