--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -11,6 +11,7 @@
 #include "adapters/node/control_plane.hpp"
 #include "adapters/platform/platform_client.hpp"
 #include "hemlockshelf/core/real_clock.hpp"
+#include "hemlockshelf/editing/blob_writer.hpp"
 
 namespace hemlockshelf {
 
@@ -70,9 +71,10 @@
         {
             return snapshots_.current();
         };
-        ports.on_accepted_ = [this](const auto& record, const auto&)
+        ports.on_accepted_ = [this](const auto& record, const auto& snapshot)
         {
             control_.accept(record);
+            blobs_.offer(snapshot);
         };
         return ports;
     }
@@ -85,6 +87,7 @@
     own_upstream upstream_;
     control_plane control_;
     call_plane calls_;
+    blob_writer blobs_{platform_};
     editor editor_;
     admin_context admin_;
     json_server admin_server_;
--- /dev/null
+++ b/include/hemlockshelf/editing/blob_writer.hpp
@@ -0,0 +1,53 @@
+#ifndef HEMLOCKSHELF_EDITING_BLOB_WRITER_HPP
+#define HEMLOCKSHELF_EDITING_BLOB_WRITER_HPP
+
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "hemlockshelf/config/config_snapshot.hpp"
+#include "hemlockshelf/editing/object_store.hpp"
+
+namespace hemlockshelf {
+
+/// Stores the snapshots of every hundredth revision that this node accepted.
+/// Writes on a thread of its own, so that an operator's answer does not wait
+/// for the object store. A blob that cannot be stored is left out: readers use
+/// an older one. Thread-safe.
+class blob_writer
+{
+public:
+    explicit blob_writer(
+        object_store& objects,
+        std::chrono::milliseconds retry_interval = std::chrono::seconds{1});
+    ~blob_writer();
+
+    blob_writer(const blob_writer&) = delete;
+    blob_writer& operator=(const blob_writer&) = delete;
+
+    /// Takes a snapshot that has just been accepted; others than every
+    /// hundredth are skipped. Does not block.
+    void offer(const std::shared_ptr<const config_snapshot>& snapshot);
+
+private:
+    using snapshot_pointer = std::shared_ptr<const config_snapshot>;
+
+    void run();
+    void write(const snapshot_pointer& snapshot);
+    bool wait_for_retry();
+
+    object_store& objects_;
+    std::chrono::milliseconds retry_interval_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool stopping_ = false;
+    /// The newest snapshot to write; an older one is not worth the write.
+    snapshot_pointer pending_;
+    std::thread thread_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- a/include/hemlockshelf/editing/config_reader.hpp
+++ b/include/hemlockshelf/editing/config_reader.hpp
@@ -27,6 +27,14 @@
 result<std::vector<change_record>>
 read_changes(table_service& tables, revision from, std::size_t limit);
 
+/// Applies the records after `base` up to `target`, with one check of the
+/// references and one index at the end, and the hash after each. The errors are
+/// `revision_gap`, `hash_mismatch` and `invalid_row`.
+result<std::shared_ptr<const config_snapshot>> apply_records(
+    std::shared_ptr<const config_snapshot> base,
+    const std::vector<change_record>& records,
+    revision target);
+
 /// Returns the snapshot of revision `target`, by applying change rows to
 /// `base`. `revision_gap` if a change row is missing.
 result<std::shared_ptr<const config_snapshot>> catch_up(
--- /dev/null
+++ b/include/hemlockshelf/editing/snapshot_blob.hpp
@@ -0,0 +1,47 @@
+#ifndef HEMLOCKSHELF_EDITING_SNAPSHOT_BLOB_HPP
+#define HEMLOCKSHELF_EDITING_SNAPSHOT_BLOB_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "hemlockshelf/config/config_snapshot.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/editing/object_store.hpp"
+#include "hemlockshelf/editing/table_service.hpp"
+
+namespace hemlockshelf {
+
+/// A blob is written for each revision that is a multiple of this.
+inline constexpr std::uint64_t revisions_per_blob = 100;
+
+/// Returns `snapshots/<revision>`.
+std::string blob_name(revision number);
+
+/// Returns the blob's text: JSON, of the form of a delta that holds every row.
+std::string to_blob(const config_snapshot& snapshot);
+
+/// Reads what `to_blob` wrote. The errors are `invalid_row` and
+/// `hash_mismatch`.
+result<std::shared_ptr<const config_snapshot>>
+snapshot_from_blob(const std::string& text);
+
+/// Returns the newest readable blob after `held`, up to `head`; nothing if the
+/// last few that should exist are missing or damaged. The error is
+/// `platform_unavailable`.
+result<std::shared_ptr<const config_snapshot>>
+load_newest_blob(object_store& objects, revision held, revision head);
+
+/// Returns the snapshot of revision `target`, from `base` or the newest blob
+/// and the change rows after it. Of use to a starting node and to one that was
+/// away for long. The errors are `platform_unavailable` and `revision_gap`.
+result<std::shared_ptr<const config_snapshot>> catch_up(
+    table_service& tables,
+    object_store& objects,
+    std::shared_ptr<const config_snapshot> base,
+    revision target);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/src/editing/blob_writer.cpp
@@ -0,0 +1,100 @@
+#include "hemlockshelf/editing/blob_writer.hpp"
+
+#include <utility>
+
+#include "hemlockshelf/editing/snapshot_blob.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+constexpr int max_attempts = 5;
+
+} // namespace
+
+blob_writer::blob_writer(
+    object_store& objects, std::chrono::milliseconds retry_interval)
+    : objects_(objects), retry_interval_(retry_interval), thread_(
+                                                              [this]
+                                                              {
+                                                                  run();
+                                                              })
+{}
+
+blob_writer::~blob_writer()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    thread_.join();
+}
+
+void blob_writer::offer(const std::shared_ptr<const config_snapshot>& snapshot)
+{
+    if (snapshot->number().value() % revisions_per_blob != 0)
+    {
+        return;
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        if (!pending_ || pending_->number() < snapshot->number())
+        {
+            pending_ = snapshot;
+        }
+    }
+    changed_.notify_all();
+}
+
+void blob_writer::run()
+{
+    std::unique_lock lock(mutex_);
+    while (true)
+    {
+        changed_.wait(
+            lock,
+            [this]
+            {
+                return stopping_ || pending_;
+            });
+        // A blob that was offered before the stop is still written.
+        if (!pending_)
+        {
+            return;
+        }
+        const auto snapshot = std::exchange(pending_, nullptr);
+        lock.unlock();
+        write(snapshot);
+        lock.lock();
+    }
+}
+
+void blob_writer::write(const snapshot_pointer& snapshot)
+{
+    const auto text = to_blob(*snapshot);
+    for (int attempt = 0; attempt < max_attempts; ++attempt)
+    {
+        if (objects_.put(blob_name(snapshot->number()), text))
+        {
+            return;
+        }
+        if (!wait_for_retry())
+        {
+            return;
+        }
+    }
+}
+
+bool blob_writer::wait_for_retry()
+{
+    std::unique_lock lock(mutex_);
+    return !changed_.wait_for(
+        lock, retry_interval_,
+        [this]
+        {
+            return stopping_;
+        });
+}
+
+} // namespace hemlockshelf
--- a/src/editing/config_reader.cpp
+++ b/src/editing/config_reader.cpp
@@ -80,6 +80,47 @@
     return records;
 }
 
+result<std::shared_ptr<const config_snapshot>> apply_records(
+    std::shared_ptr<const config_snapshot> base,
+    const std::vector<change_record>& records,
+    revision target)
+{
+    auto number = base->number();
+    auto tables = base->tables();
+    for (const auto& record : records)
+    {
+        const auto& delta = record.delta_;
+        if (delta.to_ <= number)
+        {
+            continue;
+        }
+        if (delta.to_ > target)
+        {
+            break;
+        }
+        const auto follows = check_follows(number, delta.to_);
+        if (!follows)
+        {
+            return tl::unexpected<error>(follows.error());
+        }
+        for (const auto& change : delta.changes_)
+        {
+            apply_change(tables, change);
+        }
+        const auto checked = check_hash(tables, delta.result_hash_);
+        if (!checked)
+        {
+            return tl::unexpected<error>(checked.error());
+        }
+        number = delta.to_;
+    }
+    if (number == base->number())
+    {
+        return base;
+    }
+    return config_snapshot::build(number, std::move(tables));
+}
+
 result<std::shared_ptr<const config_snapshot>> catch_up(
     table_service& tables,
     std::shared_ptr<const config_snapshot> base,
@@ -101,19 +142,12 @@
                     "change rows: expected revision {}, found none after {}",
                     target.value(), base->number().value()));
         }
-        for (const auto& record : *records)
+        auto next = apply_records(base, *records, target);
+        if (!next)
         {
-            if (record.delta_.to_ > target)
-            {
-                break;
-            }
-            auto next = apply_delta(*base, record.delta_);
-            if (!next)
-            {
-                return next;
-            }
-            base = std::move(*next);
+            return next;
         }
+        base = std::move(*next);
     }
     return base;
 }
--- a/src/editing/edit_base.cpp
+++ b/src/editing/edit_base.cpp
@@ -43,28 +43,18 @@
         std::min(base.snapshot_->number().value(), std::max(oldest, known))};
 }
 
-result<void> apply_records(
-    edit_base& base, const std::vector<change_record>& records, revision target)
+void append_changes(
+    std::vector<recent_change>& recent,
+    const std::vector<change_record>& records,
+    revision target)
 {
     for (const auto& record : records)
     {
-        if (record.delta_.to_ > target)
+        if (record.delta_.to_ <= target)
         {
-            break;
+            append_change(recent, record);
         }
-        append_change(base.recent_, record);
-        if (record.delta_.to_ <= base.snapshot_->number())
-        {
-            continue;
-        }
-        auto next = apply_delta(*base.snapshot_, record.delta_);
-        if (!next)
-        {
-            return tl::unexpected<error>(next.error());
-        }
-        base.snapshot_ = std::move(*next);
     }
-    return {};
 }
 
 } // namespace
@@ -124,11 +114,13 @@
                     "change rows: expected revision {}, found none after {}",
                     head.revision_.value(), from.value()));
         }
-        const auto applied = apply_records(base, *records, head.revision_);
-        if (!applied)
+        auto next = apply_records(base.snapshot_, *records, head.revision_);
+        if (!next)
         {
-            return tl::unexpected<error>(applied.error());
+            return tl::unexpected<error>(next.error());
         }
+        base.snapshot_ = std::move(*next);
+        append_changes(base.recent_, *records, head.revision_);
         from = records->back().delta_.to_;
     }
     auto found = std::make_shared<const edit_base>(std::move(base));
--- /dev/null
+++ b/src/editing/snapshot_blob.cpp
@@ -0,0 +1,84 @@
+#include "hemlockshelf/editing/snapshot_blob.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "hemlockshelf/config/config_delta.hpp"
+#include "hemlockshelf/editing/config_reader.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+// The newest blob may still be on its way and the one before may have been
+// lost with its writer. Older ones save little against the change rows.
+constexpr int blobs_to_try = 3;
+
+} // namespace
+
+std::string blob_name(revision number)
+{
+    return fmt::format("snapshots/{}", number.value());
+}
+
+std::string to_blob(const config_snapshot& snapshot)
+{
+    const auto& tables = snapshot.tables();
+    return to_json(
+               config_delta{snapshot.number(), all_rows(tables), tables.hash_})
+        .dump();
+}
+
+result<std::shared_ptr<const config_snapshot>>
+snapshot_from_blob(const std::string& text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto rows = delta_from_json(json);
+    if (!rows)
+    {
+        return tl::unexpected<error>(rows.error());
+    }
+    return build_from_rows(rows->to_, rows->changes_, rows->result_hash_);
+}
+
+result<std::shared_ptr<const config_snapshot>>
+load_newest_blob(object_store& objects, revision held, revision head)
+{
+    auto number = head.value() - (head.value() % revisions_per_blob);
+    for (int tried = 0; tried < blobs_to_try && number > held.value(); ++tried)
+    {
+        const auto text = objects.get(blob_name(revision{number}));
+        if (!text)
+        {
+            return tl::unexpected<error>(text.error());
+        }
+        if (*text)
+        {
+            auto snapshot = snapshot_from_blob(**text);
+            if (snapshot && (*snapshot)->number() == revision{number})
+            {
+                return snapshot;
+            }
+        }
+        number -= revisions_per_blob;
+    }
+    return std::shared_ptr<const config_snapshot>();
+}
+
+result<std::shared_ptr<const config_snapshot>> catch_up(
+    table_service& tables,
+    object_store& objects,
+    std::shared_ptr<const config_snapshot> base,
+    revision target)
+{
+    // A failing object store does not matter: the change rows hold the same.
+    const auto blob = load_newest_blob(objects, base->number(), target);
+    if (blob && *blob)
+    {
+        base = *blob;
+    }
+    return catch_up(tables, std::move(base), target);
+}
+
+} // namespace hemlockshelf
