settings, telemetry: check settings as a whole and add logs and metrics

Each value is read with its unit and range; the first error names the file, the line, what was given and what was expected, and unknown keys are refused. Log lines are one event each, as text or JSON. Metrics come from a closed table and are served in the Prometheus text format.

--- a/adapters/node/admin_handler.cpp
+++ b/adapters/node/admin_handler.cpp
@@ -4,8 +4,11 @@
 #include <cstdint>
 #include <string_view>
 
+#include <spdlog/spdlog.h>
+
 #include "adapters/http/json_server.hpp"
 #include "adapters/node/operator_tokens.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/config/row_codec.hpp"
 #include "hemlockshelf/editing/config_reader.hpp"
 
@@ -142,6 +145,37 @@
     return json_response(200, {{"entries", std::move(entries)}});
 }
 
+http_response show_metrics(const admin_context& context)
+{
+    http_response response{http::status::ok, 11};
+    response.set(
+        http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
+    response.body() = context.metrics_->to_text();
+    response.prepare_payload();
+    return response;
+}
+
+http_response
+set_log_level(const admin_context& context, const http_request& request)
+{
+    const auto account = operator_account(context, request);
+    if (!account)
+    {
+        return error_response(account.error());
+    }
+    const auto level = parse_log_level(query_parameter(request, "level"));
+    if (!level)
+    {
+        return error_response(level.error());
+    }
+    spdlog::set_level(*level);
+    log_event(
+        spdlog::level::info, "log_level_changed",
+        {{"level", query_parameter(request, "level")},
+         {"client_account", account->value()}});
+    return json_response(200, {{"level", query_parameter(request, "level")}});
+}
+
 http_response announce(
     const admin_context& context,
     const http_request& request,
@@ -197,6 +231,14 @@
     {
         return show_audit(context, request);
     }
+    if (is_get && path == "/metrics")
+    {
+        return show_metrics(context);
+    }
+    if (request.method() == http::verb::put && path == "/v1/log_level")
+    {
+        return set_log_level(context, request);
+    }
     if (is_post && path == "/v1/announce")
     {
         return announce(context, request, peer);
--- a/adapters/node/admin_handler.hpp
+++ b/adapters/node/admin_handler.hpp
@@ -6,6 +6,7 @@
 #include "adapters/http/http_message.hpp"
 #include "adapters/node/own_upstream.hpp"
 #include "adapters/settings/node_settings.hpp"
+#include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/editing/editor.hpp"
 
@@ -19,6 +20,7 @@
     table_service* tables_ = nullptr;
     editor* editor_ = nullptr;
     own_upstream* upstream_ = nullptr;
+    const prometheus_metrics* metrics_ = nullptr;
 };
 
 /// Answers a request on the admin address. `peer` is the sender's address.
--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -10,6 +10,7 @@
 #include "adapters/node/call_plane.hpp"
 #include "adapters/node/control_plane.hpp"
 #include "adapters/platform/platform_client.hpp"
+#include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/core/real_clock.hpp"
 
 namespace hemlockshelf {
@@ -44,7 +45,8 @@
               {
                   control_.accept(record);
               }),
-          admin_{&settings_, &snapshots_, &platform_, &editor_, &upstream_},
+          admin_{&settings_, &snapshots_, &platform_,
+                 &editor_,   &upstream_,  &metrics_},
           admin_server_(
               context_,
               settings_.admin_,
@@ -73,6 +75,7 @@
 private:
     node_settings settings_;
     real_clock time_;
+    prometheus_metrics metrics_;
     asio::io_context context_;
     platform_client platform_;
     snapshot_store snapshots_;
--- a/adapters/settings/node_settings.cpp
+++ b/adapters/settings/node_settings.cpp
@@ -1,70 +1,122 @@
 #include "adapters/settings/node_settings.hpp"
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <exception>
+#include <set>
+
+#include <boost/asio/ip/address_v4.hpp>
 #include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
+#include "adapters/settings/settings_section.hpp"
+
 namespace hemlockshelf {
 
 namespace {
 
-std::string required_text(const YAML::Node& root, const char* key)
+constexpr std::size_t sha256_digits = 64;
+
+bool is_sha256(const std::string& text)
+{
+    const auto is_digit = [](char character)
+    {
+        return (character >= '0' && character <= '9') ||
+               (character >= 'a' && character <= 'f');
+    };
+    return text.size() == sha256_digits && std::ranges::all_of(text, is_digit);
+}
+
+void read_identity(settings_section& root, node_settings& settings)
 {
-    if (!root[key] || !root[key].IsScalar())
+    settings.vm_ = vm_id{root.required_text("vm")};
+    settings.failure_domain_ =
+        failure_domain_id{root.required_text("failure_domain")};
+    settings.region_ = region_id{root.required_text("region")};
+}
+
+void read_addresses(settings_section& root, node_settings& settings)
+{
+    settings.calls_ = root.required_endpoint("calls");
+    settings.gate_ = root.required_endpoint("gate");
+    settings.control_ = root.required_endpoint("control");
+    settings.admin_ = root.required_endpoint("admin");
+    settings.platform_ = root.required_endpoint("platform");
+    settings.advertised_gate_ =
+        root.optional_endpoint("advertised_gate", settings.gate_);
+    settings.advertised_control_ =
+        root.optional_endpoint("advertised_control", settings.control_);
+    settings.peers_ = root.endpoints("peers");
+    settings.source_address_ = root.text("source_address", "");
+    boost::system::error_code invalid;
+    boost::asio::ip::make_address_v4(settings.source_address_, invalid);
+    if (!settings.source_address_.empty() && invalid)
     {
-        throw YAML::Exception(
-            root.Mark(), fmt::format("expected text in \"{}\"", key));
+        root.report(
+            "source_address", fmt::format(
+                                  "expected an IPv4 address, given \"{}\"",
+                                  settings.source_address_));
     }
-    return root[key].as<std::string>();
 }
 
-endpoint to_endpoint(const YAML::Node& node)
+void check_listeners(settings_section& root, const node_settings& settings)
 {
-    const auto parsed = parse_endpoint(node.as<std::string>());
-    if (!parsed)
+    const std::array listeners{
+        std::pair{"calls", settings.calls_}, std::pair{"gate", settings.gate_},
+        std::pair{"control", settings.control_},
+        std::pair{"admin", settings.admin_}};
+    std::set<endpoint> used;
+    for (const auto& [key, where] : listeners)
     {
-        throw YAML::Exception(node.Mark(), parsed.error().message_);
+        if (!used.insert(where).second)
+        {
+            root.report(
+                key, fmt::format(
+                         "expected an address of its own, given {}, which "
+                         "another listener uses",
+                         to_string(where)));
+        }
     }
-    return *parsed;
 }
 
-endpoint required_endpoint(const YAML::Node& root, const char* key)
+void read_tokens(settings_section& root, node_settings& settings)
 {
-    required_text(root, key);
-    return to_endpoint(root[key]);
+    for (const auto& [account, hash] : root.text_pairs("token_sha256"))
+    {
+        if (!is_sha256(hash))
+        {
+            root.report(
+                "token_sha256",
+                fmt::format(
+                    "account \"{}\": expected {} lower-case hexadecimal "
+                    "digits",
+                    account, sha256_digits));
+        }
+        settings.token_hashes_.emplace(account, hash);
+    }
 }
 
-endpoint
-optional_endpoint(const YAML::Node& root, const char* key, endpoint fallback)
+void read_log(settings_section log, node_settings& settings)
 {
-    return root[key] ? to_endpoint(root[key]) : std::move(fallback);
+    const auto format = log.choice("format", "text", {"text", "json"});
+    settings.log_format_ =
+        format == "json" ? log_format::json : log_format::text;
+    settings.log_level_ = log.choice(
+        "level", "info", {"trace", "debug", "info", "warning", "error", "off"});
+    log.reject_unknown_keys();
 }
 
-node_settings read_settings(const YAML::Node& root)
+node_settings read_settings(const YAML::Node& file, settings_errors& errors)
 {
+    settings_section root(file, "", errors);
     node_settings settings;
-    settings.vm_ = vm_id{required_text(root, "vm")};
-    settings.failure_domain_ =
-        failure_domain_id{required_text(root, "failure_domain")};
-    settings.region_ = region_id{required_text(root, "region")};
-    settings.calls_ = required_endpoint(root, "calls");
-    settings.gate_ = required_endpoint(root, "gate");
-    settings.control_ = required_endpoint(root, "control");
-    settings.admin_ = required_endpoint(root, "admin");
-    settings.platform_ = required_endpoint(root, "platform");
-    settings.advertised_gate_ =
-        optional_endpoint(root, "advertised_gate", settings.gate_);
-    settings.advertised_control_ =
-        optional_endpoint(root, "advertised_control", settings.control_);
-    settings.source_address_ = root["source_address"].as<std::string>("");
-    for (const auto& peer : root["peers"])
-    {
-        settings.peers_.push_back(to_endpoint(peer));
-    }
-    for (const auto& token : root["token_sha256"])
-    {
-        settings.token_hashes_.emplace(
-            token.first.as<std::string>(), token.second.as<std::string>());
-    }
+    read_identity(root, settings);
+    read_addresses(root, settings);
+    check_listeners(root, settings);
+    read_tokens(root, settings);
+    read_log(root.section("log"), settings);
+    root.reject_unknown_keys();
     return settings;
 }
 
@@ -72,15 +124,27 @@
 
 result<node_settings> load_node_settings(const std::string& path)
 {
+    settings_errors errors(path);
     try
     {
-        return read_settings(YAML::LoadFile(path));
+        auto settings = read_settings(YAML::LoadFile(path), errors);
+        if (errors.first())
+        {
+            return tl::unexpected<error>(*errors.first());
+        }
+        return settings;
     }
-    catch (const YAML::Exception& failure)
+    catch (const YAML::BadFile&)
     {
         return make_error(
             error_kind::settings_invalid,
-            fmt::format("{}:{}: {}", path, failure.mark.line + 1, failure.msg));
+            fmt::format(
+                "settings file \"{}\": expected a readable file", path));
+    }
+    catch (const YAML::Exception& failure)
+    {
+        errors.report(failure.mark, failure.msg);
+        return tl::unexpected<error>(*errors.first());
     }
 }
 
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "adapters/http/endpoint.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
 
@@ -33,6 +34,8 @@
     std::vector<endpoint> peers_;
     /// SHA-256 of each account's operator token, in hexadecimal.
     std::map<client_account_id, std::string> token_hashes_;
+    log_format log_format_ = log_format::text;
+    std::string log_level_ = "info";
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
--- /dev/null
+++ b/adapters/telemetry/json_log_formatter.cpp
@@ -0,0 +1,62 @@
+#include "adapters/telemetry/json_log_formatter.hpp"
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/details/log_msg.h>
+
+namespace hemlockshelf {
+
+namespace {
+
+std::string utc_time(std::chrono::system_clock::time_point time)
+{
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            time.time_since_epoch()) %
+        std::chrono::seconds{1};
+    return fmt::format(
+        "{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+        fmt::gmtime(std::chrono::system_clock::to_time_t(time)),
+        milliseconds.count());
+}
+
+nlohmann::json to_fields(std::string_view payload)
+{
+    if (payload.starts_with('{'))
+    {
+        auto parsed = nlohmann::json::parse(payload, nullptr, false);
+        if (parsed.is_object())
+        {
+            return parsed;
+        }
+    }
+    return {{"message", payload}};
+}
+
+} // namespace
+
+void json_log_formatter::format(
+    const spdlog::details::log_msg& message, spdlog::memory_buf_t& destination)
+{
+    auto line = to_fields({message.payload.data(), message.payload.size()});
+    const auto level = spdlog::level::to_string_view(message.level);
+    line["level"] = std::string(level.data(), level.size());
+    line["time"] = utc_time(message.time);
+    line["thread"] = message.thread_id;
+    const auto text =
+        line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+        "\n";
+    destination.append(text.data(), text.data() + text.size());
+}
+
+std::unique_ptr<spdlog::formatter> json_log_formatter::clone() const
+{
+    return std::make_unique<json_log_formatter>();
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/telemetry/json_log_formatter.hpp
@@ -0,0 +1,24 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_TELEMETRY_JSON_LOG_FORMATTER_HPP
+#define HEMLOCKSHELF_ADAPTERS_TELEMETRY_JSON_LOG_FORMATTER_HPP
+
+#include <memory>
+
+#include <spdlog/formatter.h>
+
+namespace hemlockshelf {
+
+/// Formats each log line as one JSON object. A message that is itself an
+/// object contributes its fields, other messages become the field `message`.
+class json_log_formatter final : public spdlog::formatter
+{
+public:
+    void format(
+        const spdlog::details::log_msg& message,
+        spdlog::memory_buf_t& destination) override;
+
+    [[nodiscard]] std::unique_ptr<spdlog::formatter> clone() const override;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- a/daemons/hemlockshelfd/main.cpp
+++ b/daemons/hemlockshelfd/main.cpp
@@ -8,6 +8,7 @@
 
 #include "adapters/node/node.hpp"
 #include "adapters/settings/node_settings.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 
 DEFINE_string(settings, "", "path of the settings file (YAML)");
@@ -25,8 +26,11 @@
     }
     if (FLAGS_check)
     {
-        return 0;
+        return static_cast<int>(hemlockshelf::exit_code::ok);
     }
+    hemlockshelf::configure_log(
+        settings->log_format_,
+        *hemlockshelf::parse_log_level(settings->log_level_));
     try
     {
         hemlockshelf::node instance(std::move(*settings));
