--- a/daemons/hemlockshelf/main.cpp
+++ b/daemons/hemlockshelf/main.cpp
@@ -1,71 +1,161 @@
 // Command line for operators.
 
+#include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iostream>
-#include <iterator>
+#include <sstream>
 #include <string>
 
 #include <gflags/gflags.h>
 
-#include "adapters/http/http_client.hpp"
-#include "adapters/http/json_server.hpp"
+#include "adapters/cli/command_table.hpp"
+#include "adapters/settings/units.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 
-DEFINE_string(node, "127.0.0.1:7004", "admin address of a node");
-DEFINE_string(token, "", "operator token of a client account");
+DEFINE_string(
+    node,
+    "127.0.0.1:7004",
+    "admin addresses of nodes, separated by commas; the first that answers "
+    "is used");
+DEFINE_string(
+    token_file,
+    "",
+    "file with the operator token; without it, the environment variable "
+    "HEMLOCKSHELF_TOKEN is used");
+DEFINE_string(actor, "", "name for the audit trail; default: USER");
+DEFINE_string(output, "table", "table or json");
+DEFINE_bool(dry_run, false, "show what an edit would change, change nothing");
+DEFINE_string(change_id, "", "id of the edit; default: a random one");
+DEFINE_string(timeout, "10s", "longest wait for an answer or a revision");
 
 namespace {
 
-using hemlockshelf::exit_code;
-namespace http = boost::beast::http;
+using hemlockshelf::error;
+using hemlockshelf::error_kind;
+using hemlockshelf::result;
 
-int finish(const hemlockshelf::result<hemlockshelf::http_response>& answer)
+std::string environment(const char* name)
 {
-    if (!answer)
+    const char* value = std::getenv(name);
+    return value == nullptr ? "" : value;
+}
+
+result<std::string> read_token()
+{
+    if (FLAGS_token_file.empty())
+    {
+        return environment("HEMLOCKSHELF_TOKEN");
+    }
+    std::ifstream file(FLAGS_token_file);
+    std::string token;
+    if (!std::getline(file, token))
+    {
+        return hemlockshelf::make_error(
+            error_kind::usage,
+            "--token_file: expected a readable file, given \"" +
+                FLAGS_token_file + "\"");
+    }
+    return token;
+}
+
+result<std::vector<hemlockshelf::endpoint>> read_nodes()
+{
+    std::vector<hemlockshelf::endpoint> nodes;
+    std::istringstream list(FLAGS_node);
+    std::string item;
+    while (std::getline(list, item, ','))
+    {
+        const auto node = hemlockshelf::parse_endpoint(item);
+        if (!node)
+        {
+            return hemlockshelf::make_error(
+                error_kind::usage, "--node: " + node.error().message_);
+        }
+        nodes.push_back(*node);
+    }
+    return nodes;
+}
+
+result<hemlockshelf::cli_options> read_options()
+{
+    hemlockshelf::cli_options options;
+    auto nodes = read_nodes();
+    if (!nodes)
+    {
+        return tl::unexpected<error>(nodes.error());
+    }
+    auto token = read_token();
+    if (!token)
     {
-        std::cerr << answer.error().message_ << "\n";
-        return static_cast<int>(
-            hemlockshelf::answer_for(answer.error().kind_).exit_code_);
+        return tl::unexpected<error>(token.error());
     }
-    std::cout << answer->body();
-    if (answer->result() == http::status::ok)
+    const auto timeout = hemlockshelf::parse_duration(FLAGS_timeout);
+    if (!timeout)
+    {
+        return hemlockshelf::make_error(
+            error_kind::usage, "--timeout: " + timeout.error().message_);
+    }
+    if (FLAGS_output != "table" && FLAGS_output != "json")
+    {
+        return hemlockshelf::make_error(
+            error_kind::usage,
+            "--output: expected table or json, given \"" + FLAGS_output + "\"");
+    }
+    options.nodes_ = std::move(*nodes);
+    options.token_ = std::move(*token);
+    options.actor_ = FLAGS_actor.empty() ? environment("USER") : FLAGS_actor;
+    if (options.actor_.empty())
+    {
+        options.actor_ = "unknown";
+    }
+    options.output_ = FLAGS_output == "json"
+                          ? hemlockshelf::output_format::json
+                          : hemlockshelf::output_format::table;
+    options.dry_run_ = FLAGS_dry_run;
+    options.change_id_ = FLAGS_change_id;
+    options.timeout_ =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*timeout);
+    return options;
+}
+
+int finish(const result<void>& outcome)
+{
+    if (outcome)
     {
-        return static_cast<int>(exit_code::ok);
+        return static_cast<int>(hemlockshelf::exit_code::ok);
     }
-    return static_cast<int>(exit_code::refused);
+    const auto& answer = hemlockshelf::answer_for(outcome.error().kind_);
+    std::cerr << answer.name_ << ": " << outcome.error().message_ << "\n";
+    return static_cast<int>(answer.exit_code_);
 }
 
-hemlockshelf::result<hemlockshelf::http_response>
-send(http::verb method, const std::string& path, const std::string& body)
+int run(int argc, char** argv)
 {
-    const auto server = hemlockshelf::parse_endpoint(FLAGS_node);
-    if (!server)
+    const auto options = read_options();
+    if (!options)
     {
-        return tl::unexpected<hemlockshelf::error>(server.error());
+        return finish(tl::unexpected<error>(options.error()));
     }
-    auto request = hemlockshelf::make_request(method, path, body);
-    request.set(http::field::authorization, "Bearer " + FLAGS_token);
-    return hemlockshelf::blocking_exchange(
-        {*server, {}, std::chrono::seconds{10}}, request);
+    const std::string name = argc > 1 ? argv[1] : "";
+    const hemlockshelf::cli_arguments arguments(
+        argv + (argc > 1 ? 2 : argc), argv + argc);
+    return finish(hemlockshelf::run_command(*options, name, arguments));
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("hemlockshelf [flags] apply FILE | status");
+    gflags::SetUsageMessage(hemlockshelf::command_help());
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const std::string command = argc > 1 ? argv[1] : "";
-    if (command == "status")
+    try
     {
-        return finish(send(http::verb::get, "/v1/status", {}));
+        return run(argc, argv);
     }
-    if (command == "apply" && argc == 3)
+    catch (const std::exception& failure)
     {
-        std::ifstream file(argv[2]);
-        const std::string body(std::istreambuf_iterator<char>(file), {});
-        return finish(send(http::verb::post, "/v1/edits", body));
+        std::cerr << "internal: " << failure.what() << "\n";
+        return static_cast<int>(hemlockshelf::exit_code::internal);
     }
-    std::cerr << gflags::ProgramUsage() << "\n";
-    return static_cast<int>(exit_code::usage);
 }
