--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -9,6 +9,7 @@
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/editing/editing_settings.hpp"
 
 namespace hemlockshelf {
 
@@ -36,6 +37,7 @@
     std::map<client_account_id, std::string> token_hashes_;
     log_format log_format_ = log_format::text;
     std::string log_level_ = "info";
+    editing_settings editing_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
