routing: add the decisions of the call path as pure code

The HTTP path needs the choice of an upstream, the retry decision and the gate's admission before it can be built.

Use in the gate's fair shares is weighted up with time instead of decayed, so that values compare without a computation per waiting call.

--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -8,6 +8,9 @@
 #include "adapters/http/endpoint.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/retry/retry_settings.hpp"
+#include "hemlockshelf/routing/routing_settings.hpp"
 
 namespace hemlockshelf {
 
@@ -33,6 +36,9 @@
     std::vector<endpoint> peers_;
     /// SHA-256 of each account's operator token, in hexadecimal.
     std::map<client_account_id, std::string> token_hashes_;
+    routing_settings routing_;
+    retry_settings retry_;
+    gate_settings gate_limits_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
--- /dev/null
+++ b/include/hemlockshelf/core/random_source.hpp
@@ -0,0 +1,20 @@
+#ifndef HEMLOCKSHELF_CORE_RANDOM_SOURCE_HPP
+#define HEMLOCKSHELF_CORE_RANDOM_SOURCE_HPP
+
+#include <random>
+
+namespace hemlockshelf {
+
+/// Generator that decisions get passed in, so that tests can fix its seed.
+using random_source = std::mt19937_64;
+
+/// Returns a number from 0 (included) to 1 (excluded).
+inline double random_fraction(random_source& random)
+{
+    // The upper 53 bits fill the mantissa of a double exactly.
+    return static_cast<double>(random() >> 11) * 0x1.0p-53;
+}
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/core/token_bucket.hpp
@@ -0,0 +1,35 @@
+#ifndef HEMLOCKSHELF_CORE_TOKEN_BUCKET_HPP
+#define HEMLOCKSHELF_CORE_TOKEN_BUCKET_HPP
+
+#include "hemlockshelf/core/clock.hpp"
+
+namespace hemlockshelf {
+
+/// Rate limit: tokens per second and the most that can be saved up.
+struct token_rate
+{
+    double per_second_ = 0;
+    double burst_ = 0;
+};
+
+/// Tokens that are left. A new bucket is full at its first use.
+struct token_bucket
+{
+    double tokens_ = 0;
+    steady_time refilled_at_;
+};
+
+/// Adds the tokens that have accrued since the last refill.
+void refill(token_bucket& bucket, token_rate rate, steady_time now);
+
+/// Takes one token; false if there is none.
+bool try_take(token_bucket& bucket, token_rate rate, steady_time now);
+
+/// Returns when the next token is there, `now` at the earliest. With a rate of
+/// 0 that is one hour ahead.
+steady_time
+next_token_at(const token_bucket& bucket, token_rate rate, steady_time now);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/gate/gate_call.hpp
@@ -0,0 +1,89 @@
+#ifndef HEMLOCKSHELF_GATE_GATE_CALL_HPP
+#define HEMLOCKSHELF_GATE_GATE_CALL_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "hemlockshelf/config/traffic_class.hpp"
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/error_kind.hpp"
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// Names a call within one gate. Ids are never used again.
+using gate_call_id = strong_type<struct gate_call_id_tag, std::uint64_t>;
+
+/// A call that an entry offers to a gate.
+struct gate_call
+{
+    client_account_id account_;
+    vm_id entry_vm_;
+    traffic_class class_ = traffic_class::standard;
+    steady_time deadline_;
+};
+
+/// Why a gate refuses a call. A refused call was not run.
+enum class refusal_reason
+{
+    /// The upstream has announced no slots or connections.
+    no_capacity,
+    draining,
+    /// The deadline has passed, on arrival or in the queue.
+    expired,
+    /// The call can't be expected to start and end before its deadline.
+    wait_too_long,
+    queue_full,
+    /// A call with a better claim has taken its place in the queue.
+    displaced,
+};
+
+/// Returns the reason's name, for logs and metrics.
+std::string_view to_string(refusal_reason value);
+
+/// Returns the error kind with which the refusal is answered.
+error_kind refusal_kind(refusal_reason value);
+
+/// A call that has left the queue without being run.
+struct refused_call
+{
+    gate_call_id id_;
+    refusal_reason reason_ = refusal_reason::expired;
+};
+
+/// What an operation changed for calls that were waiting.
+struct gate_events
+{
+    /// Calls that hold a slot from now on, in order.
+    std::vector<gate_call_id> started_;
+    std::vector<refused_call> refused_;
+};
+
+enum class admission
+{
+    /// The call holds a slot until `release_call`.
+    admitted,
+    /// The call waits; its id appears in the events of a later operation.
+    queued,
+    refused,
+};
+
+/// Answer to an offered call.
+struct admission_result
+{
+    admission admission_ = admission::refused;
+    /// Id of an admitted or queued call.
+    gate_call_id id_;
+    /// Only with `admission::refused`.
+    refusal_reason reason_ = refusal_reason::no_capacity;
+    /// Estimate of the time in the queue.
+    std::chrono::nanoseconds expected_wait_{0};
+    /// Waiting calls that the offered one has displaced.
+    gate_events events_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/gate/gate_state.hpp
@@ -0,0 +1,83 @@
+#ifndef HEMLOCKSHELF_GATE_GATE_STATE_HPP
+#define HEMLOCKSHELF_GATE_GATE_STATE_HPP
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "hemlockshelf/gate/gate_call.hpp"
+#include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/gate/usage_ledger.hpp"
+
+namespace hemlockshelf {
+
+/// A call that holds a slot.
+struct running_call
+{
+    gate_call call_;
+    steady_time started_at_;
+    usage_share account_usage_;
+    usage_share entry_usage_;
+    /// Slot time that was charged at the start, as an estimate.
+    std::chrono::nanoseconds charged_{0};
+};
+
+/// A call in the queue.
+struct waiting_call
+{
+    gate_call_id id_;
+    gate_call call_;
+    usage_share account_usage_;
+    usage_share entry_usage_;
+};
+
+/// Number of members of `traffic_class`.
+inline constexpr std::size_t traffic_class_count = 3;
+
+/// What a gate knows. Not thread-safe: the gate's owner holds one lock.
+struct gate_state
+{
+    explicit gate_state(const gate_settings& settings);
+
+    gate_settings settings_;
+    slot_count slots_;
+    connection_count connections_;
+    bool draining_ = false;
+    std::uint64_t next_id_ = 1;
+    std::unordered_map<gate_call_id, running_call> running_;
+    std::array<std::uint32_t, traffic_class_count> running_by_class_{};
+    /// In the order of arrival.
+    std::vector<waiting_call> queue_;
+    usage_ledger account_usage_;
+    usage_ledger entry_usage_;
+    /// Mean time from start to release of recent calls.
+    std::chrono::nanoseconds service_time_;
+};
+
+/// Returns the number of calls that may run at once: each needs a slot and a
+/// connection.
+std::uint32_t concurrency_limit(const gate_state& state);
+
+/// Returns the number of calls of a class that may run at once.
+std::uint32_t class_limit(const gate_state& state, traffic_class value);
+
+/// Returns whether a call of the class could start now.
+bool may_start(const gate_state& state, traffic_class value);
+
+/// Returns the most calls that may wait.
+std::size_t queue_limit(const gate_state& state);
+
+/// Returns whether `left` has the better claim to the next free slot: by
+/// class, then by the lower recent use of its account and of its entry. Calls
+/// with equal claims keep the order of arrival.
+bool has_better_claim(
+    const gate_state& state,
+    const waiting_call& left,
+    const waiting_call& right);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/retry/retry_budget.hpp
@@ -0,0 +1,28 @@
+#ifndef HEMLOCKSHELF_RETRY_RETRY_BUDGET_HPP
+#define HEMLOCKSHELF_RETRY_RETRY_BUDGET_HPP
+
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/token_bucket.hpp"
+#include "hemlockshelf/retry/retry_settings.hpp"
+
+namespace hemlockshelf {
+
+/// Retries that a service may still use. Between any two times, at most
+/// `budget_burst_ + budget_ratio_ * requests + floor_per_second_ * seconds`
+/// retries are granted.
+struct retry_budget
+{
+    token_bucket bucket_;
+};
+
+/// Counts a request (not a retry), which earns part of a retry.
+void earn_retry(
+    retry_budget& budget, const retry_settings& settings, steady_time now);
+
+/// Takes one retry out of the budget; false if there is none.
+bool spend_retry(
+    retry_budget& budget, const retry_settings& settings, steady_time now);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/src/gate/gate_state.cpp
@@ -0,0 +1,110 @@
+#include "hemlockshelf/gate/gate_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockshelf {
+
+namespace {
+
+// Returns `share` of `whole`, at least 1 where `whole` is.
+std::uint32_t share_of(std::uint32_t whole, double share)
+{
+    const auto part = static_cast<std::uint32_t>(std::floor(whole * share));
+    return std::clamp(part, std::min(whole, 1U), whole);
+}
+
+std::uint32_t running_of(const gate_state& state, traffic_class value)
+{
+    return state.running_by_class_.at(static_cast<std::size_t>(value));
+}
+
+std::uint32_t lookup_reserve(const gate_state& state)
+{
+    const auto limit = concurrency_limit(state);
+    return limit > 1 ? share_of(limit, state.settings_.lookup_reserve_) : 0;
+}
+
+// A first bulk call goes before standard ones, so that bulk is limited but
+// never starved.
+int class_rank(const gate_state& state, traffic_class value)
+{
+    if (value == traffic_class::standard)
+    {
+        return 1;
+    }
+    if (value == traffic_class::bulk)
+    {
+        return running_of(state, value) == 0 ? 1 : 3;
+    }
+    const auto preferred = share_of(
+        concurrency_limit(state), state.settings_.lookup_priority_share_);
+    return running_of(state, value) < preferred ? 0 : 2;
+}
+
+} // namespace
+
+gate_state::gate_state(const gate_settings& settings)
+    : settings_(settings),
+      account_usage_(settings.usage_half_life_, settings.usage_limit_),
+      entry_usage_(settings.usage_half_life_, settings.usage_limit_),
+      service_time_(settings.assumed_service_time_)
+{}
+
+std::uint32_t concurrency_limit(const gate_state& state)
+{
+    return std::min(state.slots_.value(), state.connections_.value());
+}
+
+std::uint32_t class_limit(const gate_state& state, traffic_class value)
+{
+    const auto limit = concurrency_limit(state);
+    if (value == traffic_class::lookup)
+    {
+        return limit;
+    }
+    const auto shared = limit - lookup_reserve(state);
+    return value == traffic_class::standard
+               ? shared
+               : std::min(shared, share_of(limit, state.settings_.bulk_share_));
+}
+
+bool may_start(const gate_state& state, traffic_class value)
+{
+    if (state.running_.size() >= concurrency_limit(state) ||
+        running_of(state, value) >= class_limit(state, value))
+    {
+        return false;
+    }
+    const auto others = running_of(state, traffic_class::standard) +
+                        running_of(state, traffic_class::bulk);
+    return value == traffic_class::lookup ||
+           others < class_limit(state, traffic_class::standard);
+}
+
+std::size_t queue_limit(const gate_state& state)
+{
+    const auto by_slots = static_cast<std::size_t>(
+        std::ceil(concurrency_limit(state) * state.settings_.queue_per_slot_));
+    return std::min(by_slots, state.settings_.queue_limit_);
+}
+
+bool has_better_claim(
+    const gate_state& state,
+    const waiting_call& left,
+    const waiting_call& right)
+{
+    const auto left_rank = class_rank(state, left.call_.class_);
+    const auto right_rank = class_rank(state, right.call_.class_);
+    if (left_rank != right_rank)
+    {
+        return left_rank < right_rank;
+    }
+    if (*left.account_usage_ != *right.account_usage_)
+    {
+        return *left.account_usage_ < *right.account_usage_;
+    }
+    return *left.entry_usage_ < *right.entry_usage_;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/src/routing/spill.cpp
@@ -0,0 +1,113 @@
+#include "hemlockshelf/routing/spill.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace hemlockshelf {
+
+namespace {
+
+// Difference in use at which the farther tier takes all that would spill.
+// Below it, spilling fades out, because two tiers that are as full as each
+// other gain nothing from exchanging calls.
+constexpr double full_advantage = 0.2;
+
+double use_of(const tier_capacity& capacity)
+{
+    return capacity.slots_ > 0
+               ? std::clamp(1 - capacity.free_ / capacity.slots_, 0.0, 1.0)
+               : 1;
+}
+
+double spilled_share(
+    const spill_state& state, double use, const routing_settings& settings)
+{
+    const double start = settings.spill_start_ + state.offset_;
+    const double width =
+        std::max(settings.spill_end_ - settings.spill_start_, 0.01);
+    const double share = std::clamp((use - start) / width, 0.0, 1.0);
+    return share * settings.spill_max_;
+}
+
+// Returns the smoothed use of the least used tier beyond `tier`.
+double lowest_use_beyond(
+    const spill_state& state,
+    const tier_capacities& capacities,
+    std::size_t tier)
+{
+    double lowest = 1;
+    for (auto next = tier + 1; next < capacities.size(); ++next)
+    {
+        if (capacities.at(next).slots_ > 0)
+        {
+            lowest = std::min(lowest, state.use_.at(next));
+        }
+    }
+    return lowest;
+}
+
+bool any_beyond(const tier_capacities& capacities, std::size_t tier)
+{
+    return std::any_of(
+        capacities.begin() + static_cast<std::ptrdiff_t>(tier) + 1,
+        capacities.end(),
+        [](const tier_capacity& capacity)
+        {
+            return capacity.slots_ > 0;
+        });
+}
+
+} // namespace
+
+void update_spill(
+    spill_state& state,
+    const tier_capacities& capacities,
+    const routing_settings& settings,
+    steady_time now)
+{
+    const auto passed = now - state.updated_at_;
+    if (passed < settings.spill_interval_)
+    {
+        return;
+    }
+    const std::chrono::duration<double> smoothing = settings.spill_smoothing_;
+    const double kept = std::exp(-(passed / smoothing));
+    for (std::size_t tier = 0; tier < capacities.size(); ++tier)
+    {
+        const double use = use_of(capacities.at(tier));
+        state.use_.at(tier) = use + (state.use_.at(tier) - use) * kept;
+    }
+    state.updated_at_ = now;
+}
+
+tier_shares share_tiers(
+    const spill_state& state,
+    const tier_capacities& capacities,
+    const routing_settings& settings)
+{
+    tier_shares shares{};
+    double left = 1;
+    for (std::size_t tier = 0; tier < capacities.size(); ++tier)
+    {
+        if (capacities.at(tier).slots_ <= 0)
+        {
+            continue;
+        }
+        if (!any_beyond(capacities, tier))
+        {
+            shares.at(tier) = left;
+            break;
+        }
+        const double use = state.use_.at(tier);
+        const double advantage =
+            (use - lowest_use_beyond(state, capacities, tier)) / full_advantage;
+        const double passed_on = spilled_share(state, use, settings) *
+                                 std::clamp(advantage, 0.0, 1.0);
+        shares.at(tier) = left * (1 - passed_on);
+        left *= passed_on;
+    }
+    return shares;
+}
+
+} // namespace hemlockshelf
