--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -10,6 +10,9 @@
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
 #include "hemlockshelf/editing/editing_settings.hpp"
+#include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/retry/retry_settings.hpp"
+#include "hemlockshelf/routing/routing_settings.hpp"
 
 namespace hemlockshelf {
 
@@ -38,6 +41,9 @@
     log_format log_format_ = log_format::text;
     std::string log_level_ = "info";
     editing_settings editing_;
+    routing_settings routing_;
+    retry_settings retry_;
+    gate_settings gate_limits_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
