standins: relay TCP between failure domains with delays and faults

Cause: faults of the network between failure domains and regions could not be produced with the real binaries.

link_standin relays any number of addresses, delays and limits traffic by pair of failure domains and regions, and cuts or silences links on command. What a silent link drops leaves a gap, so a silenced connection stays silent after the link is restored.

--- /dev/null
+++ b/standins/link/link_settings.hpp
@@ -0,0 +1,53 @@
+#ifndef HEMLOCKSHELF_STANDINS_LINK_LINK_SETTINGS_HPP
+#define HEMLOCKSHELF_STANDINS_LINK_LINK_SETTINGS_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "adapters/http/endpoint.hpp"
+#include "hemlockshelf/core/error.hpp"
+
+namespace hemlockshelf {
+
+/// One relayed address.
+struct link_listener
+{
+    /// Address that peers connect to.
+    endpoint listen_;
+    /// Address to which the relay connects.
+    endpoint target_;
+    /// Failure domain of the target.
+    std::string domain_;
+    /// Kind of traffic, by which the counters are split.
+    std::string kind_;
+    /// Failure domain of every caller; empty takes it from the caller's
+    /// address.
+    std::string source_domain_;
+};
+
+/// Settings of `link_standin`.
+struct link_settings
+{
+    endpoint admin_;
+    std::vector<link_listener> listeners_;
+    /// Failure domain by prefix of the source address.
+    std::map<std::string, std::string> sources_;
+    /// Region by failure domain.
+    std::map<std::string, std::string> regions_;
+    /// One-way delay between failure domains of one region.
+    std::chrono::microseconds domain_delay_{1000};
+    /// One-way delay between regions.
+    std::chrono::microseconds region_delay_{20'000};
+    /// Capacity from one region to another, in bits per second.
+    std::uint64_t region_bits_per_second_ = 30'000'000;
+};
+
+/// Reads a YAML or JSON file. The error is `settings_invalid`.
+result<link_settings> load_link_settings(const std::string& path);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/standins/link/relayed_connection.hpp
@@ -0,0 +1,88 @@
+#ifndef HEMLOCKSHELF_STANDINS_LINK_RELAYED_CONNECTION_HPP
+#define HEMLOCKSHELF_STANDINS_LINK_RELAYED_CONNECTION_HPP
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "standins/link/link_network.hpp"
+
+namespace hemlockshelf {
+
+/// One connection through the relay. It lives as long as one of its coroutines
+/// runs. Used by one thread.
+class relayed_connection
+    : public std::enable_shared_from_this<relayed_connection>
+{
+public:
+    relayed_connection(
+        link_network& network,
+        const link_listener& listener,
+        boost::asio::ip::tcp::socket caller);
+
+    /// Connects to the target and starts to relay.
+    void start();
+
+    /// Resets both sides if the link between them is cut, and drops all later
+    /// traffic in the directions that are silent.
+    void apply_faults();
+
+    /// Drops all later traffic in both directions if `rule` applies.
+    void silence(const link_rule& rule);
+
+private:
+    struct chunk
+    {
+        link_network::time_point arrives_at_;
+        std::string bytes_;
+    };
+
+    /// One direction of the connection.
+    struct direction
+    {
+        direction(
+            boost::asio::ip::tcp::socket& source,
+            boost::asio::ip::tcp::socket& sink,
+            link_place from,
+            link_place to);
+
+        boost::asio::ip::tcp::socket& source_;
+        boost::asio::ip::tcp::socket& sink_;
+        link_place from_;
+        link_place to_;
+        std::deque<chunk> queue_;
+        std::size_t queued_bytes_ = 0;
+        bool ended_ = false;
+        /// Stays set, since what was dropped leaves a gap in the stream.
+        bool silent_ = false;
+        boost::asio::steady_timer changed_;
+    };
+
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> read_loop(direction& way);
+    boost::asio::awaitable<void> write_loop(direction& way);
+    boost::asio::awaitable<void> wait_for_room(direction& way);
+    boost::asio::awaitable<void>
+    wait_until(direction& way, link_network::time_point until);
+    void spawn_loops(direction& way);
+    void enqueue(direction& way, std::string bytes);
+    void reset();
+
+    link_network& network_;
+    link_listener listener_;
+    boost::asio::ip::tcp::socket caller_;
+    boost::asio::ip::tcp::socket target_;
+    direction forward_;
+    direction backward_;
+    bool broken_ = false;
+};
+
+} // namespace hemlockshelf
+
+#endif
