--- a/adapters/node/admin_handler.cpp
+++ b/adapters/node/admin_handler.cpp
@@ -2,8 +2,12 @@
 
 #include <utility>
 
+#include <spdlog/spdlog.h>
+
 #include "adapters/http/json_server.hpp"
 #include "adapters/node/edit_handlers.hpp"
+#include "adapters/node/operator_tokens.hpp"
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -23,6 +27,37 @@
               {"hash", snapshot->tables().hash_.to_string()}});
 }
 
+http_response show_metrics(const admin_context& context)
+{
+    http_response response{http::status::ok, 11};
+    response.set(
+        http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
+    response.body() = context.metrics_->to_text();
+    response.prepare_payload();
+    return response;
+}
+
+http_response
+set_log_level(const admin_context& context, const http_request& request)
+{
+    const auto account = operator_account(context, request);
+    if (!account)
+    {
+        return error_response(account.error());
+    }
+    const auto level = parse_log_level(query_parameter(request, "level"));
+    if (!level)
+    {
+        return error_response(level.error());
+    }
+    spdlog::set_level(*level);
+    log_event(
+        spdlog::level::info, "log_level_changed",
+        {{"level", query_parameter(request, "level")},
+         {"client_account", account->value()}});
+    return json_response(200, {{"level", query_parameter(request, "level")}});
+}
+
 http_response announce(
     const admin_context& context,
     const http_request& request,
@@ -50,6 +85,14 @@
 
 } // namespace
 
+result<client_account_id>
+operator_account(const admin_context& context, const http_request& request)
+{
+    const auto header = request[http::field::authorization];
+    return authenticate(
+        context.settings_->token_hashes_, {header.data(), header.size()});
+}
+
 http_response handle_admin_request(
     const admin_context& context,
     const http_request& request,
@@ -62,6 +105,14 @@
     {
         return show_status(context);
     }
+    if (is_get && path == "/metrics")
+    {
+        return show_metrics(context);
+    }
+    if (request.method() == http::verb::put && path == "/v1/log_level")
+    {
+        return set_log_level(context, request);
+    }
     if (is_post && path == "/v1/announce")
     {
         return announce(context, request, peer);
--- a/adapters/node/edit_handlers.cpp
+++ b/adapters/node/edit_handlers.cpp
@@ -11,7 +11,6 @@
 #include <fmt/format.h>
 
 #include "adapters/http/json_server.hpp"
-#include "adapters/node/operator_tokens.hpp"
 #include "hemlockshelf/config/row_codec.hpp"
 #include "hemlockshelf/editing/config_reader.hpp"
 
@@ -23,14 +22,6 @@
 
 constexpr std::uint64_t max_page_size = 1000;
 
-result<client_account_id>
-operator_account(const admin_context& context, const http_request& request)
-{
-    const auto header = request[http::field::authorization];
-    return authenticate(
-        context.settings_->token_hashes_, {header.data(), header.size()});
-}
-
 result<std::uint64_t> number_parameter(
     const http_request& request, std::string_view name, std::uint64_t fallback)
 {
--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -10,6 +10,7 @@
 #include "adapters/node/call_plane.hpp"
 #include "adapters/node/control_plane.hpp"
 #include "adapters/platform/platform_client.hpp"
+#include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/core/real_clock.hpp"
 #include "hemlockshelf/editing/blob_writer.hpp"
 
@@ -34,7 +35,8 @@
               settings_, time_, platform_, snapshots_, members_, upstream_),
           calls_(settings_, time_, snapshots_, members_, upstream_),
           editor_(make_editor_ports(), settings_.vm_, settings_.editing_),
-          admin_{&settings_, &snapshots_, &platform_, &editor_, &upstream_},
+          admin_{&settings_, &snapshots_, &platform_,
+                 &editor_,   &upstream_,  &metrics_},
           admin_server_(
               context_,
               settings_.admin_,
@@ -61,12 +63,12 @@
     }
 
 private:
-    node_settings settings_;
     editor_ports make_editor_ports()
     {
         editor_ports ports;
         ports.tables_ = &platform_;
         ports.time_ = &time_;
+        ports.metrics_ = &metrics_;
         ports.held_ = [this]
         {
             return snapshots_.current();
@@ -79,7 +81,9 @@
         return ports;
     }
 
+    node_settings settings_;
     real_clock time_;
+    prometheus_metrics metrics_;
     asio::io_context context_;
     platform_client platform_;
     snapshot_store snapshots_;
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -6,9 +6,13 @@
 #include <vector>
 
 #include "adapters/http/endpoint.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
 #include "hemlockshelf/editing/editing_settings.hpp"
+#include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/retry/retry_settings.hpp"
+#include "hemlockshelf/routing/routing_settings.hpp"
 
 namespace hemlockshelf {
 
@@ -34,7 +38,12 @@
     std::vector<endpoint> peers_;
     /// SHA-256 of each account's operator token, in hexadecimal.
     std::map<client_account_id, std::string> token_hashes_;
+    log_format log_format_ = log_format::text;
+    std::string log_level_ = "info";
     editing_settings editing_;
+    routing_settings routing_;
+    retry_settings retry_;
+    gate_settings gate_limits_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
