platform: bound requests and tell a refusal from a lost answer

The client takes its timeout from the settings, counts its requests and maps answers to what is known: a refusal (4xx, 503) or a failed connect is certainly not committed, a closed or silent connection after sending and other failures of the server are not.

The stand-in limits reads and writes per second, adds latency, and shows faults on command: down, slow, lost answers after the write, silence. Its answers to transactions now have the form of the protocol. `json_server` closes a connection without an answer when a handler throws `no_answer`, and holds no thread while it waits.

Ruled out: losing the answers of reads as well, which would leave editors nothing to read back with.

--- a/adapters/http/json_server.cpp
+++ b/adapters/http/json_server.cpp
@@ -3,12 +3,14 @@
 #include <charconv>
 #include <chrono>
 #include <exception>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -120,15 +122,27 @@
         stream.expires_never();
         co_await asio::post(workers_, asio::use_awaitable);
         http_response response;
+        std::optional<std::chrono::milliseconds> withheld;
         try
         {
             response = handle_(request, peer);
         }
+        catch (const no_answer& lost)
+        {
+            withheld = lost.wait();
+        }
         catch (const std::exception& thrown)
         {
             response = error_response({error_kind::internal, thrown.what()});
         }
         co_await asio::post(context_, asio::use_awaitable);
+        if (withheld)
+        {
+            asio::steady_timer timer(context_, *withheld);
+            co_await timer.async_wait(
+                asio::redirect_error(asio::use_awaitable, failure));
+            break;
+        }
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
         stream.expires_after(idle_timeout);
--- a/adapters/http/json_server.hpp
+++ b/adapters/http/json_server.hpp
@@ -1,6 +1,8 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_JSON_SERVER_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_JSON_SERVER_HPP
 
+#include <chrono>
+#include <exception>
 #include <functional>
 #include <string>
 
@@ -16,6 +18,22 @@
 
 namespace hemlockshelf {
 
+/// Thrown by a handler that gives no answer: the connection is closed after a
+/// wait, during which no thread is held. Stand-ins lose answers with it.
+class no_answer final : public std::exception
+{
+public:
+    explicit no_answer(std::chrono::milliseconds wait) : wait_(wait) {}
+
+    [[nodiscard]] std::chrono::milliseconds wait() const noexcept
+    {
+        return wait_;
+    }
+
+private:
+    std::chrono::milliseconds wait_;
+};
+
 /// HTTP server for small messages. Handlers may block: they run on a pool of
 /// threads of their own.
 class json_server
--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -29,7 +29,10 @@
 public:
     explicit parts(node_settings settings)
         : settings_(std::move(settings)),
-          platform_({settings_.platform_, settings_.source_address_}),
+          platform_(
+              {settings_.platform_, settings_.source_address_,
+               settings_.editing_.platform_timeout_},
+              &metrics_),
           upstream_(time_),
           control_(
               settings_, time_, platform_, snapshots_, members_, upstream_),
--- a/adapters/platform/platform_client.cpp
+++ b/adapters/platform/platform_client.cpp
@@ -1,11 +1,13 @@
 #include "adapters/platform/platform_client.hpp"
 
 #include <cstdint>
+#include <string_view>
 #include <utility>
 
 #include <fmt/format.h>
 
 #include "adapters/http/json_server.hpp"
+#include "hemlockshelf/core/error_table.hpp"
 #include "hemlockshelf/core/ids.hpp"
 
 namespace hemlockshelf {
@@ -20,6 +22,14 @@
         error_kind::platform_unavailable, fmt::format("platform: {}", what));
 }
 
+/// A read that got no answer changed nothing, and neither did the storing of a
+/// blob, whose content never differs.
+tl::unexpected<error> without_effect(error failure)
+{
+    failure.kind_ = error_kind::platform_unavailable;
+    return tl::unexpected<error>(std::move(failure));
+}
+
 std::string encode_query(const std::string& text)
 {
     std::string encoded;
@@ -72,10 +82,39 @@
         json.at("value")};
 }
 
+result<stored_row> keyed_row_from_json(const nlohmann::json& json)
+{
+    if (!json.is_object() || !json.contains("key") ||
+        !json.at("key").is_string())
+    {
+        return unavailable("malformed row in an answer");
+    }
+    return row_from_json(json, json.at("key").get<std::string>());
+}
+
+result<void> expect_success(const http_response& answer)
+{
+    if (answer.result_int() / 100 == 2)
+    {
+        return {};
+    }
+    return unavailable(fmt::format("status {}", answer.result_int()));
+}
+
+result<nlohmann::json> json_of(const http_response& answer)
+{
+    auto json = parse_json(answer.body());
+    if (!json)
+    {
+        return unavailable(json.error().message_);
+    }
+    return json;
+}
+
 } // namespace
 
-platform_client::platform_client(http_target platform)
-    : platform_(std::move(platform))
+platform_client::platform_client(http_target platform, metric_sink* metrics)
+    : platform_(std::move(platform)), metrics_(metrics)
 {}
 
 result<std::optional<stored_row>>
@@ -83,24 +122,19 @@
 {
     const auto path =
         fmt::format("/v1/tables/{}/rows?key={}", table, encode_query(key));
-    const auto answer =
-        blocking_exchange(platform_, make_request(http::verb::get, path));
+    const auto answer = send(make_request(http::verb::get, path));
     if (!answer)
     {
-        return unavailable(answer.error().message_);
+        return without_effect(answer.error());
     }
     if (answer->result() == http::status::not_found)
     {
         return std::nullopt;
     }
-    if (answer->result() != http::status::ok)
-    {
-        return unavailable(fmt::format("status {}", answer->result_int()));
-    }
-    const auto json = parse_json(answer->body());
+    const auto json = json_of(*answer);
     if (!json)
     {
-        return unavailable(json.error().message_);
+        return tl::unexpected<error>(json.error());
     }
     return row_from_json(*json, key)
         .map(
@@ -115,22 +149,24 @@
     const auto path = fmt::format(
         "/v1/tables/{}/scan?after={}&prefix={}&limit={}", range.table_,
         encode_query(range.after_), encode_query(range.prefix_), range.limit_);
-    const auto answer =
-        blocking_exchange(platform_, make_request(http::verb::get, path));
+    const auto answer = send(make_request(http::verb::get, path));
     if (!answer)
     {
-        return unavailable(answer.error().message_);
+        return without_effect(answer.error());
     }
-    const auto json = parse_json(answer->body());
-    if (answer->result() != http::status::ok || !json ||
-        !json->contains("rows"))
+    const auto json = json_of(*answer);
+    if (!json)
+    {
+        return tl::unexpected<error>(json.error());
+    }
+    if (!json->is_object() || !json->contains("rows"))
     {
-        return unavailable(fmt::format("status {}", answer->result_int()));
+        return unavailable("scan: expected the list \"rows\" in the answer");
     }
     std::vector<stored_row> rows;
     for (const auto& item : json->at("rows"))
     {
-        auto row = row_from_json(item, item.value("key", std::string{}));
+        auto row = keyed_row_from_json(item);
         if (!row)
         {
             return tl::unexpected<error>(row.error());
@@ -142,70 +178,94 @@
 
 result<void> platform_client::commit(const transaction& writes)
 {
-    const auto answer = blocking_exchange(
-        platform_,
-        make_request(
-            http::verb::post, "/v1/transactions", to_json(writes).dump()));
+    const auto answer = send(make_request(
+        http::verb::post, "/v1/transactions", to_json(writes).dump()));
     if (!answer)
     {
-        if (answer.error().kind_ == error_kind::outcome_unknown)
-        {
-            return tl::unexpected<error>(answer.error());
-        }
-        return unavailable(answer.error().message_);
+        return tl::unexpected<error>(answer.error());
     }
-    switch (answer->result_int())
+    if (answer->result() == http::status::conflict)
     {
-    case 200:
-        return {};
-    case 409:
         return make_error(
             error_kind::conflict,
             fmt::format("transaction: {}", answer->body()));
-    case 429:
-    case 503:
-        return unavailable(fmt::format("status {}", answer->result_int()));
-    default:
-        return make_error(
-            error_kind::outcome_unknown,
-            fmt::format("transaction: status {}", answer->result_int()));
     }
+    return expect_success(*answer);
 }
 
 result<void>
 platform_client::put(const std::string& name, const std::string& content)
 {
-    const auto answer = blocking_exchange(
-        platform_,
-        make_request(http::verb::put, "/v1/objects/" + name, content));
+    const auto answer =
+        send(make_request(http::verb::put, "/v1/objects/" + name, content));
     if (!answer)
     {
-        return unavailable(answer.error().message_);
-    }
-    if (answer->result_int() / 100 != 2)
-    {
-        return unavailable(fmt::format("status {}", answer->result_int()));
+        return without_effect(answer.error());
     }
-    return {};
+    return expect_success(*answer);
 }
 
 result<std::optional<std::string>> platform_client::get(const std::string& name)
 {
-    const auto answer = blocking_exchange(
-        platform_, make_request(http::verb::get, "/v1/objects/" + name));
+    const auto answer =
+        send(make_request(http::verb::get, "/v1/objects/" + name));
     if (!answer)
     {
-        return unavailable(answer.error().message_);
+        return without_effect(answer.error());
     }
     if (answer->result() == http::status::not_found)
     {
         return std::nullopt;
     }
-    if (answer->result() != http::status::ok)
+    return expect_success(*answer).map(
+        [&answer]
+        {
+            return std::optional(answer->body());
+        });
+}
+
+result<http_response> platform_client::send(const http_request& request)
+{
+    auto answer = receive(request);
+    if (metrics_ != nullptr)
+    {
+        metrics_->add(
+            metric_id::platform_requests,
+            answer ? std::string_view("ok")
+                   : answer_for(answer.error().kind_).name_);
+    }
+    return answer;
+}
+
+result<http_response> platform_client::receive(const http_request& request)
+{
+    auto answer = blocking_exchange(platform_, request);
+    if (!answer && answer.error().kind_ == error_kind::outcome_unknown)
+    {
+        return answer;
+    }
+    if (!answer)
+    {
+        return unavailable(answer.error().message_);
+    }
+    const auto status = answer->result_int();
+    const bool is_answer = status / 100 == 2 ||
+                           answer->result() == http::status::not_found ||
+                           answer->result() == http::status::conflict;
+    if (is_answer)
     {
-        return unavailable(fmt::format("status {}", answer->result_int()));
+        return answer;
     }
-    return std::optional(answer->body());
+    // A refusal of the request itself and 503 come before the execution;
+    // other failures of the server can come after it.
+    const bool not_executed =
+        status / 100 == 4 ||
+        answer->result() == http::status::service_unavailable;
+    const auto what = fmt::format(
+        "{} {}: status {}", std::string(request.method_string()),
+        std::string(request.target()), status);
+    return not_executed ? result<http_response>(unavailable(what))
+                        : make_error(error_kind::outcome_unknown, what);
 }
 
 } // namespace hemlockshelf
--- a/adapters/platform/platform_client.hpp
+++ b/adapters/platform/platform_client.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_ADAPTERS_PLATFORM_PLATFORM_CLIENT_HPP
 
 #include "adapters/http/http_client.hpp"
+#include "hemlockshelf/core/metric_sink.hpp"
 #include "hemlockshelf/editing/object_store.hpp"
 #include "hemlockshelf/editing/table_service.hpp"
 
@@ -12,7 +13,9 @@
 class platform_client final : public table_service, public object_store
 {
 public:
-    explicit platform_client(http_target platform);
+    /// The target's timeout bounds each call as a whole. `metrics` may be null.
+    explicit platform_client(
+        http_target platform, metric_sink* metrics = nullptr);
 
     result<std::optional<stored_row>>
     read(const std::string& table, const std::string& key) override;
@@ -23,7 +26,13 @@
     result<std::optional<std::string>> get(const std::string& name) override;
 
 private:
+    /// Sends a request. The errors are `platform_unavailable` if it certainly
+    /// was not executed, and `outcome_unknown`.
+    result<http_response> send(const http_request& request);
+    result<http_response> receive(const http_request& request);
+
     http_target platform_;
+    metric_sink* metrics_;
 };
 
 } // namespace hemlockshelf
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,5 +1,6 @@
 // Stand-in for the platform's table service and object store.
 
+#include <chrono>
 #include <iostream>
 #include <string>
 
@@ -8,14 +9,19 @@
 #include <gflags/gflags.h>
 
 #include "adapters/http/json_server.hpp"
-#include "standins/platform/memory_tables.hpp"
-#include "standins/platform/platform_handler.hpp"
+#include "hemlockshelf/core/real_clock.hpp"
+#include "standins/platform/platform_service.hpp"
 
 DEFINE_string(listen, "127.0.0.1:7000", "address and port to listen on");
+DEFINE_double(writes_per_second, 400, "writes beyond this get 429");
+DEFINE_double(reads_per_second, 2000, "reads beyond this get 429");
+DEFINE_int32(latency_ms, 0, "time that each request takes");
 
 namespace {
 
-constexpr std::size_t worker_threads = 8;
+// Requests sleep on these threads for the latency; 64 of them carry the reads
+// per second at up to 25 ms.
+constexpr std::size_t worker_threads = 64;
 
 } // namespace
 
@@ -29,12 +35,16 @@
         return 2;
     }
     boost::asio::io_context context;
-    hemlockshelf::memory_tables tables;
+    const hemlockshelf::real_clock time;
+    hemlockshelf::platform_service service(
+        time, {FLAGS_writes_per_second, FLAGS_reads_per_second,
+               std::chrono::milliseconds{FLAGS_latency_ms}});
     const hemlockshelf::json_server server(
         context, *where, worker_threads,
-        [&tables](const hemlockshelf::http_request& request, const std::string&)
+        [&service](
+            const hemlockshelf::http_request& request, const std::string&)
         {
-            return hemlockshelf::handle_platform_request(tables, request);
+            return service.handle(request);
         });
     boost::asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait(
--- a/standins/platform/memory_tables.cpp
+++ b/standins/platform/memory_tables.cpp
@@ -22,32 +22,47 @@
     const std::lock_guard lock(mutex_);
     const auto& rows = tables_[range.table_];
     std::vector<stored_row> found;
-    for (auto row = rows.upper_bound(range.after_);
-         row != rows.end() && found.size() < range.limit_; ++row)
+    auto row = range.after_ < range.prefix_ ? rows.lower_bound(range.prefix_)
+                                            : rows.upper_bound(range.after_);
+    for (; row != rows.end() && found.size() < range.limit_ &&
+           row->first.starts_with(range.prefix_);
+         ++row)
     {
-        if (row->first.starts_with(range.prefix_))
-        {
-            found.push_back(row->second);
-        }
+        found.push_back(row->second);
     }
     return found;
 }
 
 result<void> memory_tables::commit(const transaction& writes)
+{
+    const auto done = execute(writes);
+    if (done.conflicts_.empty())
+    {
+        return {};
+    }
+    const auto& row = done.conflicts_.front();
+    return make_error(
+        error_kind::conflict, fmt::format(
+                                  "row \"{}\" of \"{}\": found version {}",
+                                  row.key_, row.table_, row.version_.value()));
+}
+
+transaction_result memory_tables::execute(const transaction& writes)
 {
     const std::lock_guard lock(mutex_);
+    transaction_result done;
     for (const auto& check : writes.checks_)
     {
-        const auto version = version_of(check.table_, check.key_);
-        if (version != check.version_.value())
+        const row_version found{version_of(check.table_, check.key_)};
+        if (found != check.version_)
         {
-            return make_error(
-                error_kind::conflict,
-                fmt::format(
-                    "row \"{}\" of \"{}\": expected version {}, found {}",
-                    check.key_, check.table_, check.version_.value(), version));
+            done.conflicts_.push_back({check.table_, check.key_, found});
         }
     }
+    if (!done.conflicts_.empty())
+    {
+        return done;
+    }
     ++last_version_;
     for (const auto& write : writes.writes_)
     {
@@ -55,12 +70,14 @@
         if (write.value_.is_null())
         {
             rows.erase(write.key_);
+            done.versions_.emplace_back(0);
             continue;
         }
         rows[write.key_] = {
             write.key_, row_version{last_version_}, write.value_};
+        done.versions_.emplace_back(last_version_);
     }
-    return {};
+    return done;
 }
 
 result<void>
--- a/standins/platform/memory_tables.hpp
+++ b/standins/platform/memory_tables.hpp
@@ -5,12 +5,23 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "hemlockshelf/editing/object_store.hpp"
 #include "hemlockshelf/editing/table_service.hpp"
 
 namespace hemlockshelf {
 
+/// What became of a transaction.
+struct transaction_result
+{
+    /// Version of each write, in order; 0 for a deletion. Empty if a check
+    /// failed.
+    std::vector<row_version> versions_;
+    /// The failed checks, with the versions that the rows have.
+    std::vector<row_check> conflicts_;
+};
+
 /// Tables and blobs in memory, with the semantics of the platform's service.
 /// Thread-safe. Tests use it directly, `platform_standin` serves it by HTTP.
 class memory_tables final : public table_service, public object_store
@@ -20,6 +31,10 @@
     read(const std::string& table, const std::string& key) override;
     result<std::vector<stored_row>> scan(const scan_range& range) override;
     result<void> commit(const transaction& writes) override;
+
+    /// Commits like `commit` and tells the versions.
+    transaction_result execute(const transaction& writes);
+
     result<void>
     put(const std::string& name, const std::string& content) override;
     result<std::optional<std::string>> get(const std::string& name) override;
--- a/standins/platform/platform_handler.cpp
+++ b/standins/platform/platform_handler.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "adapters/http/json_server.hpp"
 
@@ -43,6 +44,26 @@
     }
 }
 
+http_response transaction_response(const transaction_result& done)
+{
+    auto versions = nlohmann::json::array();
+    for (const auto version : done.versions_)
+    {
+        versions.push_back(version.value());
+    }
+    auto conflicts = nlohmann::json::array();
+    for (const auto& row : done.conflicts_)
+    {
+        conflicts.push_back(
+            {{"table", row.table_},
+             {"key", row.key_},
+             {"version", row.version_.value()}});
+    }
+    return conflicts.empty()
+               ? json_response(200, {{"versions", std::move(versions)}})
+               : json_response(409, {{"conflicts", std::move(conflicts)}});
+}
+
 http_response commit(memory_tables& tables, const http_request& request)
 {
     const auto json = parse_json(request.body());
@@ -55,13 +76,7 @@
     {
         return error_response(writes.error());
     }
-    const auto committed = tables.commit(*writes);
-    if (!committed)
-    {
-        return json_response(
-            409, {{"conflicts", {committed.error().message_}}});
-    }
-    return json_response(200, {{"committed", true}});
+    return transaction_response(tables.execute(*writes));
 }
 
 http_response read_row(
