test: check racing editors and every outcome of an edit

Several editors on shared tables, with refusals, lost answers, lost requests and delayed transactions, give histories that the checkers accept: one commit per change id, every accepted edit present, no dangling reference, audit equal to the changes, stored rows equal to the changes.

--- /dev/null
+++ b/test/editing/edit_samples.cpp
@@ -0,0 +1,51 @@
+#include "test/editing/edit_samples.hpp"
+
+#include <utility>
+
+namespace hemlockshelf {
+
+row_edit pool_edit(const std::string& key, const std::string& service)
+{
+    return {
+        {table_id::pools, row_key{key}, pool_row{service_name{service}, {}}},
+        std::nullopt};
+}
+
+row_edit route_edit(const std::string& key, const std::string& pool)
+{
+    route_row route;
+    route.host_ = "catalogue.regie";
+    route.pool_ = row_key{pool};
+    return {{table_id::routes, row_key{key}, route}, std::nullopt};
+}
+
+row_edit deletion(table_id table, const std::string& key)
+{
+    return {{table, row_key{key}, row_deletion{}}, std::nullopt};
+}
+
+row_edit expecting(row_edit edit, std::uint64_t version)
+{
+    edit.expected_version_ = row_version{version};
+    return edit;
+}
+
+edit_request request_of(const std::string& id, std::vector<row_edit> edits)
+{
+    return {
+        change_id{id}, "operator", client_account_id{"regie"}, false,
+        std::move(edits)};
+}
+
+editing_settings unlimited()
+{
+    constexpr std::uint32_t plenty = 1'000'000;
+    editing_settings settings;
+    settings.quotas_.max_rows_ = plenty;
+    settings.quotas_.max_accepted_ = plenty;
+    settings.quotas_.max_submitted_per_second_ = plenty;
+    settings.quotas_.max_concurrent_ = plenty;
+    return settings;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/test/editing/test_concurrent_editors.cpp
@@ -0,0 +1,255 @@
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "hemlockshelf/config/row_codec.hpp"
+#include "hemlockshelf/config/snapshot_store.hpp"
+#include "hemlockshelf/core/real_clock.hpp"
+#include "hemlockshelf/editing/config_reader.hpp"
+#include "hemlockshelf/editing/editor.hpp"
+#include "hemlockshelf/history/checkers.hpp"
+#include "standins/platform/memory_tables.hpp"
+#include "test/editing/audit_checker.hpp"
+#include "test/editing/edit_samples.hpp"
+#include "test/editing/faulty_tables.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+
+namespace {
+
+constexpr unsigned node_count = 3;
+constexpr std::size_t operators_per_node = 2;
+constexpr unsigned edits_per_operator = 40;
+
+event_time now_us()
+{
+    return std::chrono::duration_cast<event_time>(
+        std::chrono::steady_clock::now().time_since_epoch());
+}
+
+/// A node as far as edits concern it.
+struct editing_node
+{
+    editing_node(table_service& shared, fault_rates rates, unsigned seed)
+        : tables_(shared, rates, seed),
+          editor_(
+              make_ports(), vm_id{fmt::format("vm-{}", seed)}, quick_settings())
+    {}
+
+    static editing_settings quick_settings()
+    {
+        auto settings = unlimited();
+        settings.retry_.max_attempts_ = 200;
+        settings.retry_.max_read_backs_ = 4;
+        return settings;
+    }
+
+    editor_ports make_ports()
+    {
+        editor_ports ports;
+        ports.tables_ = &tables_;
+        ports.time_ = &time_;
+        ports.held_ = [this]
+        {
+            return snapshots_.current();
+        };
+        ports.on_accepted_ = [this](const change_record&, const auto& snapshot)
+        {
+            // Refused if a later edit of this node was faster.
+            static_cast<void>(snapshots_.advance(snapshot));
+        };
+        ports.pause_ = [](std::chrono::milliseconds time)
+        {
+            std::this_thread::sleep_for(
+                std::chrono::microseconds{time.count()});
+        };
+        return ports;
+    }
+
+    real_clock time_;
+    snapshot_store snapshots_;
+    faulty_tables tables_;
+    editor editor_;
+};
+
+/// Returns one of a few edits whose rows meet those of others.
+std::vector<row_edit> random_edits(std::mt19937& random)
+{
+    const auto pool = fmt::format("regie/p{}", random() % 3);
+    const auto route = fmt::format("regie/r{}", random() % 3);
+    switch (random() % 6)
+    {
+    case 0:
+        return {deletion(table_id::pools, pool)};
+    case 1:
+        return {deletion(table_id::routes, route)};
+    case 2:
+        return {pool_edit(pool, "new"), route_edit(route, pool)};
+    case 3:
+        return {expecting(pool_edit(pool, "expected"), random() % 40)};
+    case 4:
+        return {pool_edit(pool, fmt::format("s{}", random()))};
+    default:
+        return {route_edit(route, pool)};
+    }
+}
+
+std::vector<row_value> rows_of(const edit_request& request)
+{
+    std::vector<change_record> one(1);
+    for (const auto& edit : request.edits_)
+    {
+        one[0].delta_.changes_.push_back(edit.change_);
+    }
+    return to_history(one)[0].rows_;
+}
+
+edit_result result_of(const result<edit_outcome>& outcome)
+{
+    if (outcome)
+    {
+        return edit_result::accepted;
+    }
+    return outcome.error().kind_ == error_kind::outcome_unknown
+               ? edit_result::unknown
+               : edit_result::refused;
+}
+
+/// Submits an edit and, while its outcome is unknown, submits it again to
+/// another node under the same change id.
+edit_record submit(
+    std::vector<std::unique_ptr<editing_node>>& nodes,
+    std::size_t first,
+    const edit_request& request)
+{
+    edit_record record;
+    record.id_ = request.id_;
+    record.rows_ = rows_of(request);
+    record.invoked_at_ = now_us();
+    for (std::size_t count = 0; count < nodes.size(); ++count)
+    {
+        const auto outcome =
+            nodes[(first + count) % nodes.size()]->editor_.submit(request);
+        record.result_ = result_of(outcome);
+        if (outcome)
+        {
+            record.revision_ = outcome->revision_;
+        }
+        // A refusal of a repeated submission says nothing about the first.
+        if (count > 0 && !outcome)
+        {
+            record.result_ = edit_result::unknown;
+        }
+        if (record.result_ != edit_result::unknown)
+        {
+            break;
+        }
+    }
+    record.answered_at_ = now_us();
+    return record;
+}
+
+struct run_outcome
+{
+    run_history history_;
+    std::vector<change_record> records_;
+    std::vector<std::string> violations_;
+};
+
+run_outcome run_editors(fault_rates rates, unsigned seed)
+{
+    memory_tables shared;
+    std::vector<std::unique_ptr<editing_node>> nodes;
+    for (unsigned index = 0; index < node_count; ++index)
+    {
+        nodes.push_back(
+            std::make_unique<editing_node>(shared, rates, seed + index));
+    }
+    run_outcome outcome;
+    std::mutex mutex;
+    std::vector<std::thread> operators;
+    for (unsigned index = 0; index < node_count * operators_per_node; ++index)
+    {
+        operators.emplace_back(
+            [&, index]
+            {
+                std::mt19937 random(seed + index);
+                for (unsigned edit = 0; edit < edits_per_operator; ++edit)
+                {
+                    const auto record = submit(
+                        nodes, index % node_count,
+                        request_of(
+                            fmt::format("o{}-{}", index, edit),
+                            random_edits(random)));
+                    const std::lock_guard lock(mutex);
+                    outcome.history_.edits_.push_back(record);
+                }
+            });
+    }
+    for (auto& thread : operators)
+    {
+        thread.join();
+    }
+    for (auto& node : nodes)
+    {
+        node->tables_.deliver_delayed();
+    }
+    outcome.records_ = *read_changes(shared, revision{0}, 100'000);
+    outcome.history_.changes_ = to_history(outcome.records_);
+    outcome.violations_ = check_stored_rows(outcome.records_, shared);
+    return outcome;
+}
+
+void expect_no_violations(run_outcome outcome)
+{
+    auto& found = outcome.violations_;
+    const auto append = [&found](std::vector<std::string> more)
+    {
+        found.insert(found.end(), more.begin(), more.end());
+    };
+    append(check_edits(outcome.history_));
+    append(check_references(outcome.history_));
+    append(check_audit(outcome.records_));
+    for (const auto& violation : found)
+    {
+        cr_log_error("%s", violation.c_str());
+    }
+    cr_assert(found.empty());
+    cr_assert(outcome.records_.size() > node_count * operators_per_node);
+}
+
+} // namespace
+
+// Guards against lost or doubled edits when operators race.
+Test(concurrent_editors, racing_edits_are_linearizable)
+{
+    for (unsigned seed = 1; seed <= 5; ++seed)
+    {
+        expect_no_violations(run_editors({}, seed));
+    }
+}
+
+// Guards against an edit that commits twice, or is answered wrongly, when the
+// platform loses requests and answers.
+Test(concurrent_editors, lost_answers_commit_at_most_once)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed)
+    {
+        expect_no_violations(run_editors({0.02, 0.1, 0.05, 0.1}, seed));
+    }
+}
+
+// Guards against a transaction that arrives after its editor gave up on it and
+// commits a stale edit.
+Test(concurrent_editors, delayed_transactions_commit_no_stale_edit)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed)
+    {
+        expect_no_violations(run_editors({0, 0, 0, 0.4}, seed));
+    }
+}
--- a/test/editing/test_editor.cpp
+++ b/test/editing/test_editor.cpp
@@ -4,6 +4,8 @@
 #include "hemlockshelf/core/manual_clock.hpp"
 #include "hemlockshelf/editing/config_reader.hpp"
 #include "standins/platform/memory_tables.hpp"
+#include "test/editing/edit_samples.hpp"
+#include "test/editing/faulty_tables.hpp"
 
 #include <criterion/criterion.h>
 
@@ -13,15 +15,15 @@
 
 struct fixture
 {
-    memory_tables tables_;
-    manual_clock time_;
-    snapshot_store snapshots_;
-    editor editor_{make_ports(), vm_id{"vm-1"}};
+    explicit fixture(fault_rates rates = {}, editing_settings settings = {})
+        : faulty_(tables_, rates, 1),
+          editor_(make_ports(faulty_), vm_id{"vm-1"}, settings)
+    {}
 
-    editor_ports make_ports()
+    editor_ports make_ports(table_service& tables)
     {
         editor_ports ports;
-        ports.tables_ = &tables_;
+        ports.tables_ = &tables;
         ports.time_ = &time_;
         ports.held_ = [this]
         {
@@ -31,34 +33,37 @@
         {
             cr_assert(snapshots_.advance(snapshot).has_value());
         };
-        ports.pause_ = [](std::chrono::milliseconds) {};
+        ports.pause_ = [this](std::chrono::milliseconds time)
+        {
+            time_.advance(time);
+        };
         return ports;
     }
+
+    result<edit_outcome> submit(const char* id, std::vector<row_edit> edits)
+    {
+        // Keeps the accepted edits of a test apart for the quota.
+        time_.advance(std::chrono::seconds{1});
+        return editor_.submit(request_of(id, std::move(edits)));
+    }
+
+    error_kind refusal(const char* id, std::vector<row_edit> edits)
+    {
+        const auto outcome = submit(id, std::move(edits));
+        cr_assert(!outcome.has_value());
+        return outcome.error().kind_;
+    }
+
+    memory_tables tables_;
+    faulty_tables faulty_;
+    manual_clock time_;
+    snapshot_store snapshots_;
+    editor editor_;
 };
 
-edit_request pool_edit(const char* id, const char* key)
+bool contains(const std::string& text, const char* part)
 {
-    return {
-        change_id{id},
-        "operator",
-        client_account_id{"regie"},
-        false,
-        {{{table_id::pools, row_key{key},
-           pool_row{service_name{"catalogue"}, {}, false, 10}},
-          std::nullopt}}};
-}
-
-edit_request route_edit(const char* id, const char* pool)
-{
-    route_row route;
-    route.host_ = "catalogue.regie";
-    route.pool_ = row_key{pool};
-    return {
-        change_id{id},
-        "operator",
-        client_account_id{"regie"},
-        false,
-        {{{table_id::routes, row_key{"regie/all"}, route}, std::nullopt}}};
+    return text.find(part) != std::string::npos;
 }
 
 } // namespace
@@ -67,7 +72,7 @@
 Test(editor, an_accepted_edit_is_recorded)
 {
     fixture under_test;
-    const auto outcome = under_test.editor_.submit(pool_edit("c1", "regie/a"));
+    const auto outcome = under_test.submit("c1", {pool_edit("regie/a", "s")});
     cr_assert(outcome.has_value());
     cr_assert(outcome->revision_ == revision{1});
     cr_assert(under_test.snapshots_.current()->number() == revision{1});
@@ -81,26 +86,202 @@
 Test(editor, the_same_change_id_is_accepted_once)
 {
     fixture under_test;
-    const auto first = under_test.editor_.submit(pool_edit("c1", "regie/a"));
-    const auto again = under_test.editor_.submit(pool_edit("c1", "regie/a"));
+    const auto first = under_test.submit("c1", {pool_edit("regie/a", "s")});
+    const auto again = under_test.submit("c1", {pool_edit("regie/a", "s")});
     cr_assert(again.has_value());
     cr_assert(again->revision_ == first->revision_);
     cr_assert(under_test.snapshots_.current()->number() == revision{1});
 }
 
-// Guards against a route that is accepted without its pool.
+// Guards against an accepted deletion that is refused when it is submitted
+// again, because the row is gone.
+Test(editor, a_repeated_deletion_gives_the_first_outcome)
+{
+    fixture under_test;
+    under_test.submit("c1", {pool_edit("regie/a", "s")});
+    const auto gone = expecting(deletion(table_id::pools, "regie/a"), 1);
+    const auto first = under_test.submit("c2", {gone});
+    const auto again = under_test.submit("c2", {gone});
+    cr_assert(again.has_value());
+    cr_assert(again->revision_ == first->revision_);
+}
+
+// Guards against an edit that is called accepted because another one was.
+Test(editor, a_change_id_of_another_edit_is_a_conflict)
+{
+    fixture under_test;
+    under_test.submit("c1", {pool_edit("regie/a", "s")});
+    cr_assert(
+        under_test.refusal("c1", {pool_edit("regie/b", "s")}) ==
+        error_kind::conflict);
+    cr_assert(
+        under_test.refusal("c1", {pool_edit("regie/a", "t")}) ==
+        error_kind::conflict);
+}
+
+// Guards against a failed expected version that ends as an unknown outcome, or
+// does not tell both sides.
+Test(editor, a_failed_expected_version_is_a_conflict_at_once)
+{
+    fixture under_test;
+    under_test.submit("c1", {pool_edit("regie/a", "seen")});
+    const auto before = under_test.time_.now();
+    const auto outcome = under_test.editor_.submit(
+        request_of("c2", {expecting(pool_edit("regie/a", "new"), 7)}));
+    cr_assert(outcome.error().kind_ == error_kind::conflict);
+    cr_assert(contains(outcome.error().message_, "expected version 7"));
+    cr_assert(contains(outcome.error().message_, "found version 1"));
+    cr_assert(contains(outcome.error().message_, "\"seen\""));
+    cr_assert(under_test.time_.now() == before);
+    const auto absent = under_test.editor_.submit(
+        request_of("c3", {expecting(pool_edit("regie/b", "new"), 7)}));
+    cr_assert(contains(absent.error().message_, "found no row"));
+    cr_assert(
+        under_test.submit("c4", {expecting(pool_edit("regie/a", "new"), 1)})
+            .has_value());
+    cr_assert(
+        under_test.submit("c5", {expecting(pool_edit("regie/b", "new"), 0)})
+            .has_value());
+}
+
+// Guards against a dry run that passes although the edit would be a conflict,
+// or that writes.
+Test(editor, a_dry_run_checks_everything_and_writes_nothing)
+{
+    fixture under_test;
+    auto request = request_of("c1", {pool_edit("regie/a", "s")});
+    request.dry_run_ = true;
+    cr_assert(under_test.editor_.submit(request).has_value());
+    cr_assert(read_head(under_test.tables_)->revision_ == revision{0});
+    request.edits_ = {expecting(pool_edit("regie/a", "s"), 3)};
+    cr_assert(
+        under_test.editor_.submit(request).error().kind_ ==
+        error_kind::conflict);
+}
+
+// Guards against a route that is accepted without its pool (promise P2).
 Test(editor, a_dangling_route_is_refused)
 {
     fixture under_test;
-    const auto outcome =
-        under_test.editor_.submit(route_edit("c1", "regie/missing"));
-    cr_assert(outcome.error().kind_ == error_kind::invalid_row);
+    cr_assert(
+        under_test.refusal("c1", {route_edit("regie/r", "regie/missing")}) ==
+        error_kind::invalid_row);
 }
 
-// Guards against an account that edits another account's rows.
-Test(editor, a_row_of_another_account_is_refused)
+// Guards against a pool that is deleted under the route of a racing operator.
+Test(editor, deleting_a_pool_and_routing_to_it_are_not_both_accepted)
 {
     fixture under_test;
-    const auto outcome = under_test.editor_.submit(pool_edit("c1", "guild/a"));
-    cr_assert(outcome.error().kind_ == error_kind::forbidden);
+    under_test.submit("c1", {pool_edit("regie/a", "s")});
+    cr_assert(under_test.submit("c2", {route_edit("regie/r", "regie/a")})
+                  .has_value());
+    cr_assert(
+        under_test.refusal("c3", {deletion(table_id::pools, "regie/a")}) ==
+        error_kind::invalid_row);
+    cr_assert(under_test
+                  .submit(
+                      "c4", {deletion(table_id::routes, "regie/r"),
+                             deletion(table_id::pools, "regie/a")})
+                  .has_value());
+    cr_assert(
+        under_test.refusal("c5", {route_edit("regie/r", "regie/a")}) ==
+        error_kind::invalid_row);
+}
+
+// Guards against an edit that is accepted in part.
+Test(editor, an_edit_is_refused_as_a_whole)
+{
+    fixture under_test;
+    const auto good = pool_edit("regie/good", "s");
+    cr_assert(
+        under_test.refusal("c1", {good, pool_edit("guild/a", "s")}) ==
+        error_kind::forbidden);
+    cr_assert(
+        under_test.refusal("c2", {good, good}) == error_kind::bad_request);
+    cr_assert(
+        under_test.refusal(
+            "c3", {good, deletion(table_id::pools, "regie/absent")}) ==
+        error_kind::not_found);
+    cr_assert(
+        under_test.refusal("c4", {good, expecting(good, 1)}) ==
+        error_kind::bad_request);
+    cr_assert(read_head(under_test.tables_)->revision_ == revision{0});
+}
+
+// Guards against an edit that is reported lost although it can be read back.
+Test(editor, a_lost_answer_is_read_back)
+{
+    fixture under_test({0, 1, 0, 0});
+    const auto outcome = under_test.submit("c1", {pool_edit("regie/a", "s")});
+    cr_assert(outcome.has_value());
+    cr_assert(outcome->revision_ == revision{1});
+    cr_assert(under_test.snapshots_.current()->number() == revision{1});
+}
+
+// Guards against an unknown outcome that is reported as anything else, without
+// the change id, or after an unbounded time.
+Test(editor, an_outcome_that_cannot_be_learned_is_unknown)
+{
+    fixture under_test({0, 0, 1, 0});
+    const auto before = under_test.time_.now();
+    const auto outcome = under_test.submit("c1", {pool_edit("regie/a", "s")});
+    cr_assert(outcome.error().kind_ == error_kind::outcome_unknown);
+    cr_assert(contains(outcome.error().message_, "\"c1\""));
+    cr_assert(under_test.time_.now() - before < std::chrono::seconds{10});
+    cr_assert(
+        under_test.editor_.find(change_id{"c1"}).error().kind_ ==
+        error_kind::not_found);
+}
+
+// Guards against a certain refusal that is reported as an unknown outcome.
+Test(editor, a_refusal_of_the_platform_is_certain)
+{
+    fixture under_test({1, 0, 0, 0});
+    cr_assert(
+        under_test.refusal("c1", {pool_edit("regie/a", "s")}) ==
+        error_kind::platform_unavailable);
+}
+
+// Guards against an account that fills the tables.
+Test(editor, rows_beyond_the_quota_are_refused)
+{
+    editing_settings settings;
+    settings.quotas_.max_rows_ = 2;
+    fixture under_test({}, settings);
+    under_test.submit(
+        "c1", {pool_edit("regie/a", "s"), pool_edit("regie/b", "s")});
+    cr_assert(
+        under_test.refusal("c2", {pool_edit("regie/c", "s")}) ==
+        error_kind::quota_exceeded);
+    cr_assert(under_test.submit("c3", {pool_edit("regie/a", "t")}).has_value());
+    cr_assert(under_test
+                  .submit(
+                      "c4", {deletion(table_id::pools, "regie/a"),
+                             pool_edit("regie/c", "s")})
+                  .has_value());
+}
+
+// Guards against an account that exceeds its accepted edits by spreading them
+// over nodes, and against a limit that outlasts its window.
+Test(editor, accepted_edits_are_counted_over_the_change_records)
+{
+    editing_settings settings;
+    settings.quotas_.max_accepted_ = 2;
+    fixture under_test({}, settings);
+    editor other(
+        under_test.make_ports(under_test.tables_), vm_id{"vm-2"}, settings);
+    const auto edit = [](const char* id)
+    {
+        return request_of(id, {pool_edit("regie/a", id)});
+    };
+    cr_assert(under_test.editor_.submit(edit("c1")).has_value());
+    cr_assert(other.submit(edit("c2")).has_value());
+    cr_assert(
+        under_test.editor_.submit(edit("c3")).error().kind_ ==
+        error_kind::quota_exceeded);
+    auto neighbour = request_of("g1", {pool_edit("guild/a", "s")});
+    neighbour.account_ = client_account_id{"guild"};
+    cr_assert(other.submit(neighbour).has_value());
+    under_test.time_.advance(std::chrono::milliseconds{1001});
+    cr_assert(under_test.editor_.submit(edit("c3")).has_value());
 }
--- /dev/null
+++ b/test/editing/test_snapshot_blob.cpp
@@ -0,0 +1,123 @@
+#include "hemlockshelf/editing/snapshot_blob.hpp"
+
+#include <string>
+
+#include <fmt/format.h>
+
+#include "hemlockshelf/core/manual_clock.hpp"
+#include "hemlockshelf/editing/blob_writer.hpp"
+#include "hemlockshelf/editing/config_reader.hpp"
+#include "hemlockshelf/editing/editor.hpp"
+#include "standins/platform/memory_tables.hpp"
+#include "test/editing/edit_samples.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+
+namespace {
+
+/// Counts the change rows that are read.
+class counting_tables final : public table_service
+{
+public:
+    explicit counting_tables(table_service& tables) : tables_(tables) {}
+
+    result<std::optional<stored_row>>
+    read(const std::string& table, const std::string& key) override
+    {
+        return tables_.read(table, key);
+    }
+
+    result<std::vector<stored_row>> scan(const scan_range& range) override
+    {
+        auto rows = tables_.scan(range);
+        scanned_ += rows->size();
+        return rows;
+    }
+
+    result<void> commit(const transaction& writes) override
+    {
+        return tables_.commit(writes);
+    }
+
+    std::size_t scanned_ = 0;
+
+private:
+    table_service& tables_;
+};
+
+/// Commits `count` edits and stores the blobs that belong to them.
+std::shared_ptr<const config_snapshot>
+make_revisions(memory_tables& platform, int count)
+{
+    const manual_clock time;
+    auto held = config_snapshot::empty();
+    blob_writer blobs(platform);
+    editor_ports ports;
+    ports.tables_ = &platform;
+    ports.time_ = &time;
+    ports.held_ = [&held]
+    {
+        return held;
+    };
+    ports.on_accepted_ = [&](const change_record&, const auto& snapshot)
+    {
+        held = snapshot;
+        blobs.offer(snapshot);
+    };
+    editor under_test(ports, vm_id{"vm-1"}, unlimited());
+    for (int index = 0; index < count; ++index)
+    {
+        const auto id = fmt::format("c{}", index);
+        const auto key = fmt::format("regie/p{}", index % 50);
+        cr_assert(under_test.submit(request_of(id, {pool_edit(key, id)}))
+                      .has_value());
+    }
+    return held;
+}
+
+} // namespace
+
+// Guards against a starting node that replays the whole log.
+Test(snapshot_blob, a_starting_node_reads_the_rows_after_the_newest_blob)
+{
+    memory_tables platform;
+    const auto last = make_revisions(platform, 230);
+    counting_tables counted(platform);
+    const auto started =
+        catch_up(counted, platform, config_snapshot::empty(), last->number());
+    cr_assert(started.has_value());
+    cr_assert((*started)->number() == revision{230});
+    cr_assert((*started)->tables().hash_ == last->tables().hash_);
+    cr_assert(counted.scanned_ == 30);
+}
+
+// Guards against a damaged or missing blob that keeps a node from starting.
+Test(snapshot_blob, a_damaged_blob_is_passed_over)
+{
+    memory_tables platform;
+    cr_assert(platform.put("snapshots/200", "{\"revision\":200").has_value());
+    const auto last = make_revisions(platform, 210);
+    counting_tables counted(platform);
+    const auto started =
+        catch_up(counted, platform, config_snapshot::empty(), last->number());
+    cr_assert((*started)->tables().hash_ == last->tables().hash_);
+    cr_assert(counted.scanned_ == 110);
+    memory_tables no_blobs;
+    const auto replayed =
+        catch_up(platform, no_blobs, config_snapshot::empty(), last->number());
+    cr_assert((*replayed)->tables().hash_ == last->tables().hash_);
+}
+
+// Guards against a blob whose rows are not those of its hash.
+Test(snapshot_blob, a_blob_with_other_rows_is_refused)
+{
+    memory_tables platform;
+    auto json = nlohmann::json::parse(to_blob(*make_revisions(platform, 3)));
+    cr_assert(snapshot_from_blob(json.dump()).has_value());
+    json["delta"]["upserts"].erase(0);
+    cr_assert(
+        snapshot_from_blob(json.dump()).error().kind_ ==
+        error_kind::hash_mismatch);
+}
