--- a/adapters/settings/node_settings.cpp
+++ b/adapters/settings/node_settings.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
+#include "adapters/settings/section_readers.hpp"
 #include "adapters/settings/settings_section.hpp"
 
 namespace hemlockshelf {
@@ -30,33 +31,46 @@
 
 void read_identity(settings_section& root, node_settings& settings)
 {
-    settings.vm_ = vm_id{root.required_text("vm")};
-    settings.failure_domain_ =
-        failure_domain_id{root.required_text("failure_domain")};
-    settings.region_ = region_id{root.required_text("region")};
+    settings.vm_ = vm_id{
+        root.required_text({"vm", "Name of this VM; unique in the fleet."})};
+    settings.failure_domain_ = failure_domain_id{
+        root.required_text({"failure_domain", "Failure domain of this VM."})};
+    settings.region_ = region_id{
+        root.required_text({"region", "Region of the failure domain."})};
 }
 
 void read_addresses(settings_section& root, node_settings& settings)
 {
-    settings.calls_ = root.required_endpoint("calls");
-    settings.gate_ = root.required_endpoint("gate");
-    settings.control_ = root.required_endpoint("control");
-    settings.admin_ = root.required_endpoint("admin");
-    settings.platform_ = root.required_endpoint("platform");
-    settings.advertised_gate_ =
-        root.optional_endpoint("advertised_gate", settings.gate_);
-    settings.advertised_control_ =
-        root.optional_endpoint("advertised_control", settings.control_);
-    settings.peers_ = root.endpoints("peers");
-    settings.source_address_ = root.text("source_address", "");
+    settings.calls_ =
+        root.required_endpoint({"calls", "Listener for callers."});
+    settings.gate_ = root.required_endpoint(
+        {"gate", "Listener for other nodes' calls to this node's upstream."});
+    settings.control_ = root.required_endpoint(
+        {"control", "Listener for control messages of other nodes."});
+    settings.admin_ = root.required_endpoint(
+        {"admin", "Listener for operators, metrics and the own upstream."});
+    settings.platform_ = root.required_endpoint(
+        {"platform", "Address of the platform's service."});
+    settings.advertised_gate_ = root.optional_endpoint(
+        {"advertised_gate", "Address at which other nodes reach the gate."},
+        settings.gate_);
+    settings.advertised_control_ = root.optional_endpoint(
+        {"advertised_control",
+         "Address at which other nodes reach the control listener."},
+        settings.control_);
+    settings.peers_ = root.endpoints(
+        {"peers", "Control addresses of nodes for the first contact."});
+    settings.source_address_ = root.text(
+        {"source_address", "Local address of outgoing connections."}, "");
     boost::system::error_code invalid;
     boost::asio::ip::make_address_v4(settings.source_address_, invalid);
     if (!settings.source_address_.empty() && invalid)
     {
         root.report(
-            "source_address", fmt::format(
-                                  "expected an IPv4 address, given \"{}\"",
-                                  settings.source_address_));
+            {"source_address", ""},
+            fmt::format(
+                "expected an IPv4 address, given \"{}\"",
+                settings.source_address_));
     }
 }
 
@@ -72,22 +86,25 @@
         if (!used.insert(where).second)
         {
             root.report(
-                key, fmt::format(
-                         "expected an address of its own, given {}, which "
-                         "another listener uses",
-                         to_string(where)));
+                {key, ""},
+                fmt::format(
+                    "expected an address of its own, given {}, which "
+                    "another listener uses",
+                    to_string(where)));
         }
     }
 }
 
 void read_tokens(settings_section& root, node_settings& settings)
 {
-    for (const auto& [account, hash] : root.text_pairs("token_sha256"))
+    for (const auto& [account, hash] : root.text_pairs(
+             {"token_sha256",
+              "SHA-256 of each account's operator token, by account."}))
     {
         if (!is_sha256(hash))
         {
             root.report(
-                "token_sha256",
+                {"token_sha256", ""},
                 fmt::format(
                     "account \"{}\": expected {} lower-case hexadecimal "
                     "digits",
@@ -99,11 +116,13 @@
 
 void read_log(settings_section log, node_settings& settings)
 {
-    const auto format = log.choice("format", "text", {"text", "json"});
+    const auto format = log.choice(
+        {"format", "Form of the log lines."}, "text", {"text", "json"});
     settings.log_format_ =
         format == "json" ? log_format::json : log_format::text;
     settings.log_level_ = log.choice(
-        "level", "info", {"trace", "debug", "info", "warning", "error", "off"});
+        {"level", "Lowest level that is logged; can be changed at run time."},
+        "info", {"trace", "debug", "info", "warning", "error", "off"});
     log.reject_unknown_keys();
 }
 
@@ -116,12 +135,23 @@
     check_listeners(root, settings);
     read_tokens(root, settings);
     read_log(root.section("log"), settings);
+    read_editing(root.section("editing"), settings.editing_);
+    read_routing(root.section("routing"), settings.routing_);
+    read_retry(root.section("retry"), settings.retry_);
+    read_gate_limits(root.section("gate_limits"), settings.gate_limits_);
     root.reject_unknown_keys();
     return settings;
 }
 
 } // namespace
 
+std::vector<setting_info> describe_node_settings()
+{
+    settings_errors errors("");
+    read_settings(YAML::Node(YAML::NodeType::Map), errors);
+    return errors.described();
+}
+
 result<node_settings> load_node_settings(const std::string& path)
 {
     settings_errors errors(path);
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "adapters/http/endpoint.hpp"
+#include "adapters/settings/settings_section.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
@@ -50,6 +51,9 @@
 /// the file, the line, what was given and what was expected.
 result<node_settings> load_node_settings(const std::string& path);
 
+/// Returns a description of every setting, in the order of the file.
+std::vector<setting_info> describe_node_settings();
+
 } // namespace hemlockshelf
 
 #endif
--- /dev/null
+++ b/adapters/settings/section_readers.cpp
@@ -0,0 +1,313 @@
+#include "adapters/settings/section_readers.hpp"
+
+#include <cstdint>
+
+namespace hemlockshelf {
+
+namespace {
+
+// Upper limit of counts that only have to be sane.
+constexpr std::uint64_t any_count = 1'000'000;
+constexpr double any_rate = 1'000'000;
+
+template <class Integer>
+void read_count(
+    settings_section& section,
+    const setting_key& key,
+    Integer& value,
+    std::uint64_t low = 1,
+    std::uint64_t high = any_count)
+{
+    value = static_cast<Integer>(
+        section.count(key, static_cast<std::uint64_t>(value), low, high));
+}
+
+void read_share(
+    settings_section& section, const setting_key& key, double& value)
+{
+    value = section.number(key, value, 0, 1);
+}
+
+void read_rate(settings_section& section, const setting_key& key, double& value)
+{
+    value = section.number(key, value, 0, any_rate);
+}
+
+template <class Duration>
+void read_duration(
+    settings_section& section, const setting_key& key, Duration& value)
+{
+    value = section.duration(key, value);
+}
+
+void read_spill(settings_section& section, routing_settings& settings)
+{
+    read_share(
+        section,
+        {"spill_start",
+         "Use of a tier at which calls start to spill to the next."},
+        settings.spill_start_);
+    read_share(
+        section,
+        {"spill_end",
+         "Use of a tier at which the highest share of calls spills."},
+        settings.spill_end_);
+    read_share(
+        section, {"spill_max", "Highest share of calls that spill."},
+        settings.spill_max_);
+    read_share(
+        section,
+        {"spill_spread", "Random offset of a node's spill thresholds."},
+        settings.spill_spread_);
+    read_duration(
+        section, {"spill_smoothing", "Time constant of a tier's smoothed use."},
+        settings.spill_smoothing_);
+    read_duration(
+        section,
+        {"spill_interval",
+         "Least interval between updates of the smoothed use."},
+        settings.spill_interval_);
+    if (settings.spill_start_ > settings.spill_end_)
+    {
+        section.report(
+            {"spill_start", ""}, "expected a value not above spill_end");
+    }
+}
+
+void read_ejection(settings_section& section, routing_settings& settings)
+{
+    read_count(
+        section,
+        {"failures_to_eject", "Failures in a row that eject an upstream."},
+        settings.failures_to_eject_);
+    read_share(
+        section,
+        {"failure_share_to_eject",
+         "Share of failed calls that ejects an upstream."},
+        settings.failure_share_to_eject_);
+    read_count(
+        section,
+        {"calls_to_judge",
+         "Calls that must be seen before the share of failed calls counts."},
+        settings.calls_to_judge_);
+    read_share(
+        section,
+        {"ejection_limit", "Largest part of a pool that is ejected at a time."},
+        settings.ejection_limit_);
+    read_duration(
+        section,
+        {"ejection_time",
+         "Time of the first ejection; it doubles with each further one."},
+        settings.ejection_time_);
+    read_duration(
+        section, {"ejection_time_max", "Longest ejection."},
+        settings.ejection_time_max_);
+    read_count(
+        section,
+        {"probes_to_recover", "Calls that must succeed before an ejected "
+                              "upstream gets its whole share."},
+        settings.probes_to_recover_);
+    read_duration(
+        section,
+        {"ejection_memory",
+         "Time without a failure after which past ejections are forgotten."},
+        settings.ejection_memory_);
+}
+
+} // namespace
+
+void read_editing(settings_section section, editing_settings& settings)
+{
+    auto& quotas = settings.quotas_;
+    read_count(
+        section, {"max_rows", "Rows of both tables that an account may hold."},
+        quotas.max_rows_);
+    read_count(
+        section,
+        {"max_accepted",
+         "Edits of an account that the fleet accepts within accepted_window."},
+        quotas.max_accepted_);
+    read_duration(
+        section, {"accepted_window", "Window of max_accepted."},
+        quotas.accepted_window_);
+    read_count(
+        section,
+        {"max_submitted_per_second",
+         "Edits per second that one node takes from an account."},
+        quotas.max_submitted_per_second_);
+    read_count(
+        section,
+        {"max_concurrent",
+         "Edits of an account that one node works on at once."},
+        quotas.max_concurrent_, 1, 3);
+    auto& retry = settings.retry_;
+    read_count(
+        section,
+        {"max_attempts", "Commits that an edit tries while others win."},
+        retry.max_attempts_);
+    read_duration(
+        section,
+        {"first_delay", "Upper limit of the delay before the second attempt."},
+        retry.first_delay_);
+    read_duration(
+        section, {"max_delay", "Upper limit of the delay before any attempt."},
+        retry.max_delay_);
+    read_count(
+        section, {"max_read_backs", "Reads by change id after a lost answer."},
+        retry.max_read_backs_);
+    read_duration(
+        section, {"read_back_interval", "Interval between these reads."},
+        retry.read_back_interval_);
+    read_duration(
+        section,
+        {"give_up_after", "Time after which no further attempt starts."},
+        retry.give_up_after_);
+    read_duration(
+        section, {"platform_timeout", "Limit of each request to the platform."},
+        settings.platform_timeout_);
+    read_count(
+        section, {"change_log_capacity", "Deltas that a node keeps for peers."},
+        settings.change_log_capacity_);
+    section.reject_unknown_keys();
+}
+
+void read_routing(settings_section section, routing_settings& settings)
+{
+    read_duration(
+        section,
+        {"load_lifetime",
+         "Age at which the free slots seen on an answer are dropped."},
+        settings.load_lifetime_);
+    read_spill(section, settings);
+    read_ejection(section, settings);
+    read_duration(
+        section,
+        {"warm_up",
+         "Time in which a new upstream's share grows to its full size."},
+        settings.warm_up_);
+    read_share(
+        section, {"warm_up_start", "Share with which a new upstream starts."},
+        settings.warm_up_start_);
+    read_rate(
+        section,
+        {"region_calls_per_second",
+         "Calls per second that a node sends to other regions."},
+        settings.region_calls_.per_second_);
+    read_rate(
+        section,
+        {"region_calls_burst", "Calls to other regions that can be saved up."},
+        settings.region_calls_.burst_);
+    section.reject_unknown_keys();
+}
+
+void read_retry(settings_section section, retry_settings& settings)
+{
+    read_share(
+        section,
+        {"budget_ratio", "Retries that each request earns for its service."},
+        settings.budget_ratio_);
+    read_rate(
+        section, {"budget_burst", "Most retries that requests can save up."},
+        settings.budget_burst_);
+    read_rate(
+        section,
+        {"floor_per_second",
+         "Retries per second that a service gets at least."},
+        settings.floor_per_second_);
+    read_rate(
+        section, {"floor_burst", "Most retries that the floor can save up."},
+        settings.floor_burst_);
+    read_count(
+        section,
+        {"max_attempts", "Attempts per request, the first one included."},
+        settings.max_attempts_, 1, 10);
+    read_duration(
+        section,
+        {"backoff_base", "Upper limit of the delay before the first retry."},
+        settings.backoff_base_);
+    read_duration(
+        section, {"backoff_max", "Upper limit of the delay before any retry."},
+        settings.backoff_max_);
+    read_duration(
+        section,
+        {"min_time_left", "Least time left for which a retry is made."},
+        settings.min_time_left_);
+    read_share(
+        section,
+        {"deadline_share_kept",
+         "Part of the time left that each hop keeps back."},
+        settings.deadline_share_kept_);
+    read_duration(
+        section, {"deadline_kept", "Least time that each hop keeps back."},
+        settings.deadline_kept_);
+    section.reject_unknown_keys();
+}
+
+void read_gate_limits(settings_section section, gate_settings& settings)
+{
+    read_share(
+        section, {"lookup_reserve", "Part of the slots that only lookups use."},
+        settings.lookup_reserve_);
+    read_share(
+        section,
+        {"lookup_priority_share",
+         "Part of the slots up to which waiting lookups go first."},
+        settings.lookup_priority_share_);
+    read_share(
+        section,
+        {"bulk_share", "Part of the slots that bulk calls may use together."},
+        settings.bulk_share_);
+    read_rate(
+        section, {"queue_per_slot", "Waiting calls per slot."},
+        settings.queue_per_slot_);
+    read_count(
+        section, {"queue_limit", "Most waiting calls."}, settings.queue_limit_);
+    read_duration(
+        section,
+        {"max_wait", "Longest time that a call may be expected to wait."},
+        settings.max_wait_);
+    read_duration(
+        section,
+        {"assumed_service_time",
+         "Service time until calls have been measured."},
+        settings.assumed_service_time_);
+    read_share(
+        section,
+        {"service_time_weight",
+         "Weight of the newest call in the mean service time."},
+        settings.service_time_weight_);
+    read_duration(
+        section,
+        {"usage_half_life",
+         "Time after which the use of an account or entry counts half."},
+        settings.usage_half_life_);
+    read_count(
+        section,
+        {"usage_limit", "Accounts or entries whose use is remembered."},
+        settings.usage_limit_);
+    read_rate(
+        section,
+        {"new_connections_per_second",
+         "New connections to the upstream per second."},
+        settings.new_connections_.per_second_);
+    read_rate(
+        section,
+        {"new_connections_burst", "New connections that can be saved up."},
+        settings.new_connections_.burst_);
+    read_count(
+        section, {"idempotency_limit", "Idempotency records that are held."},
+        settings.idempotency_limit_);
+    read_share(
+        section,
+        {"idempotency_account_share",
+         "Part of the records that one account may hold."},
+        settings.idempotency_account_share_);
+    read_duration(
+        section,
+        {"idempotency_age",
+         "Age at which the record of a finished request is dropped."},
+        settings.idempotency_age_);
+    section.reject_unknown_keys();
+}
+
+} // namespace hemlockshelf
--- a/adapters/settings/settings_section.cpp
+++ b/adapters/settings/settings_section.cpp
@@ -28,10 +28,29 @@
     return value;
 }
 
+std::string duration_text(std::chrono::microseconds value)
+{
+    const auto count = value.count();
+    if (count % 1'000'000 == 0)
+    {
+        return fmt::format("{}s", count / 1'000'000);
+    }
+    if (count % 1000 == 0)
+    {
+        return fmt::format("{}ms", count / 1000);
+    }
+    return fmt::format("{}us", count);
+}
+
 } // namespace
 
 settings_errors::settings_errors(std::string file) : file_(std::move(file)) {}
 
+void settings_errors::describe(setting_info info)
+{
+    described_.push_back(std::move(info));
+}
+
 void settings_errors::report(const YAML::Mark& mark, const std::string& message)
 {
     if (first_)
@@ -56,13 +75,14 @@
     }
 }
 
-settings_section settings_section::section(const std::string& key)
+settings_section settings_section::section(const std::string& name)
 {
-    return {take(key), path_ + key + ".", errors_};
+    return {take(name), path_ + name + ".", errors_};
 }
 
-std::string settings_section::required_text(const std::string& key)
+std::string settings_section::required_text(const setting_key& key)
 {
+    describe(key, "text", "");
     auto value = scalar(key);
     if (!value || value->empty())
     {
@@ -72,14 +92,16 @@
     return std::move(*value);
 }
 
-std::string settings_section::text(const std::string& key, std::string fallback)
+std::string settings_section::text(const setting_key& key, std::string fallback)
 {
+    describe(key, "text", fallback.empty() ? "none" : fallback);
     return scalar(key).value_or(std::move(fallback));
 }
 
-endpoint settings_section::required_endpoint(const std::string& key)
+endpoint settings_section::required_endpoint(const setting_key& key)
 {
-    const auto value = required_text(key);
+    describe(key, "<IPv4 address>:<port>", "");
+    const auto value = scalar(key).value_or("");
     const auto parsed = parse_endpoint(value);
     if (!parsed)
     {
@@ -90,19 +112,21 @@
 }
 
 endpoint
-settings_section::optional_endpoint(const std::string& key, endpoint fallback)
+settings_section::optional_endpoint(const setting_key& key, endpoint fallback)
 {
-    if (!take(key).IsDefined())
+    if (!take(key.name_).IsDefined())
     {
+        describe(key, "<IPv4 address>:<port>", "the bound address");
         return fallback;
     }
     return required_endpoint(key);
 }
 
-std::vector<endpoint> settings_section::endpoints(const std::string& key)
+std::vector<endpoint> settings_section::endpoints(const setting_key& key)
 {
+    describe(key, "list of <IPv4 address>:<port>", "empty");
     std::vector<endpoint> found;
-    const auto list = take(key);
+    const auto list = take(key.name_);
     if (!list.IsDefined())
     {
         return found;
@@ -126,8 +150,9 @@
     return found;
 }
 
-bool settings_section::flag(const std::string& key, bool fallback)
+bool settings_section::flag(const setting_key& key, bool fallback)
 {
+    describe(key, "true or false", fallback ? "true" : "false");
     const auto value = scalar(key);
     if (!value)
     {
@@ -143,11 +168,14 @@
 }
 
 std::uint64_t settings_section::count(
-    const std::string& key,
+    const setting_key& key,
     std::uint64_t fallback,
     std::uint64_t low,
     std::uint64_t high)
 {
+    describe(
+        key, fmt::format("whole number from {} to {}", low, high),
+        fmt::to_string(fallback));
     const auto value = scalar(key);
     if (!value)
     {
@@ -166,8 +194,11 @@
 }
 
 double settings_section::number(
-    const std::string& key, double fallback, double low, double high)
+    const setting_key& key, double fallback, double low, double high)
 {
+    describe(
+        key, fmt::format("number from {} to {}", low, high),
+        fmt::to_string(fallback));
     const auto value = scalar(key);
     if (!value)
     {
@@ -186,8 +217,9 @@
 }
 
 std::chrono::microseconds settings_section::duration_value(
-    const std::string& key, std::chrono::microseconds fallback)
+    const setting_key& key, std::chrono::microseconds fallback)
 {
+    describe(key, "duration from 1us to 24h", duration_text(fallback));
     const auto value = scalar(key);
     if (!value)
     {
@@ -210,8 +242,9 @@
     return *parsed;
 }
 
-byte_count settings_section::size(const std::string& key, byte_count fallback)
+byte_count settings_section::size(const setting_key& key, byte_count fallback)
 {
+    describe(key, "size", fmt::format("{}B", fallback.value()));
     const auto value = scalar(key);
     if (!value)
     {
@@ -227,10 +260,11 @@
 }
 
 std::string settings_section::choice(
-    const std::string& key,
+    const setting_key& key,
     std::string fallback,
     const std::vector<std::string>& words)
 {
+    describe(key, fmt::format("one of {}", fmt::join(words, ", ")), fallback);
     auto value = scalar(key);
     if (!value)
     {
@@ -248,10 +282,11 @@
 }
 
 std::vector<std::pair<std::string, std::string>>
-settings_section::text_pairs(const std::string& key)
+settings_section::text_pairs(const setting_key& key)
 {
+    describe(key, "mapping of text to text", "empty");
     std::vector<std::pair<std::string, std::string>> pairs;
-    const auto mapping = take(key);
+    const auto mapping = take(key.name_);
     if (!mapping.IsDefined())
     {
         return pairs;
@@ -273,10 +308,17 @@
     return pairs;
 }
 
+void settings_section::describe(
+    const setting_key& key, std::string type, std::string fallback)
+{
+    errors_.describe(
+        {path_ + key.name_, std::move(type), std::move(fallback), key.help_});
+}
+
 void settings_section::report(
-    const std::string& key, const std::string& message)
+    const setting_key& key, const std::string& message)
 {
-    const auto node = take(key);
+    const auto node = take(key.name_);
     auto mark = YAML::Mark::null_mark();
     if (node.IsDefined())
     {
@@ -286,7 +328,7 @@
     {
         mark = node_.Mark();
     }
-    errors_.report(mark, fmt::format("{}{}: {}", path_, key, message));
+    errors_.report(mark, fmt::format("{}{}: {}", path_, key.name_, message));
 }
 
 void settings_section::reject_unknown_keys()
@@ -308,9 +350,9 @@
     }
 }
 
-YAML::Node settings_section::take(const std::string& key)
+YAML::Node settings_section::take(const std::string& name)
 {
-    known_.insert(key);
+    known_.insert(name);
     // The node that yaml-cpp returns for an absent key throws when asked for
     // its type, unlike an undefined one.
     const YAML::Node undefined(YAML::NodeType::Undefined);
@@ -318,13 +360,13 @@
     {
         return undefined;
     }
-    const auto found = std::as_const(node_)[key];
+    const auto found = std::as_const(node_)[name];
     return found.IsDefined() ? found : undefined;
 }
 
-std::optional<std::string> settings_section::scalar(const std::string& key)
+std::optional<std::string> settings_section::scalar(const setting_key& key)
 {
-    const auto node = take(key);
+    const auto node = take(key.name_);
     if (!node.IsDefined())
     {
         return std::nullopt;
--- a/adapters/settings/settings_section.hpp
+++ b/adapters/settings/settings_section.hpp
@@ -16,7 +16,20 @@
 
 namespace hemlockshelf {
 
-/// Keeps the first error that is found while a settings file is read.
+/// Describes one setting for the reference pages.
+struct setting_info
+{
+    /// Keys from the root of the file, separated by dots.
+    std::string path_;
+    /// Type, unit and range in words.
+    std::string type_;
+    /// Default in words; empty if the setting is required.
+    std::string fallback_;
+    std::string help_;
+};
+
+/// Keeps the first error that is found while a settings file is read, and a
+/// description of every setting that was asked for.
 class settings_errors
 {
 public:
@@ -30,9 +43,25 @@
         return first_;
     }
 
+    /// Adds a description.
+    void describe(setting_info info);
+
+    [[nodiscard]] const std::vector<setting_info>& described() const noexcept
+    {
+        return described_;
+    }
+
 private:
     std::string file_;
     std::optional<error> first_;
+    std::vector<setting_info> described_;
+};
+
+/// Key of a setting and what it means.
+struct setting_key
+{
+    const char* name_;
+    const char* help_;
 };
 
 /// One mapping of a settings file. Each accessor returns the value or, if the
@@ -43,59 +72,61 @@
     settings_section(
         const YAML::Node& node, std::string path, settings_errors& errors);
 
-    /// Returns the mapping called `key`; an absent one is empty.
-    settings_section section(const std::string& key);
+    /// Returns the mapping called `name`; an absent one is empty.
+    settings_section section(const std::string& name);
 
-    std::string required_text(const std::string& key);
-    std::string text(const std::string& key, std::string fallback);
-    endpoint required_endpoint(const std::string& key);
-    endpoint optional_endpoint(const std::string& key, endpoint fallback);
-    std::vector<endpoint> endpoints(const std::string& key);
-    bool flag(const std::string& key, bool fallback);
+    std::string required_text(const setting_key& key);
+    std::string text(const setting_key& key, std::string fallback);
+    endpoint required_endpoint(const setting_key& key);
+    endpoint optional_endpoint(const setting_key& key, endpoint fallback);
+    std::vector<endpoint> endpoints(const setting_key& key);
+    bool flag(const setting_key& key, bool fallback);
 
     /// Whole number from `low` to `high`.
     std::uint64_t count(
-        const std::string& key,
+        const setting_key& key,
         std::uint64_t fallback,
         std::uint64_t low,
         std::uint64_t high);
 
     /// Number from `low` to `high`.
     double
-    number(const std::string& key, double fallback, double low, double high);
+    number(const setting_key& key, double fallback, double low, double high);
 
     /// Duration of at least 1 us and at most 24 h.
     template <class Duration>
-    Duration duration(const std::string& key, Duration fallback)
+    Duration duration(const setting_key& key, Duration fallback)
     {
         return std::chrono::duration_cast<Duration>(duration_value(
             key,
             std::chrono::duration_cast<std::chrono::microseconds>(fallback)));
     }
 
-    byte_count size(const std::string& key, byte_count fallback);
+    byte_count size(const setting_key& key, byte_count fallback);
 
     /// One of several words.
     std::string choice(
-        const std::string& key,
+        const setting_key& key,
         std::string fallback,
         const std::vector<std::string>& words);
 
     /// Entries of a mapping from text to text.
     std::vector<std::pair<std::string, std::string>>
-    text_pairs(const std::string& key);
+    text_pairs(const setting_key& key);
 
     /// Records an error about `key`.
-    void report(const std::string& key, const std::string& message);
+    void report(const setting_key& key, const std::string& message);
 
     /// Reports the first key that no accessor has asked for.
     void reject_unknown_keys();
 
 private:
-    YAML::Node take(const std::string& key);
-    std::optional<std::string> scalar(const std::string& key);
+    YAML::Node take(const std::string& name);
+    std::optional<std::string> scalar(const setting_key& key);
+    void
+    describe(const setting_key& key, std::string type, std::string fallback);
     std::chrono::microseconds
-    duration_value(const std::string& key, std::chrono::microseconds fallback);
+    duration_value(const setting_key& key, std::chrono::microseconds fallback);
 
     YAML::Node node_;
     std::string path_;
