membership, dissemination: add the decision logic and the control RPC

The control plane only polled the platform. This adds what it needs to reach other nodes: records that merge by (incarnation, sequence, down), indexes by service and failure domain, the failure detector, the plan of a push and the Cap'n Proto messages on a kj loop. Nothing uses the RPC yet.

The service index was rebuilt by a scan of all members, and two concurrent rebuilds could leave a stale list. Each index now has its own entries and reads a member again under the index's lock.

--- /dev/null
+++ b/adapters/rpc/control.capnp
@@ -0,0 +1,81 @@
+# Control messages between nodes (docs/design.md, section 7).
+@0xb6e0bc28a2beb136;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("hemlockshelf::wire");
+
+struct Sender {
+  vm @0 :Text;
+  failureDomain @1 :Text;
+  region @2 :Text;
+}
+
+struct MemberRecord {
+  vm @0 :Text;
+  failureDomain @1 :Text;
+  region @2 :Text;
+  gateAddress @3 :Text;
+  controlAddress @4 :Text;
+  incarnation @5 :UInt64;
+  sequence @6 :UInt64;
+  state @7 :UInt8;
+  down @8 :Bool;
+  account @9 :Text;
+  service @10 :Text;
+  slots @11 :UInt32;
+  connections @12 :UInt32;
+}
+
+struct Heartbeat {
+  sender @0 :Sender;
+  incarnation @1 :UInt64;
+  revision @2 :UInt64;
+  hashHigh @3 :UInt64;
+  hashLow @4 :UInt64;
+  membershipRoot @5 :UInt64;
+}
+
+enum Scope {
+  global @0;
+  region @1;
+  domain @2;
+}
+
+struct Push {
+  sender @0 :Sender;
+  scope @1 :Scope;
+  origin @2 :Text;
+  # Orders the members of the tree.
+  seed @3 :UInt64;
+  # Positions that the receiver serves.
+  firstPosition @4 :UInt64;
+  lastPosition @5 :UInt64;
+  # Highest revision of the deltas, or the one that is offered without them.
+  revision @6 :UInt64;
+  # zstd JSON; empty if there are none.
+  deltas @7 :Data;
+  records @8 :List(MemberRecord);
+}
+
+struct Config {
+  enum Kind {
+    current @0;
+    deltas @1;
+    snapshot @2;
+    busy @3;
+  }
+  kind @0 :Kind;
+  # zstd JSON.
+  payload @1 :Data;
+  retryAfterMs @2 :UInt32;
+}
+
+interface Control {
+  heartbeat @0 (request :Heartbeat) -> (answer :Heartbeat);
+  push @1 (request :Push) -> (revision :UInt64);
+  fetchConfig @2 (sender :Sender, fromRevision :UInt64) -> (config :Config);
+  memberDigest @3 (sender :Sender, buckets :List(UInt64))
+      -> (differing :UInt64, records :List(MemberRecord));
+  # Bit n of `differing` stands for bucket n.
+  probe @4 (sender :Sender, target :Text) -> (reachable :Bool);
+}
--- /dev/null
+++ b/include/hemlockshelf/dissemination/push_plan.hpp
@@ -0,0 +1,83 @@
+#ifndef HEMLOCKSHELF_DISSEMINATION_PUSH_PLAN_HPP
+#define HEMLOCKSHELF_DISSEMINATION_PUSH_PLAN_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <vector>
+
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// How far the receiver of a push passes it on.
+enum class push_scope
+{
+    /// To every region.
+    global,
+    /// To all failure domains of the receiver's region.
+    region,
+    /// To the tree below the receiver.
+    domain,
+};
+
+/// Inclusive range of positions, empty if `first_` is above `last_`.
+struct position_range
+{
+    std::uint64_t first_ = 0;
+    std::uint64_t last_ = std::numeric_limits<std::uint64_t>::max();
+
+    friend bool
+    operator==(const position_range&, const position_range&) = default;
+};
+
+/// What a node that holds a push has to pass on. A subtree is a range of
+/// positions and not a list, so that members which only the child knows are
+/// reached as well.
+struct push_duty
+{
+    push_scope scope_ = push_scope::global;
+    /// Orders the members; differs from push to push to spread the load.
+    std::uint64_t seed_ = 0;
+    position_range range_;
+};
+
+/// A member as the plan sees it.
+struct tree_member
+{
+    vm_id vm_;
+    failure_domain_id failure_domain_;
+    region_id region_;
+};
+
+/// One receiver to find and what it has to pass on.
+struct push_leg
+{
+    push_scope scope_ = push_scope::domain;
+    position_range range_;
+    failure_domain_id failure_domain_;
+    region_id region_;
+    /// Members to try in turn until one answers.
+    std::vector<vm_id> candidates_;
+};
+
+/// Returns the position of a member in the order of a push.
+std::uint64_t position_of(const vm_id& vm, std::uint64_t seed);
+
+/// Returns what the candidate has to pass on. In a tree within a failure
+/// domain this excludes the candidates before it, which did not answer, so
+/// that it takes over their children.
+push_duty
+duty_of(const push_leg& leg, std::size_t candidate, std::uint64_t seed);
+
+/// Plans how `self` passes a push on. `view` holds the members that are
+/// thought to be reachable; `self` may be among them.
+std::vector<push_leg> plan_push(
+    const push_duty& duty,
+    const tree_member& self,
+    const std::vector<tree_member>& view,
+    std::size_t fanout);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/include/hemlockshelf/dissemination/repair_schedule.hpp
@@ -0,0 +1,48 @@
+#ifndef HEMLOCKSHELF_DISSEMINATION_REPAIR_SCHEDULE_HPP
+#define HEMLOCKSHELF_DISSEMINATION_REPAIR_SCHEDULE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/dissemination/dissemination_settings.hpp"
+
+namespace hemlockshelf {
+
+/// When the next exchange of digests is due, within the own failure domain and
+/// with another one.
+struct repair_schedule
+{
+    steady_time next_local_;
+    steady_time next_cross_;
+};
+
+/// Returns a time near `interval` from now; `random` spreads it over 0.75 to
+/// 1.25 of the interval, so that nodes started together do not act together.
+steady_time jittered(
+    steady_time now, std::chrono::milliseconds interval, std::uint64_t random);
+
+/// Exchanges that are due.
+struct due_repairs
+{
+    bool local_ = false;
+    bool cross_ = false;
+};
+
+/// Returns what is due and plans the next.
+due_repairs take_due(
+    repair_schedule& schedule,
+    steady_time now,
+    const dissemination_settings& settings,
+    std::uint64_t random);
+
+/// Chooses one of the peers; nothing if there is none.
+std::optional<vm_id>
+choose_peer(const std::vector<vm_id>& peers, std::uint64_t random);
+
+} // namespace hemlockshelf
+
+#endif
--- a/include/hemlockshelf/membership/member_record.hpp
+++ b/include/hemlockshelf/membership/member_record.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_MEMBERSHIP_MEMBER_RECORD_HPP
 
 #include <string>
+#include <string_view>
 
 #include "hemlockshelf/core/ids.hpp"
 
@@ -15,6 +16,8 @@
     ready,
     draining,
     left,
+    /// The upstream stopped announcing itself without draining first.
+    down,
 };
 
 /// What other nodes hold about a member's reachability.
@@ -52,6 +55,28 @@
     operator==(const member_record&, const member_record&) = default;
 };
 
+/// A record as nodes pass it on. Updates merge by the highest (incarnation,
+/// sequence, down), so that only a newer record of the member itself refutes
+/// the finding that it is down.
+struct member_update
+{
+    member_record record_;
+    /// Other nodes confirmed that the member is down.
+    bool down_ = false;
+
+    friend bool
+    operator==(const member_update&, const member_update&) = default;
+};
+
+/// Tells whether `left` supersedes `right`, both of the same member.
+bool supersedes(const member_update& left, const member_update& right);
+
+/// Tells whether calls may be sent to an upstream in this state.
+bool can_serve(upstream_state state);
+
+std::string_view to_string(upstream_state state);
+std::string_view to_string(liveness value);
+
 } // namespace hemlockshelf
 
 #endif
--- /dev/null
+++ b/src/dissemination/readers.cpp
@@ -0,0 +1,36 @@
+#include "hemlockshelf/dissemination/readers.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include "hemlockshelf/core/content_hash.hpp"
+
+namespace hemlockshelf {
+
+std::vector<vm_id> choose_readers(
+    const failure_domain_id& domain,
+    std::vector<vm_id> live_members,
+    std::size_t count)
+{
+    const auto seed = hash_text(domain.value());
+    std::vector<std::pair<std::uint64_t, vm_id>> ranked;
+    ranked.reserve(live_members.size());
+    for (auto& vm : live_members)
+    {
+        const auto rank = hash_text(vm.value(), seed);
+        ranked.emplace_back(rank, std::move(vm));
+    }
+    const auto chosen = std::min(ranked.size(), count);
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(chosen),
+        ranked.end());
+    std::vector<vm_id> readers;
+    for (std::size_t index = 0; index < chosen; ++index)
+    {
+        readers.push_back(std::move(ranked[index].second));
+    }
+    return readers;
+}
+
+} // namespace hemlockshelf
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -1,8 +1,12 @@
 #include "hemlockshelf/membership/member_table.hpp"
 
-#include <tuple>
+#include <iterator>
 #include <utility>
 
+#include <fmt/format.h>
+
+#include "hemlockshelf/core/content_hash.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -12,45 +16,68 @@
     return {record.account_, record.service_};
 }
 
-bool is_newer(const member_record& left, const member_record& right)
+bool is_gone(const member_entry& entry)
 {
-    return std::tie(left.incarnation_, left.sequence_) >
-           std::tie(right.incarnation_, right.sequence_);
+    return entry.liveness_ == liveness::down ||
+           entry.record_.state_ == upstream_state::left;
 }
 
-bool can_serve(upstream_state state)
+std::uint64_t version_hash(const member_record& record)
 {
-    return state == upstream_state::warming || state == upstream_state::ready ||
-           state == upstream_state::draining;
+    return hash_text(fmt::format(
+        "{}\n{}\n{}", record.vm_.value(), record.incarnation_.value(),
+        record.sequence_.value()));
 }
 
 } // namespace
 
+member_update to_update(const member_entry& entry)
+{
+    return {entry.record_, entry.liveness_ == liveness::down};
+}
+
 bool member_table::merge(const member_record& record)
 {
-    std::optional<service_key> previous;
+    return merge(member_update{record, false});
+}
+
+bool member_table::merge(const member_update& update)
+{
+    const auto& vm = update.record_.vm_;
+    const auto next = std::make_shared<const member_entry>(member_entry{
+        update.record_, update.down_ ? liveness::down : liveness::alive});
+    entry_pointer previous;
     const bool changed = members_.with_shard(
-        record.vm_,
-        [&](auto& entries)
+        vm,
+        [&](auto& slots)
         {
-            auto& held = entries[record.vm_];
-            if (held.record_.vm_ == record.vm_ &&
-                !is_newer(record, held.record_))
+            auto& held = slots[vm];
+            if (held.entry_ && !supersedes(update, to_update(*held.entry_)))
             {
                 return false;
             }
-            previous = service_of(held.record_);
-            held = member_entry{record, liveness::alive};
+            previous = std::exchange(held.entry_, next);
+            // A removed member stays removed until it reports itself alive.
+            if (!is_gone(*next))
+            {
+                held.gone_since_.reset();
+                held.removed_ = false;
+            }
+            if (previous)
+            {
+                count_in_digest(*previous, false);
+            }
+            count_in_digest(*next, true);
             return true;
         });
     if (!changed)
     {
         return false;
     }
-    rebuild_service(service_of(record));
-    if (previous && *previous != service_of(record))
+    refresh_indexes(vm, *next);
+    if (previous)
     {
-        rebuild_service(*previous);
+        refresh_indexes(vm, *previous);
     }
     return true;
 }
@@ -58,37 +85,38 @@
 bool member_table::set_liveness(
     const vm_id& vm, incarnation seen, liveness value)
 {
-    std::optional<service_key> changed;
+    entry_pointer next;
     members_.with_shard(
         vm,
-        [&](auto& entries)
+        [&](auto& slots)
         {
-            const auto found = entries.find(vm);
-            if (found != entries.end() &&
-                found->second.record_.incarnation_ == seen)
+            const auto found = slots.find(vm);
+            if (found == slots.end() ||
+                found->second.entry_->record_.incarnation_ != seen ||
+                found->second.entry_->liveness_ == liveness::down ||
+                found->second.entry_->liveness_ == value)
             {
-                found->second.liveness_ = value;
-                changed = service_of(found->second.record_);
+                return;
             }
+            const auto previous = found->second.entry_;
+            next = std::make_shared<const member_entry>(
+                member_entry{previous->record_, value});
+            count_in_digest(*previous, false);
+            count_in_digest(*next, true);
+            found->second.entry_ = next;
         });
-    if (!changed)
+    if (!next)
     {
         return false;
     }
-    rebuild_service(*changed);
+    refresh_indexes(vm, *next);
     return true;
 }
 
 std::optional<member_entry> member_table::find(const vm_id& vm) const
 {
-    return members_.with_shard(
-        vm,
-        [&](const auto& entries) -> std::optional<member_entry>
-        {
-            const auto found = entries.find(vm);
-            return found == entries.end() ? std::nullopt
-                                          : std::optional(found->second);
-        });
+    const auto entry = visible(vm);
+    return entry ? std::optional(*entry) : std::nullopt;
 }
 
 std::shared_ptr<const member_table::entry_list>
@@ -97,46 +125,247 @@
     static const auto none = std::make_shared<const entry_list>();
     return services_.with_shard(
         key,
-        [&](const auto& lists)
+        [&](auto& lists)
         {
             const auto found = lists.find(key);
-            return found == lists.end() ? none : found->second;
+            if (found == lists.end())
+            {
+                return none;
+            }
+            auto& held = found->second;
+            if (!held.list_)
+            {
+                auto list = std::make_shared<entry_list>();
+                for (const auto& [vm, entry] : held.entries_)
+                {
+                    list->push_back(*entry);
+                }
+                held.list_ = std::move(list);
+            }
+            return held.list_;
         });
 }
 
+std::shared_ptr<const member_table::entry_pointers>
+member_table::members_in(const failure_domain_id& domain) const
+{
+    static const auto none = std::make_shared<const entry_pointers>();
+    return domains_.with_shard(
+        domain,
+        [&](auto& lists)
+        {
+            const auto found = lists.find(domain);
+            if (found == lists.end())
+            {
+                return none;
+            }
+            auto& held = found->second;
+            if (!held.list_)
+            {
+                auto list = std::make_shared<entry_pointers>();
+                for (const auto& [vm, entry] : held.entries_)
+                {
+                    list->push_back(entry);
+                }
+                held.list_ = std::move(list);
+            }
+            return held.list_;
+        });
+}
+
+std::map<failure_domain_id, region_id> member_table::domains() const
+{
+    std::map<failure_domain_id, region_id> regions;
+    domains_.for_each(
+        [&](const failure_domain_id& domain, const auto& held)
+        {
+            if (!held.entries_.empty())
+            {
+                regions[domain] =
+                    held.entries_.begin()->second->record_.region_;
+            }
+        });
+    return regions;
+}
+
 member_table::entry_list member_table::all() const
 {
     entry_list entries;
     members_.for_each(
-        [&](const vm_id&, const member_entry& entry)
+        [&](const vm_id&, const slot& held)
         {
-            entries.push_back(entry);
+            if (!held.removed_)
+            {
+                entries.push_back(*held.entry_);
+            }
         });
     return entries;
 }
 
 std::size_t member_table::size() const
 {
-    return members_.size();
+    std::size_t total = 0;
+    for (const auto count : counts())
+    {
+        total += count;
+    }
+    return total;
 }
 
-void member_table::rebuild_service(const service_key& key)
+std::array<std::size_t, 4> member_table::counts() const
 {
-    auto list = std::make_shared<entry_list>();
+    std::array<std::size_t, 4> totals{};
     members_.for_each(
-        [&](const vm_id&, const member_entry& entry)
+        [&](const vm_id&, const slot& held)
         {
-            if (service_of(entry.record_) == key &&
-                can_serve(entry.record_.state_))
+            if (!held.removed_)
             {
-                list->push_back(entry);
+                ++totals.at(static_cast<std::size_t>(held.entry_->liveness_));
             }
         });
+    return totals;
+}
+
+member_digest member_table::digest() const
+{
+    member_digest copy{};
+    for (std::size_t bucket = 0; bucket < copy.size(); ++bucket)
+    {
+        copy.at(bucket) = digest_.at(bucket).load();
+    }
+    return copy;
+}
+
+std::vector<member_update>
+member_table::updates_in(const bucket_set& buckets) const
+{
+    std::vector<member_update> updates;
+    members_.for_each(
+        [&](const vm_id& vm, const slot& held)
+        {
+            if (buckets.test(bucket_of(vm)))
+            {
+                updates.push_back(to_update(*held.entry_));
+            }
+        });
+    return updates;
+}
+
+void member_table::remove_expired(
+    steady_time now, const membership_settings& settings)
+{
+    entry_pointers removed;
+    const auto expire = [&](slot& held)
+    {
+        if (!is_gone(*held.entry_))
+        {
+            return false;
+        }
+        const auto since = held.gone_since_.value_or(now);
+        held.gone_since_ = since;
+        if (!held.removed_ && now - since >= settings.removal_delay_)
+        {
+            held.removed_ = true;
+            removed.push_back(held.entry_);
+        }
+        return held.removed_ &&
+               now - since >= settings.removed_record_lifetime_;
+    };
+    members_.for_each_shard(
+        [&](auto& slots)
+        {
+            for (auto item = slots.begin(); item != slots.end();)
+            {
+                item =
+                    expire(item->second) ? slots.erase(item) : std::next(item);
+            }
+        });
+    for (const auto& entry : removed)
+    {
+        refresh_indexes(entry->record_.vm_, *entry);
+    }
+}
+
+void member_table::count_in_digest(const member_entry& entry, bool add)
+{
+    if (is_gone(entry))
+    {
+        return;
+    }
+    auto& bucket = digest_.at(bucket_of(entry.record_.vm_));
+    const auto hash = version_hash(entry.record_);
+    // Sums modulo 2^64 do not depend on the order of concurrent merges.
+    bucket.fetch_add(add ? hash : std::uint64_t{0} - hash);
+}
+
+member_table::entry_pointer member_table::visible(const vm_id& vm) const
+{
+    return members_.with_shard(
+        vm,
+        [&](const auto& slots) -> entry_pointer
+        {
+            const auto found = slots.find(vm);
+            return found == slots.end() || found->second.removed_
+                       ? nullptr
+                       : found->second.entry_;
+        });
+}
+
+void member_table::refresh_indexes(const vm_id& vm, const member_entry& entry)
+{
+    refresh_service(vm, service_of(entry.record_));
+    refresh_domain(vm, entry.record_.failure_domain_);
+}
+
+// The entry is read again under the index's lock. Of two concurrent changes,
+// the refresh that comes last thus sees both, whatever their order was.
+void member_table::refresh_service(const vm_id& vm, const service_key& key)
+{
     services_.with_shard(
         key,
         [&](auto& lists)
         {
-            lists[key] = std::move(list);
+            auto& held = lists[key];
+            const auto entry = visible(vm);
+            if (entry && service_of(entry->record_) == key &&
+                can_serve(entry->record_.state_))
+            {
+                held.entries_[vm] = entry;
+            }
+            else
+            {
+                held.entries_.erase(vm);
+            }
+            held.list_ = nullptr;
+            if (held.entries_.empty())
+            {
+                lists.erase(key);
+            }
+        });
+}
+
+void member_table::refresh_domain(
+    const vm_id& vm, const failure_domain_id& domain)
+{
+    domains_.with_shard(
+        domain,
+        [&](auto& lists)
+        {
+            auto& held = lists[domain];
+            const auto entry = visible(vm);
+            if (entry && entry->record_.failure_domain_ == domain)
+            {
+                held.entries_[vm] = entry;
+            }
+            else
+            {
+                held.entries_.erase(vm);
+            }
+            held.list_ = nullptr;
+            if (held.entries_.empty())
+            {
+                lists.erase(domain);
+            }
         });
 }
 
