--- a/adapters/cli/command_table.cpp
+++ b/adapters/cli/command_table.cpp
@@ -16,6 +16,10 @@
     cli_command{
         "get", "routes|pools [KEY]", "Shows rows that the node runs.",
         "hemlockshelf get pools regie/catalogue", 1, 2, run_get},
+    cli_command{
+        "versions", "routes|pools [KEY]",
+        "Shows the account's rows in the platform with their versions.",
+        "hemlockshelf versions pools regie/catalogue", 1, 2, run_versions},
     cli_command{
         "delete", "routes|pools KEY", "Deletes a row.",
         "hemlockshelf delete routes regie/catalogue", 2, 2, run_delete},
--- a/adapters/cli/commands.hpp
+++ b/adapters/cli/commands.hpp
@@ -18,6 +18,7 @@
 result<void> run_delete(const cli_options&, const cli_arguments&);
 result<void> run_outcome(const cli_options&, const cli_arguments&);
 result<void> run_get(const cli_options&, const cli_arguments&);
+result<void> run_versions(const cli_options&, const cli_arguments&);
 result<void> run_history(const cli_options&, const cli_arguments&);
 result<void> run_explain(const cli_options&, const cli_arguments&);
 result<void> run_status(const cli_options&, const cli_arguments&);
--- a/adapters/cli/read_commands.cpp
+++ b/adapters/cli/read_commands.cpp
@@ -83,6 +83,36 @@
     return {};
 }
 
+result<void>
+run_versions(const cli_options& options, const cli_arguments& given)
+{
+    auto path = "/v1/versions?table=" + escape_query(given[0]);
+    if (given.size() > 1)
+    {
+        path += "&key=" + escape_query(given[1]);
+    }
+    const auto answer = admin_client(options).get(path);
+    if (!answer)
+    {
+        return tl::unexpected<error>(answer.error());
+    }
+    const auto& rows = answer->at("rows");
+    if (options.output_ == output_format::json)
+    {
+        std::cout << rows.dump() << "\n";
+        return {};
+    }
+    text_table table({"KEY", "VERSION", "ROW"});
+    for (const auto& row : rows)
+    {
+        table.add_row(
+            {row.at("key").get<std::string>(), row.at("version").dump(),
+             row.at("row").dump()});
+    }
+    std::cout << table.to_string();
+    return {};
+}
+
 result<void> run_history(const cli_options& options, const cli_arguments& given)
 {
     const auto after = given.empty() ? std::string("0") : given.front();
