gate: hold a fractional reserve and test the decisions in any sequence

The first gate kept whole slots for lookups and never less than one. The reserve is now a part of the capacity (a twentieth): below a whole slot, one slot is lent to other classes after it has been free for a while.

A reserve that shrinks when no lookups come was ruled out, because then the first lookup after a quiet time waits. Service times are learned per class, or slow bulk calls would make the gate refuse lookups with short deadlines.

The use of a tier counts upstreams by how recently their load was seen. Otherwise an entry with few calls takes the unseen upstreams for idle and spills too little.

--- a/include/hemlockshelf/core/token_bucket.hpp
+++ b/include/hemlockshelf/core/token_bucket.hpp
@@ -16,7 +16,7 @@
 struct token_bucket
 {
     double tokens_ = 0;
-    steady_time refilled_at_;
+    steady_time refilled_at_{};
 };
 
 /// Adds the tokens that have accrued since the last refill.
--- a/include/hemlockshelf/gate/admission.hpp
+++ b/include/hemlockshelf/gate/admission.hpp
@@ -9,7 +9,8 @@
 
 namespace hemlockshelf {
 
-/// Offers a call: it is admitted, queued or refused at once.
+/// Offers a call: it is admitted, queued or refused at once. The events tell
+/// of other calls that waited.
 admission_result
 offer_call(gate_state& state, const gate_call& call, steady_time now);
 
@@ -23,10 +24,12 @@
 /// not wait (a call that holds a slot is released instead).
 bool cancel_waiting(gate_state& state, gate_call_id id);
 
-/// Refuses the waiting calls whose deadline has passed.
+/// Refuses the waiting calls that can't be served in time any more, and starts
+/// those for which the lookups' reserve is lent. The gate's owner calls it at
+/// `next_expiry`.
 gate_events expire_waiting(gate_state& state, steady_time now);
 
-/// Returns the earliest deadline in the queue.
+/// Returns when `expire_waiting` has work next, or nothing if no call waits.
 std::optional<steady_time> next_expiry(const gate_state& state);
 
 /// Sets what the upstream announces. Running calls are never cut: after a
--- a/include/hemlockshelf/gate/connection_ledger.hpp
+++ b/include/hemlockshelf/gate/connection_ledger.hpp
@@ -14,10 +14,10 @@
 /// has been lowered below what was open.
 struct connection_ledger
 {
-    connection_count limit_;
+    connection_count limit_{};
     std::uint32_t in_use_ = 0;
     std::uint32_t idle_ = 0;
-    token_bucket pace_;
+    token_bucket pace_{};
 };
 
 enum class connection_grant
@@ -36,7 +36,7 @@
 {
     connection_grant grant_ = connection_grant::exhausted;
     /// Only with `connection_grant::wait`.
-    steady_time retry_at_;
+    steady_time retry_at_{};
 };
 
 /// Decides how an admitted call gets its connection. After `reuse` and `open`
--- a/include/hemlockshelf/gate/gate_call.hpp
+++ b/include/hemlockshelf/gate/gate_call.hpp
@@ -22,7 +22,7 @@
     client_account_id account_;
     vm_id entry_vm_;
     traffic_class class_ = traffic_class::standard;
-    steady_time deadline_;
+    steady_time deadline_{};
 };
 
 /// Why a gate refuses a call. A refused call was not run.
@@ -31,9 +31,9 @@
     /// The upstream has announced no slots or connections.
     no_capacity,
     draining,
-    /// The deadline has passed, on arrival or in the queue.
+    /// The deadline has passed.
     expired,
-    /// The call can't be expected to start and end before its deadline.
+    /// The call can't be expected to end before its deadline.
     wait_too_long,
     queue_full,
     /// A call with a better claim has taken its place in the queue.
@@ -80,7 +80,7 @@
     refusal_reason reason_ = refusal_reason::no_capacity;
     /// Estimate of the time in the queue.
     std::chrono::nanoseconds expected_wait_{0};
-    /// Waiting calls that the offered one has displaced.
+    /// What has become of other calls that waited, to be handled first.
     gate_events events_;
 };
 
--- a/include/hemlockshelf/gate/gate_settings.hpp
+++ b/include/hemlockshelf/gate/gate_settings.hpp
@@ -11,12 +11,13 @@
 /// Tunables of a gate.
 struct gate_settings
 {
-    /// Part of the slots that only lookups use; at least one slot where there
-    /// is more than one.
-    double lookup_reserve_ = 0.1;
+    /// Part of the capacity that is kept free for lookups, at the cost of as
+    /// much goodput when there are none. Where it is less than a slot, one
+    /// slot is kept free for as much of the time as makes up the part.
+    double lookup_reserve_ = 0.05;
     /// Part of the slots up to which waiting lookups go before everything
-    /// else; beyond it they go after `standard`, so that they can't starve it.
-    double lookup_priority_share_ = 0.5;
+    /// else; beyond it they count as `standard`, so that they can't starve it.
+    double lookup_priority_share_ = 0.6;
     /// Part of the slots that bulk calls may use together, at least one slot.
     double bulk_share_ = 0.5;
     /// Waiting calls per slot; a longer queue only adds waiting time.
@@ -25,6 +26,9 @@
     std::size_t queue_limit_ = 256;
     /// Longest time that a call may be expected to wait.
     std::chrono::milliseconds max_wait_{500};
+    /// Mean service times that must be left after the expected wait. With 1,
+    /// a third of calls with exponential service times would end too late.
+    double service_margin_ = 2;
     /// Service time that is assumed until calls have been measured.
     std::chrono::milliseconds assumed_service_time_{10};
     /// Weight of the newest call in the mean service time.
--- a/include/hemlockshelf/gate/gate_state.hpp
+++ b/include/hemlockshelf/gate/gate_state.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -18,7 +19,7 @@
 struct running_call
 {
     gate_call call_;
-    steady_time started_at_;
+    steady_time started_at_{};
     usage_share account_usage_;
     usage_share entry_usage_;
     /// Slot time that was charged at the start, as an estimate.
@@ -53,19 +54,30 @@
     std::vector<waiting_call> queue_;
     usage_ledger account_usage_;
     usage_ledger entry_usage_;
-    /// Mean time from start to release of recent calls.
-    std::chrono::nanoseconds service_time_;
+    /// Mean time from start to release of the recent calls of each class.
+    std::array<std::chrono::nanoseconds, traffic_class_count> service_time_;
+    /// When the last of all slots to be in use became free.
+    steady_time slot_free_since_{};
 };
 
+/// Returns the mean service time of a class.
+std::chrono::nanoseconds
+service_time(const gate_state& state, traffic_class value);
+
 /// Returns the number of calls that may run at once: each needs a slot and a
 /// connection.
 std::uint32_t concurrency_limit(const gate_state& state);
 
-/// Returns the number of calls of a class that may run at once.
+/// Returns the number of calls of a class that may run at once, the lookups'
+/// reserve apart.
 std::uint32_t class_limit(const gate_state& state, traffic_class value);
 
 /// Returns whether a call of the class could start now.
-bool may_start(const gate_state& state, traffic_class value);
+bool may_start(const gate_state& state, traffic_class value, steady_time now);
+
+/// Returns when the lookups' reserve may be lent to other classes next, or
+/// nothing if it is not lent.
+std::optional<steady_time> reserve_lent_at(const gate_state& state);
 
 /// Returns the most calls that may wait.
 std::size_t queue_limit(const gate_state& state);
--- a/include/hemlockshelf/gate/usage_ledger.hpp
+++ b/include/hemlockshelf/gate/usage_ledger.hpp
@@ -44,7 +44,7 @@
 
     std::chrono::duration<double> half_life_;
     std::size_t limit_;
-    steady_time origin_;
+    steady_time origin_{};
     std::unordered_map<std::string, usage_share> shares_;
 };
 
--- /dev/null
+++ b/include/hemlockshelf/gate/waiting_queue.hpp
@@ -0,0 +1,36 @@
+#ifndef HEMLOCKSHELF_GATE_WAITING_QUEUE_HPP
+#define HEMLOCKSHELF_GATE_WAITING_QUEUE_HPP
+
+#include <chrono>
+#include <optional>
+
+#include "hemlockshelf/gate/gate_state.hpp"
+
+namespace hemlockshelf {
+
+/// Returns the latest time at which a waiting call may start: one that could
+/// only end after its deadline would waste its slot.
+steady_time latest_start(const gate_state& state, const waiting_call& call);
+
+/// Takes out the calls that can't start in time any more.
+void drop_expired(gate_state& state, gate_events& events, steady_time now);
+
+/// Takes out the call with the best claim among those that may start now.
+std::optional<waiting_call> take_next(gate_state& state, steady_time now);
+
+/// Estimates how long a call would wait for its slot.
+std::chrono::nanoseconds
+expected_wait(const gate_state& state, const waiting_call& call);
+
+/// Puts a call into the queue, in place of one with a worse claim if the queue
+/// is full. Returns the reason if the call is refused instead.
+std::optional<refusal_reason> enqueue(
+    gate_state& state,
+    const waiting_call& call,
+    std::chrono::nanoseconds wait,
+    gate_events& events,
+    steady_time now);
+
+} // namespace hemlockshelf
+
+#endif
--- a/include/hemlockshelf/retry/retry_decision.hpp
+++ b/include/hemlockshelf/retry/retry_decision.hpp
@@ -31,7 +31,7 @@
     bool body_held_ = true;
     /// Attempts made so far, this one included.
     std::uint32_t attempts_ = 1;
-    steady_time deadline_;
+    steady_time deadline_{};
 };
 
 /// Why a retry is or is not made.
--- a/include/hemlockshelf/routing/routing_settings.hpp
+++ b/include/hemlockshelf/routing/routing_settings.hpp
@@ -12,7 +12,7 @@
 struct routing_settings
 {
     /// Age at which the free slots seen on an answer say nothing any more.
-    std::chrono::milliseconds load_lifetime_{1000};
+    std::chrono::milliseconds load_lifetime_{2000};
     /// Use of a tier (0 to 1) at which its calls start to spill, and at which
     /// the highest share of them does.
     double spill_start_ = 0.7;
--- a/include/hemlockshelf/routing/spill.hpp
+++ b/include/hemlockshelf/routing/spill.hpp
@@ -14,7 +14,10 @@
 struct tier_capacity
 {
     double slots_ = 0;
-    double free_ = 0;
+    /// Slots and free slots weighted by how recently they were seen, so that
+    /// upstreams of which nothing is known don't count as free.
+    double seen_slots_ = 0;
+    double seen_free_ = 0;
 };
 
 using tier_capacities = std::array<tier_capacity, locality_tier_count>;
@@ -23,7 +26,7 @@
 struct spill_state
 {
     std::array<double, locality_tier_count> use_{};
-    steady_time updated_at_;
+    steady_time updated_at_{};
     /// This node's offset from the common thresholds.
     double offset_ = 0;
 };
--- a/include/hemlockshelf/routing/upstream_load.hpp
+++ b/include/hemlockshelf/routing/upstream_load.hpp
@@ -47,7 +47,7 @@
     std::uint32_t in_progress_ = 0;
     /// Free slots last seen, less the calls that this entry has started since.
     std::optional<double> free_slots_;
-    steady_time free_slots_at_;
+    steady_time free_slots_at_{};
 
     /// When the upstream appeared; nothing if it was there from the start.
     std::optional<steady_time> appeared_at_;
@@ -60,11 +60,18 @@
     double failure_share_ = 0;
     /// Ejections in recent time; each doubles the next one's time.
     std::uint32_t ejections_ = 0;
-    steady_time ejected_until_;
+    steady_time ejected_until_{};
     std::uint32_t probes_passed_ = 0;
-    steady_time last_failure_at_;
+    steady_time last_failure_at_{};
 };
 
+/// Returns how much the free slots last seen still say: 1 for now, falling to 0
+/// over their lifetime.
+double freshness(
+    const upstream_load& load,
+    const routing_settings& settings,
+    steady_time now);
+
 /// Returns the slots that are probably free: those last seen, which give way
 /// to `slots` less the entry's own calls as the sight ages.
 double estimated_free_slots(
--- a/src/gate/admission.cpp
+++ b/src/gate/admission.cpp
@@ -1,9 +1,10 @@
 #include "hemlockshelf/gate/admission.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
+#include "hemlockshelf/gate/waiting_queue.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -35,70 +36,25 @@
 // would be judged by the use before the burst.
 void start(gate_state& state, waiting_call waiting, steady_time now)
 {
+    const auto expected = service_time(state, waiting.call_.class_);
     running_call call{
         std::move(waiting.call_), now, std::move(waiting.account_usage_),
-        std::move(waiting.entry_usage_), state.service_time_};
+        std::move(waiting.entry_usage_), expected};
     charge(state, call, call.charged_, now);
     ++state.running_by_class_.at(class_index(call.call_));
     state.running_.emplace(waiting.id_, std::move(call));
 }
 
-void drop_expired(gate_state& state, gate_events& events, steady_time now)
-{
-    std::erase_if(
-        state.queue_,
-        [&](const waiting_call& call)
-        {
-            if (call.call_.deadline_ > now)
-            {
-                return false;
-            }
-            events.refused_.push_back({call.id_, refusal_reason::expired});
-            return true;
-        });
-}
-
-auto find_next(gate_state& state)
-{
-    auto best = state.queue_.end();
-    for (auto call = state.queue_.begin(); call != state.queue_.end(); ++call)
-    {
-        if (may_start(state, call->call_.class_) &&
-            (best == state.queue_.end() ||
-             has_better_claim(state, *call, *best)))
-        {
-            best = call;
-        }
-    }
-    return best;
-}
-
 void start_waiting(gate_state& state, gate_events& events, steady_time now)
 {
     drop_expired(state, events, now);
-    for (auto next = find_next(state); next != state.queue_.end();
-         next = find_next(state))
+    while (auto call = take_next(state, now))
     {
-        auto call = std::move(*next);
-        state.queue_.erase(next);
-        events.started_.push_back(call.id_);
-        start(state, std::move(call), now);
+        events.started_.push_back(call->id_);
+        start(state, std::move(*call), now);
     }
 }
 
-std::chrono::nanoseconds
-expected_wait(const gate_state& state, const waiting_call& call)
-{
-    const auto ahead = std::ranges::count_if(
-        state.queue_,
-        [&](const waiting_call& other)
-        {
-            return !has_better_claim(state, call, other);
-        });
-    const auto servers = std::max(class_limit(state, call.call_.class_), 1U);
-    return state.service_time_ * (ahead + 1) / servers;
-}
-
 std::optional<refusal_reason>
 check_arrival(const gate_state& state, const gate_call& call, steady_time now)
 {
@@ -117,57 +73,20 @@
     return std::nullopt;
 }
 
-// Makes room in a full queue; false if every waiting call has as good a claim
-// as the new one.
-bool make_room(gate_state& state, const waiting_call& call, gate_events& events)
+void note_slot_free(gate_state& state, steady_time now)
 {
-    if (state.queue_.size() < queue_limit(state))
-    {
-        return true;
-    }
-    auto worst = state.queue_.begin();
-    for (auto other = worst; other != state.queue_.end(); ++other)
-    {
-        worst = has_better_claim(state, *other, *worst) ? worst : other;
-    }
-    if (worst == state.queue_.end() || !has_better_claim(state, call, *worst))
+    if (state.running_.size() >= concurrency_limit(state))
     {
-        return false;
+        state.slot_free_since_ = now;
     }
-    events.refused_.push_back({worst->id_, refusal_reason::displaced});
-    state.queue_.erase(worst);
-    return true;
 }
 
-admission_result enqueue(gate_state& state, waiting_call call, steady_time now)
+void learn_service_time(
+    gate_state& state, traffic_class value, std::chrono::nanoseconds measured)
 {
-    admission_result result;
-    result.expected_wait_ = expected_wait(state, call);
-    const auto end = now + result.expected_wait_ + state.service_time_;
-    if (end > call.call_.deadline_ ||
-        result.expected_wait_ > state.settings_.max_wait_)
-    {
-        result.reason_ = refusal_reason::wait_too_long;
-        return result;
-    }
-    if (!make_room(state, call, result.events_))
-    {
-        result.reason_ = refusal_reason::queue_full;
-        return result;
-    }
-    result.admission_ = admission::queued;
-    result.id_ = call.id_;
-    state.queue_.push_back(std::move(call));
-    return result;
-}
-
-void learn_service_time(gate_state& state, std::chrono::nanoseconds measured)
-{
-    const double weight = state.settings_.service_time_weight_;
-    const std::chrono::duration<double, std::nano> mean =
-        state.service_time_ * (1 - weight) + measured * weight;
-    state.service_time_ =
-        std::chrono::duration_cast<std::chrono::nanoseconds>(mean);
+    auto& mean = state.service_time_.at(static_cast<std::size_t>(value));
+    mean += std::chrono::duration_cast<std::chrono::nanoseconds>(
+        (measured - mean) * state.settings_.service_time_weight_);
 }
 
 } // namespace
@@ -175,24 +94,28 @@
 admission_result
 offer_call(gate_state& state, const gate_call& call, steady_time now)
 {
+    admission_result result;
     if (const auto reason = check_arrival(state, call, now))
     {
-        admission_result refused;
-        refused.reason_ = *reason;
-        return refused;
+        result.reason_ = *reason;
+        return result;
     }
-    // Waiting calls that could start have been started by the operation that
-    // made room, so nobody of this class is overtaken here.
+    // The waiting calls go first, so that none is overtaken.
+    start_waiting(state, result.events_, now);
     auto waiting = make_waiting(state, call);
-    if (!may_start(state, call.class_))
+    result.id_ = waiting.id_;
+    if (may_start(state, call.class_, now))
     {
-        return enqueue(state, std::move(waiting), now);
+        result.admission_ = admission::admitted;
+        start(state, std::move(waiting), now);
+        return result;
     }
-    admission_result admitted;
-    admitted.admission_ = admission::admitted;
-    admitted.id_ = waiting.id_;
-    start(state, std::move(waiting), now);
-    return admitted;
+    result.expected_wait_ = expected_wait(state, waiting);
+    const auto refusal =
+        enqueue(state, waiting, result.expected_wait_, result.events_, now);
+    result.admission_ = refusal ? admission::refused : admission::queued;
+    result.reason_ = refusal.value_or(result.reason_);
+    return result;
 }
 
 std::optional<gate_events>
@@ -204,11 +127,12 @@
         return std::nullopt;
     }
     const auto call = std::move(found->second);
+    note_slot_free(state, now);
     state.running_.erase(found);
     --state.running_by_class_.at(class_index(call.call_));
     const auto measured = now - call.started_at_;
     charge(state, call, measured - call.charged_, now);
-    learn_service_time(state, measured);
+    learn_service_time(state, call.call_.class_, measured);
     gate_events events;
     start_waiting(state, events, now);
     return events;
@@ -227,19 +151,23 @@
 gate_events expire_waiting(gate_state& state, steady_time now)
 {
     gate_events events;
-    drop_expired(state, events, now);
+    start_waiting(state, events, now);
     return events;
 }
 
 std::optional<steady_time> next_expiry(const gate_state& state)
 {
-    std::optional<steady_time> earliest;
+    std::optional<steady_time> next;
+    const auto lent_at = reserve_lent_at(state);
     for (const auto& call : state.queue_)
     {
-        const auto deadline = call.call_.deadline_;
-        earliest = earliest ? std::min(*earliest, deadline) : deadline;
+        const bool may_borrow =
+            lent_at && may_start(state, call.call_.class_, *lent_at);
+        const auto latest = latest_start(state, call);
+        const auto at = may_borrow ? std::min(*lent_at, latest) : latest;
+        next = next ? std::min(*next, at) : at;
     }
-    return earliest;
+    return next;
 }
 
 gate_events set_capacity(
@@ -248,6 +176,7 @@
     connection_count connections,
     steady_time now)
 {
+    note_slot_free(state, now);
     state.slots_ = slots;
     state.connections_ = connections;
     gate_events events;
--- a/src/gate/gate_state.cpp
+++ b/src/gate/gate_state.cpp
@@ -22,7 +22,26 @@
 std::uint32_t lookup_reserve(const gate_state& state)
 {
     const auto limit = concurrency_limit(state);
-    return limit > 1 ? share_of(limit, state.settings_.lookup_reserve_) : 0;
+    const double reserve = state.settings_.lookup_reserve_;
+    return limit > 1 && reserve > 0 ? share_of(limit, reserve) : 0;
+}
+
+// A reserve of less than a slot is kept by one slot that is lent after it has
+// been free for a time. Once all slots are in use, the next one becomes free
+// after the service time divided by their number; the slot is then free for
+// the wanted part of the time.
+std::optional<std::chrono::nanoseconds> reserve_hold(const gate_state& state)
+{
+    const auto limit = concurrency_limit(state);
+    const double reserve = limit * state.settings_.lookup_reserve_;
+    if (reserve >= 1 || lookup_reserve(state) == 0)
+    {
+        return std::nullopt;
+    }
+    const auto until_free =
+        service_time(state, traffic_class::standard) / limit;
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+        until_free * (reserve / (1 - reserve)));
 }
 
 // A first bulk call goes before standard ones, so that bulk is limited but
@@ -35,11 +54,11 @@
     }
     if (value == traffic_class::bulk)
     {
-        return running_of(state, value) == 0 ? 1 : 3;
+        return running_of(state, value) == 0 ? 1 : 2;
     }
-    const auto preferred = share_of(
-        concurrency_limit(state), state.settings_.lookup_priority_share_);
-    return running_of(state, value) < preferred ? 0 : 2;
+    const double preferred =
+        concurrency_limit(state) * state.settings_.lookup_priority_share_;
+    return running_of(state, value) < preferred ? 0 : 1;
 }
 
 } // namespace
@@ -48,8 +67,16 @@
     : settings_(settings),
       account_usage_(settings.usage_half_life_, settings.usage_limit_),
       entry_usage_(settings.usage_half_life_, settings.usage_limit_),
-      service_time_(settings.assumed_service_time_)
-{}
+      service_time_()
+{
+    service_time_.fill(settings.assumed_service_time_);
+}
+
+std::chrono::nanoseconds
+service_time(const gate_state& state, traffic_class value)
+{
+    return state.service_time_.at(static_cast<std::size_t>(value));
+}
 
 std::uint32_t concurrency_limit(const gate_state& state)
 {
@@ -69,17 +96,30 @@
                : std::min(shared, share_of(limit, state.settings_.bulk_share_));
 }
 
-bool may_start(const gate_state& state, traffic_class value)
+std::optional<steady_time> reserve_lent_at(const gate_state& state)
+{
+    const auto hold = reserve_hold(state);
+    return hold ? std::optional(state.slot_free_since_ + *hold) : std::nullopt;
+}
+
+bool may_start(const gate_state& state, traffic_class value, steady_time now)
 {
-    if (state.running_.size() >= concurrency_limit(state) ||
-        running_of(state, value) >= class_limit(state, value))
+    const bool bulk_used_up =
+        value == traffic_class::bulk &&
+        running_of(state, value) >= class_limit(state, value);
+    if (state.running_.size() >= concurrency_limit(state) || bulk_used_up)
     {
         return false;
     }
     const auto others = running_of(state, traffic_class::standard) +
                         running_of(state, traffic_class::bulk);
-    return value == traffic_class::lookup ||
-           others < class_limit(state, traffic_class::standard);
+    if (value == traffic_class::lookup ||
+        others < class_limit(state, traffic_class::standard))
+    {
+        return true;
+    }
+    const auto lent_at = reserve_lent_at(state);
+    return lent_at && *lent_at <= now;
 }
 
 std::size_t queue_limit(const gate_state& state)
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+// Weight of an upstream whose load was not seen recently, against 1 for one
+// seen just now. It lets the use of an idle tier fall back to what the entry
+// itself causes.
+constexpr double unseen_weight = 0.05;
+
 candidate_status status_of_ejection(const upstream_load& load)
 {
     if (load.ejection_ == ejection_state::ejected)
@@ -35,6 +40,20 @@
         (load.in_progress_ + 1) / ((free + 1) * share)};
 }
 
+void add_sight(
+    tier_capacity& capacity,
+    const upstream_load& load,
+    std::uint32_t slots,
+    const routing_settings& settings,
+    steady_time now)
+{
+    const double weight = unseen_weight + freshness(load, settings, now);
+    const double free = load.free_slots_ ? *load.free_slots_
+                                         : slots - double(load.in_progress_);
+    capacity.seen_slots_ += weight * slots;
+    capacity.seen_free_ += weight * std::clamp<double>(free, 0, slots);
+}
+
 // Draws by weight among the tier's candidates, leaving out `skipped`. Returns
 // nothing if there is no other.
 const candidate* draw(
@@ -137,7 +156,7 @@
         auto& capacity =
             set.capacities_.at(static_cast<std::size_t>(member.tier_));
         capacity.slots_ += std::max(1U, slots);
-        capacity.free_ += member.free_slots_;
+        add_sight(capacity, state.loads_[index], slots, settings, now);
         set.members_.push_back(member);
     }
     return set;
--- a/src/routing/spill.cpp
+++ b/src/routing/spill.cpp
@@ -15,8 +15,9 @@
 
 double use_of(const tier_capacity& capacity)
 {
-    return capacity.slots_ > 0
-               ? std::clamp(1 - capacity.free_ / capacity.slots_, 0.0, 1.0)
+    return capacity.seen_slots_ > 0
+               ? std::clamp(
+                     1 - capacity.seen_free_ / capacity.seen_slots_, 0.0, 1.0)
                : 1;
 }
 
--- a/src/routing/upstream_load.cpp
+++ b/src/routing/upstream_load.cpp
@@ -5,6 +5,20 @@
 
 namespace hemlockshelf {
 
+double freshness(
+    const upstream_load& load,
+    const routing_settings& settings,
+    steady_time now)
+{
+    if (!load.free_slots_)
+    {
+        return 0;
+    }
+    const std::chrono::duration<double> age = now - load.free_slots_at_;
+    const std::chrono::duration<double> lifetime = settings.load_lifetime_;
+    return std::clamp(1 - age / lifetime, 0.0, 1.0);
+}
+
 double estimated_free_slots(
     const upstream_load& load,
     slot_count slots,
@@ -17,11 +31,8 @@
     {
         return unknown;
     }
-    const std::chrono::duration<double> age = now - load.free_slots_at_;
-    const std::chrono::duration<double> lifetime = settings.load_lifetime_;
-    const double aged = std::clamp(age / lifetime, 0.0, 1.0);
     const double seen = std::clamp(*load.free_slots_, 0.0, total);
-    return seen + (unknown - seen) * aged;
+    return unknown + (seen - unknown) * freshness(load, settings, now);
 }
 
 double warm_up_share(
--- /dev/null
+++ b/test/gate/gate_simulation.cpp
@@ -0,0 +1,127 @@
+#include "test/gate/gate_simulation.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace hemlockshelf {
+
+namespace {
+
+steady_time::duration to_duration(double seconds)
+{
+    return std::chrono::duration_cast<steady_time::duration>(
+        std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+gate_simulation::gate_simulation(
+    std::uint32_t slots, std::chrono::milliseconds mean_service_time)
+    : gate_(gate_settings{}), mean_service_time_(mean_service_time)
+{
+    set_capacity(gate_, slot_count{slots}, connection_count{slots * 5}, now_);
+}
+
+std::vector<source_result> gate_simulation::run(
+    const std::vector<call_source>& sources, std::chrono::seconds length)
+{
+    results_.assign(sources.size(), {});
+    for (std::size_t index = 0; index < sources.size(); ++index)
+    {
+        plan_arrival(index, sources[index], now_ + length);
+    }
+    while (!events_.empty())
+    {
+        const auto timer = next_expiry(gate_);
+        if (timer && *timer < events_.top().at_)
+        {
+            now_ = std::max(now_, *timer);
+            take(expire_waiting(gate_, now_));
+            continue;
+        }
+        const auto next = events_.top();
+        events_.pop();
+        now_ = next.at_;
+        next.run_();
+    }
+    return results_;
+}
+
+double gate_simulation::exponential(double mean)
+{
+    return std::exponential_distribution<>(1 / mean)(random_);
+}
+
+void gate_simulation::plan_arrival(
+    std::size_t index, const call_source& source, steady_time end)
+{
+    const auto at = now_ + to_duration(exponential(1 / source.per_second_));
+    if (at >= end)
+    {
+        return;
+    }
+    events_.push(
+        {at, [this, index, &source, end]
+         {
+             arrive(index, source);
+             plan_arrival(index, source, end);
+         }});
+}
+
+void gate_simulation::arrive(std::size_t index, const call_source& source)
+{
+    ++results_[index].offered_;
+    const gate_call call{
+        client_account_id{source.account_}, vm_id{source.entry_}, source.class_,
+        now_ + source.deadline_};
+    const auto result = offer_call(gate_, call, now_);
+    take(result.events_);
+    if (result.admission_ == admission::refused)
+    {
+        ++results_[index].refused_;
+        return;
+    }
+    pending_[result.id_] = {index, now_, call.deadline_};
+    if (result.admission_ == admission::admitted)
+    {
+        begin(result.id_);
+    }
+}
+
+void gate_simulation::begin(gate_call_id id)
+{
+    const auto& call = pending_.at(id);
+    auto& result = results_[call.source_];
+    result.longest_start_ =
+        std::max(result.longest_start_, now_ - call.arrived_at_);
+    const std::chrono::duration<double> mean = mean_service_time_;
+    events_.push(
+        {now_ + to_duration(exponential(mean.count())), [this, id]
+         {
+             end(id);
+         }});
+}
+
+void gate_simulation::end(gate_call_id id)
+{
+    const auto call = pending_.at(id);
+    pending_.erase(id);
+    auto& result = results_[call.source_];
+    ++(now_ <= call.deadline_ ? result.done_in_time_ : result.done_late_);
+    take(*release_call(gate_, id, now_));
+}
+
+void gate_simulation::take(const gate_events& events)
+{
+    for (const auto& refused : events.refused_)
+    {
+        ++results_[pending_.at(refused.id_).source_].refused_;
+        pending_.erase(refused.id_);
+    }
+    for (const auto id : events.started_)
+    {
+        begin(id);
+    }
+}
+
+} // namespace hemlockshelf
