--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -10,7 +10,9 @@
 #include "adapters/node/call_plane.hpp"
 #include "adapters/node/control_plane.hpp"
 #include "adapters/platform/platform_client.hpp"
+#include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/core/real_clock.hpp"
+#include "hemlockshelf/editing/blob_writer.hpp"
 
 namespace hemlockshelf {
 
@@ -32,19 +34,9 @@
           control_(
               settings_, time_, platform_, snapshots_, members_, upstream_),
           calls_(settings_, time_, snapshots_, members_, upstream_),
-          editor_(
-              platform_,
-              time_,
-              settings_.vm_,
-              [this]
-              {
-                  return snapshots_.current();
-              },
-              [this](const change_record& record)
-              {
-                  control_.accept(record);
-              }),
-          admin_{&settings_, &snapshots_, &platform_, &editor_, &upstream_},
+          editor_(make_editor_ports(), settings_.vm_, settings_.editing_),
+          admin_{&settings_, &snapshots_, &platform_,
+                 &editor_,   &upstream_,  &metrics_},
           admin_server_(
               context_,
               settings_.admin_,
@@ -71,8 +63,27 @@
     }
 
 private:
+    editor_ports make_editor_ports()
+    {
+        editor_ports ports;
+        ports.tables_ = &platform_;
+        ports.time_ = &time_;
+        ports.metrics_ = &metrics_;
+        ports.held_ = [this]
+        {
+            return snapshots_.current();
+        };
+        ports.on_accepted_ = [this](const auto& record, const auto& snapshot)
+        {
+            control_.accept(record);
+            blobs_.offer(snapshot);
+        };
+        return ports;
+    }
+
     node_settings settings_;
     real_clock time_;
+    prometheus_metrics metrics_;
     asio::io_context context_;
     platform_client platform_;
     snapshot_store snapshots_;
@@ -80,6 +91,7 @@
     own_upstream upstream_;
     control_plane control_;
     call_plane calls_;
+    blob_writer blobs_{platform_};
     editor editor_;
     admin_context admin_;
     json_server admin_server_;
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -6,8 +6,11 @@
 #include <vector>
 
 #include "adapters/http/endpoint.hpp"
+#include "adapters/settings/settings_section.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/editing/editing_settings.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
 #include "hemlockshelf/retry/retry_settings.hpp"
 #include "hemlockshelf/routing/routing_settings.hpp"
@@ -36,6 +39,9 @@
     std::vector<endpoint> peers_;
     /// SHA-256 of each account's operator token, in hexadecimal.
     std::map<client_account_id, std::string> token_hashes_;
+    log_format log_format_ = log_format::text;
+    std::string log_level_ = "info";
+    editing_settings editing_;
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
@@ -45,6 +51,9 @@
 /// the file, the line, what was given and what was expected.
 result<node_settings> load_node_settings(const std::string& path);
 
+/// Returns a description of every setting, in the order of the file.
+std::vector<setting_info> describe_node_settings();
+
 } // namespace hemlockshelf
 
 #endif
