--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -246,7 +246,8 @@
 void read_gate_limits(settings_section section, gate_settings& settings)
 {
     read_share(
-        section, {"lookup_reserve", "Part of the slots that only lookups use."},
+        section,
+        {"lookup_reserve", "Part of the capacity that is kept for lookups."},
         settings.lookup_reserve_);
     read_share(
         section,
@@ -266,6 +267,11 @@
         section,
         {"max_wait", "Longest time that a call may be expected to wait."},
         settings.max_wait_);
+    read_rate(
+        section,
+        {"service_margin",
+         "Mean service times that must be left after the expected wait."},
+        settings.service_margin_);
     read_duration(
         section,
         {"assumed_service_time",
