--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "adapters/http/endpoint.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
@@ -39,6 +40,8 @@
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
+    log_format log_format_ = log_format::text;
+    std::string log_level_ = "info";
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
