--- /dev/null
+++ b/adapters/http/call_threads.cpp
@@ -0,0 +1,68 @@
+#include "adapters/http/call_threads.hpp"
+
+#include <exception>
+
+#include <spdlog/spdlog.h>
+
+namespace hemlockshelf {
+
+namespace {
+
+void run_loop(boost::asio::io_context& loop)
+{
+    while (!loop.stopped())
+    {
+        try
+        {
+            loop.run();
+        }
+        catch (const std::exception& failure)
+        {
+            // One connection's failure must not end the others.
+            spdlog::error("a call ended with: {}", failure.what());
+        }
+    }
+}
+
+} // namespace
+
+call_threads::call_threads(std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        loops_.push_back(std::make_unique<boost::asio::io_context>(1));
+        guards_.emplace_back(loops_.back()->get_executor());
+    }
+}
+
+call_threads::~call_threads()
+{
+    stop();
+}
+
+void call_threads::start()
+{
+    for (auto& loop : loops_)
+    {
+        threads_.emplace_back(
+            [&loop = *loop]
+            {
+                run_loop(loop);
+            });
+    }
+}
+
+void call_threads::stop()
+{
+    for (auto& loop : loops_)
+    {
+        loop->stop();
+    }
+    for (auto& thread : threads_)
+    {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/http/call_threads.hpp
@@ -0,0 +1,56 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_CALL_THREADS_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_CALL_THREADS_HPP
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace hemlockshelf {
+
+/// Threads that carry calls, each with an event loop of its own. A connection
+/// stays on one loop, which serves as its strand: a call that uses connections
+/// of one loop needs no wakeup of another thread.
+class call_threads
+{
+public:
+    explicit call_threads(std::size_t count);
+    ~call_threads();
+
+    call_threads(const call_threads&) = delete;
+    call_threads& operator=(const call_threads&) = delete;
+
+    void start();
+
+    /// Ends the loops and waits for the threads.
+    void stop();
+
+    /// Returns the loop of the listeners and periodic work.
+    [[nodiscard]] boost::asio::io_context& first() noexcept
+    {
+        return *loops_.front();
+    }
+
+    /// Returns the loops in turn.
+    [[nodiscard]] boost::asio::io_context& next() noexcept
+    {
+        return *loops_[turn_++ % loops_.size()];
+    }
+
+private:
+    using work_guard = boost::asio::executor_work_guard<
+        boost::asio::io_context::executor_type>;
+
+    std::vector<std::unique_ptr<boost::asio::io_context>> loops_;
+    std::vector<work_guard> guards_;
+    std::vector<std::thread> threads_;
+    std::atomic<std::size_t> turn_ = 0;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/http/entry_call.cpp
@@ -0,0 +1,213 @@
+#include "adapters/http/entry_call.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include <boost/beast/core/string.hpp>
+#include <fmt/format.h>
+
+#include "adapters/http/headers.hpp"
+
+namespace hemlockshelf {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned http_1_1 = 11;
+constexpr std::size_t max_request_id_bytes = 128;
+
+std::string make_request_id()
+{
+    thread_local std::mt19937_64 random{std::random_device{}()};
+    return fmt::format("{:016x}{:016x}", random(), random());
+}
+
+std::string_view without_port(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+result<void> check_head(const request_head& head)
+{
+    if (head.method() == http::verb::connect ||
+        head.count(http::field::upgrade) > 0)
+    {
+        return make_error(
+            error_kind::bad_request,
+            "request: CONNECT and Upgrade are not supported");
+    }
+    if (head.count(http::field::host) != 1)
+    {
+        return make_error(
+            error_kind::bad_request, "request: expected one Host header");
+    }
+    if (head.count(headers::account) > 1)
+    {
+        return make_error(
+            error_kind::bad_request,
+            "request: expected one Hemlockshelf-Account header");
+    }
+    return check_transfer_coding(head);
+}
+
+result<steady_time>
+deadline_of(const request_head& head, const route_row& route, steady_time now)
+{
+    auto time_left = route.timeout_;
+    if (head.count(headers::deadline_ms) > 0)
+    {
+        const auto text = field_value(head, headers::deadline_ms);
+        const auto given = parse_milliseconds(text);
+        if (!given)
+        {
+            return make_error(
+                error_kind::bad_request,
+                fmt::format(
+                    "Hemlockshelf-Deadline-Ms: expected a number of "
+                    "milliseconds, given \"{}\"",
+                    text));
+        }
+        time_left = std::min(time_left, std::chrono::milliseconds(*given));
+    }
+    return now + time_left;
+}
+
+result<const resolved_route*> find_route(
+    const config_snapshot& snapshot,
+    const client_account_id& account,
+    const request_head& head)
+{
+    if (!snapshot.has_account(account))
+    {
+        return make_error(
+            error_kind::unknown_account,
+            fmt::format("account \"{}\": unknown", account.value()));
+    }
+    const auto host = without_port(to_view(head[http::field::host]));
+    const auto target = to_view(head.target());
+    const auto path = target.substr(0, target.find('?'));
+    const auto* route = snapshot.find_route(account, host, path);
+    if (route == nullptr)
+    {
+        return make_error(
+            error_kind::no_route,
+            fmt::format(
+                "no route of account \"{}\" for host \"{}\" and path \"{}\"",
+                account.value(), host, path));
+    }
+    return route;
+}
+
+std::string request_id_of(const request_head& head)
+{
+    const auto given = field_value(head, headers::request_id);
+    return given.empty() || given.size() > max_request_id_bytes
+               ? make_request_id()
+               : std::string(given);
+}
+
+void prepare_head(entry_call& call, request_head& head, const vm_id& entry_vm)
+{
+    remove_connection_headers(head);
+    remove_node_headers(head, false);
+    append_head(call.head_, head);
+    append_field(call.head_, headers::account, call.account_.value());
+    append_field(call.head_, headers::pool, call.route_->pool_key_.value());
+    append_field(
+        call.head_, headers::traffic_class,
+        to_string(call.route_->route_->class_));
+    append_field(call.head_, headers::entry_vm, entry_vm.value());
+    append_field(call.head_, headers::request_id, call.request_id_);
+}
+
+} // namespace
+
+result<entry_call> resolve_call(
+    std::shared_ptr<const config_snapshot> snapshot,
+    request_parser& request,
+    const vm_id& entry_vm,
+    steady_time now)
+{
+    request_head& head = request.get();
+    const auto checked = check_head(head);
+    if (!checked)
+    {
+        return tl::unexpected<error>(checked.error());
+    }
+    entry_call call;
+    call.account_ =
+        client_account_id{std::string(field_value(head, headers::account))};
+    const auto route = find_route(*snapshot, call.account_, head);
+    if (!route)
+    {
+        return tl::unexpected<error>(route.error());
+    }
+    const auto deadline = deadline_of(head, *(*route)->route_, now);
+    if (!deadline)
+    {
+        return tl::unexpected<error>(deadline.error());
+    }
+    call.snapshot_ = std::move(snapshot);
+    call.route_ = *route;
+    call.request_id_ = request_id_of(head);
+    call.framing_.chunked_ = request.chunked();
+    if (const auto length = request.content_length())
+    {
+        call.framing_.length_ = *length;
+    }
+    call.started_ = now;
+    call.deadline_ = *deadline;
+    call.idempotent_ =
+        is_idempotent(head.method()) || call.route_->route_->idempotent_;
+    call.to_head_request_ = head.method() == http::verb::head;
+    call.version_ = head.version();
+    call.expects_continue_ =
+        call.version_ >= http_1_1 &&
+        beast::iequals(head[http::field::expect], "100-continue");
+    prepare_head(call, head, entry_vm);
+    return call;
+}
+
+bool is_idempotent(http::verb method)
+{
+    return method == http::verb::get || method == http::verb::head ||
+           method == http::verb::options || method == http::verb::put ||
+           method == http::verb::delete_;
+}
+
+std::optional<std::string> attempt_head(
+    const entry_call& call,
+    unsigned attempt,
+    bool handshake,
+    std::optional<std::chrono::nanoseconds> time_left)
+{
+    if (!time_left || *time_left < std::chrono::milliseconds(1))
+    {
+        return std::nullopt;
+    }
+    std::string head;
+    constexpr std::size_t added_bytes = 160;
+    head.reserve(call.head_.size() + added_bytes);
+    head = call.head_;
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*time_left);
+    append_field(
+        head, headers::deadline_ms,
+        static_cast<std::uint64_t>(milliseconds.count()));
+    append_field(head, headers::attempt, std::uint64_t{attempt});
+    body_framing framing = call.framing_;
+    if (handshake)
+    {
+        append_field(head, "Expect", "100-continue");
+        framing = {true, std::nullopt};
+    }
+    append_framing(head, framing);
+    head.append("\r\n");
+    return head;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/http/entry_call.hpp
@@ -0,0 +1,59 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_ENTRY_CALL_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_ENTRY_CALL_HPP
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "adapters/http/message_head.hpp"
+#include "adapters/http/message_reader.hpp"
+#include "hemlockshelf/config/config_snapshot.hpp"
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// A caller's request as the entry passes it on.
+struct entry_call
+{
+    /// Keeps `route_` alive.
+    std::shared_ptr<const config_snapshot> snapshot_;
+    const resolved_route* route_ = nullptr;
+    client_account_id account_;
+    std::string request_id_;
+    /// Head for the gate without the fields that differ between attempts.
+    std::string head_;
+    body_framing framing_;
+    steady_time started_;
+    steady_time deadline_;
+    bool idempotent_ = false;
+    bool to_head_request_ = false;
+    bool expects_continue_ = false;
+    unsigned version_ = 0;
+};
+
+/// Finds the route of a request and prepares what is passed on. Removes from
+/// the request what a caller may not send. The errors are not-run kinds.
+result<entry_call> resolve_call(
+    std::shared_ptr<const config_snapshot> snapshot,
+    request_parser& request,
+    const vm_id& entry_vm,
+    steady_time now);
+
+/// Whether requests of a method may run more than once. Methods of unknown
+/// names may not.
+bool is_idempotent(boost::beast::http::verb method);
+
+/// Returns the head of an attempt, or nothing if too little time is left. A
+/// head with `handshake` asks the gate for a 100 before the body.
+std::optional<std::string> attempt_head(
+    const entry_call& call,
+    unsigned attempt,
+    bool handshake,
+    std::optional<std::chrono::nanoseconds> time_left);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/http/entry_session.cpp
@@ -0,0 +1,396 @@
+#include "adapters/http/entry_session.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+#include "adapters/http/gate_answer.hpp"
+#include "hemlockshelf/core/error_table.hpp"
+
+namespace hemlockshelf {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+error body_error(const error_code& failure)
+{
+    if (failure == http::error::body_limit)
+    {
+        return {error_kind::body_too_large, "body: longer than the limit"};
+    }
+    return {error_kind::bad_request, "body: " + failure.message()};
+}
+
+} // namespace
+
+entry_session::entry_session(
+    http_connection::socket_type socket, entry_environment& environment)
+    : relay_session(
+          std::move(socket),
+          environment.settings_,
+          environment.time_,
+          environment.group_),
+      environment_(environment)
+{}
+
+asio::awaitable<bool> entry_session::serve(request_parser& request)
+{
+    auto call = resolve_call(
+        environment_.snapshots_.current(), request, environment_.vm_, now());
+    if (!call)
+    {
+        auto failure = std::move(call.error());
+        co_return co_await fail(request, std::move(failure), true);
+    }
+    const auto& route = *call->route_;
+    const auto ticket = environment_.quota_.take(
+        call->account_, route.pool_key_, route.pool_->max_concurrent_calls_);
+    if (!ticket)
+    {
+        error failure{
+            error_kind::quota_exceeded,
+            fmt::format(
+                "account \"{}\": {} calls to pool \"{}\" are in progress",
+                call->account_.value(), route.pool_->max_concurrent_calls_,
+                route.pool_key_.value())};
+        co_return co_await fail(request, std::move(failure), true);
+    }
+    request_body body(
+        client(), request, settings().relay_buffer_bytes_,
+        settings().retry_body_limit_);
+    if (call->expects_continue_)
+    {
+        body.expect_continue();
+    }
+    environment_.router_.call_started(route, now());
+    call_state state{request, std::move(*call), std::move(body)};
+    co_return co_await run_attempts(state);
+}
+
+asio::awaitable<bool> entry_session::run_attempts(call_state& state)
+{
+    const auto& route = *state.call_.route_;
+    std::vector<vm_id> tried;
+    attempt_end end;
+    while (true)
+    {
+        const auto choice = environment_.router_.choose(route, tried, now());
+        if (!choice)
+        {
+            if (tried.empty())
+            {
+                end.failure_ = choice.error();
+            }
+            co_return co_await finish_failed(state, end);
+        }
+        ++state.attempts_;
+        end = attempt_end{};
+        co_await try_gate(state, *choice, end);
+        environment_.router_.finish(route, choice->vm_, end.report_, now());
+        if (end.answered_)
+        {
+            co_return end.keep_connection_;
+        }
+        if (caller_is_gone() || !end.decision_.retry())
+        {
+            co_return co_await finish_failed(state, end);
+        }
+        environment_.metrics_.add(
+            metric_id::retries, answer_for(end.failure_.kind_).name_);
+        tried.push_back(choice->vm_);
+        state.body_.rewind();
+        resume();
+        limit(state.call_.deadline_);
+        if (end.decision_.delay_.count() > 0)
+        {
+            co_await pause(now() + end.decision_.delay_);
+        }
+    }
+}
+
+asio::awaitable<bool>
+entry_session::finish_failed(call_state& state, attempt_end& end)
+{
+    if (caller_is_gone())
+    {
+        count_call(state, "caller_gone");
+        co_return false;
+    }
+    count_call(state, answer_for(end.failure_.kind_).name_);
+    const auto claim =
+        end.not_run_ ? not_run_claim::by_kind : not_run_claim::never;
+    co_return co_await refuse(state.request_, std::move(end.failure_), claim);
+}
+
+asio::awaitable<bool>
+entry_session::fail(const request_parser& request, error failure, bool not_run)
+{
+    environment_.metrics_.add(
+        metric_id::calls, answer_for(failure.kind_).name_);
+    const auto claim = not_run ? not_run_claim::by_kind : not_run_claim::never;
+    co_return co_await refuse(request, std::move(failure), claim);
+}
+
+asio::awaitable<void> entry_session::try_gate(
+    call_state& state, const gate_choice& choice, attempt_end& end)
+{
+    auto lease = environment_.gates_.take(
+        choice.gate_, settings().pool_open_limit_,
+        client().socket().get_executor(), now());
+    if (!lease)
+    {
+        end.failure_ = std::move(lease.error());
+        end.report_.outcome_ = call_outcome::refused;
+        decide(state, end);
+        co_return;
+    }
+    peer_exchange exchange(
+        client(), state.body_, std::move(*lease), settings());
+    on_stop(
+        [&exchange]
+        {
+            exchange.interrupt();
+        });
+    co_await use_gate(state, exchange, end);
+    co_await exchange.close_request();
+    on_stop({});
+    exchange.finish(now());
+}
+
+asio::awaitable<void> entry_session::use_gate(
+    call_state& state, peer_exchange& exchange, attempt_end& end)
+{
+    limit_silence(state, settings().connect_timeout_);
+    const auto connected =
+        co_await exchange.connect(environment_.source_address_);
+    if (!connected)
+    {
+        lose_gate(state, exchange, connected.error().message_, end);
+        co_return;
+    }
+    const bool handshake = !state.call_.idempotent_;
+    auto head = attempt_head(
+        state.call_, state.attempts_, handshake,
+        passed_on_time(state.call_.deadline_ - now(), environment_.retry_));
+    if (!head)
+    {
+        end.failure_ = {
+            error_kind::deadline_exceeded, "no time is left for the call"};
+        end.report_.outcome_ = call_outcome::cancelled;
+        decide(state, end);
+        co_return;
+    }
+    bool go_on = true;
+    bool answered = false;
+    if (handshake)
+    {
+        go_on = co_await await_continue(state, exchange, *head, end);
+        answered = go_on &&
+                   exchange.answer().get().result() != http::status::continue_;
+        head->clear();
+    }
+    if (go_on && !answered)
+    {
+        go_on = co_await dispatch(state, exchange, std::move(*head), end);
+    }
+    if (go_on)
+    {
+        co_await take_answer(state, exchange, end);
+    }
+}
+
+asio::awaitable<bool> entry_session::await_continue(
+    call_state& state,
+    peer_exchange& exchange,
+    std::string head,
+    attempt_end& end)
+{
+    limit_silence(state, settings().handshake_timeout_);
+    watch_client();
+    auto failure = co_await exchange.send_head(std::move(head));
+    if (!failure)
+    {
+        failure = co_await exchange.read_answer_head(
+            true, false,
+            [&]
+            {
+                limit_silence(state, settings().handshake_timeout_);
+            });
+    }
+    if (failure)
+    {
+        lose_gate(state, exchange, failure.message(), end);
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> entry_session::dispatch(
+    call_state& state,
+    peer_exchange& exchange,
+    std::string head,
+    attempt_end& end)
+{
+    const bool chunked =
+        !state.call_.idempotent_ || state.call_.framing_.chunked_;
+    limit_silence(state, settings().silence_timeout_);
+    end.not_run_ = false;
+    // After a failed write the gate may still have answered.
+    co_await exchange.send(std::move(head), chunked);
+    if (state.body_.received())
+    {
+        watch_client();
+    }
+    const auto failure = co_await exchange.read_answer_head(
+        false, state.call_.to_head_request_,
+        [&]
+        {
+            limit_silence(state, settings().silence_timeout_);
+            if (state.body_.received())
+            {
+                watch_client();
+            }
+        });
+    if (failure)
+    {
+        lose_gate(state, exchange, failure.message(), end);
+    }
+    co_return !failure;
+}
+
+asio::awaitable<void> entry_session::take_answer(
+    call_state& state, peer_exchange& exchange, attempt_end& end)
+{
+    const response_head& head = exchange.answer().get();
+    if (!answers_request(head, state.call_.request_id_))
+    {
+        lose_gate(state, exchange, "the answer is to another request", end);
+        co_return;
+    }
+    end.report_ = report_of(head);
+    const auto refusal = refusal_of(head);
+    if (refusal)
+    {
+        end.failure_ = {refusal->kind_, "refused by the gate"};
+        end.not_run_ = refusal->not_run_;
+        decide(state, end);
+    }
+    if (refusal && end.decision_.retry())
+    {
+        co_await exchange.drop_answer();
+        co_return;
+    }
+    co_await pass_answer(state, exchange, end);
+}
+
+asio::awaitable<void> entry_session::pass_answer(
+    call_state& state, peer_exchange& exchange, attempt_end& end)
+{
+    auto& answer = exchange.answer();
+    const auto refusal = refusal_of(answer.get());
+    const auto framing = answer_framing(
+        answer, state.call_.to_head_request_, state.call_.version_);
+    const bool keep = can_keep(state.request_) && exchange.request_sent();
+    auto head =
+        caller_head(answer.get(), framing, state.call_.request_id_, keep);
+    limit(state.call_.deadline_);
+    const auto relayed =
+        co_await exchange.relay_answer(std::move(head), framing.chunked_);
+    if (relayed == relay_end::complete)
+    {
+        end.answered_ = true;
+        end.keep_connection_ = keep;
+        count_call(
+            state, refusal ? answer_for(refusal->kind_).name_
+                           : std::string_view{"ok"});
+        co_return;
+    }
+    end.not_run_ = false;
+    lose_gate(state, exchange, "the answer is not whole", end);
+    if (exchange.answer_begun())
+    {
+        end.answered_ = true;
+        count_call(state, "cut");
+        client().reset();
+    }
+}
+
+void entry_session::lose_gate(
+    call_state& state,
+    peer_exchange& exchange,
+    const std::string& what,
+    attempt_end& end)
+{
+    const bool late = now() >= state.call_.deadline_;
+    const bool silent = stopped() == stop_reason::time_limit && !late;
+    if (silent)
+    {
+        // Connections to one peer tend to go silent together.
+        environment_.gates_.close_idle(exchange.peer().peer());
+    }
+    end.report_.outcome_ =
+        caller_is_gone() ? call_outcome::cancelled : call_outcome::failed;
+    end.failure_.message_ = fmt::format(
+        "gate {}: {}", to_string(exchange.peer().peer()),
+        silent ? "no answer in time" : what);
+    end.failure_.kind_ = error_kind::outcome_unknown;
+    if (end.not_run_)
+    {
+        end.failure_.kind_ =
+            late ? error_kind::deadline_exceeded : error_kind::gate_unreachable;
+    }
+    if (exchange.client_failure() && stopped() == stop_reason::none)
+    {
+        end.failure_ = body_error(exchange.client_failure());
+        end.report_.outcome_ = call_outcome::cancelled;
+    }
+    decide(state, end);
+}
+
+void entry_session::decide(call_state& state, attempt_end& end)
+{
+    failed_attempt attempt;
+    attempt.kind_ = end.failure_.kind_;
+    attempt.not_run_ = end.not_run_;
+    attempt.idempotent_ = state.call_.idempotent_;
+    attempt.body_held_ = state.body_.resendable();
+    attempt.attempts_ = state.attempts_;
+    attempt.deadline_ = state.call_.deadline_;
+    end.decision_ =
+        environment_.router_.decide_retry(*state.call_.route_, attempt, now());
+    if (!end.decision_.retry())
+    {
+        environment_.metrics_.add(
+            metric_id::retries_denied, to_string(end.decision_.reason_));
+    }
+}
+
+void entry_session::limit_silence(
+    const call_state& state, std::chrono::milliseconds longest)
+{
+    limit(std::min(state.call_.deadline_, now() + longest));
+}
+
+void entry_session::count_call(
+    const call_state& state, std::string_view outcome)
+{
+    environment_.metrics_.add(metric_id::calls, outcome);
+    environment_.metrics_.observe(
+        metric_id::call_duration, to_string(state.call_.route_->route_->class_),
+        std::chrono::duration<double>(now() - state.call_.started_).count());
+}
+
+bool entry_session::caller_is_gone() const
+{
+    return stopped() == stop_reason::client_gone ||
+           stopped() == stop_reason::node_stops;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/http/entry_session.hpp
@@ -0,0 +1,110 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_ENTRY_SESSION_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_ENTRY_SESSION_HPP
+
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "adapters/http/call_quota.hpp"
+#include "adapters/http/call_router.hpp"
+#include "adapters/http/connection_pool.hpp"
+#include "adapters/http/entry_call.hpp"
+#include "adapters/http/peer_exchange.hpp"
+#include "adapters/http/relay_session.hpp"
+#include "adapters/http/request_body.hpp"
+#include "hemlockshelf/config/snapshot_store.hpp"
+#include "hemlockshelf/core/metric_sink.hpp"
+#include "hemlockshelf/retry/retry_settings.hpp"
+
+namespace hemlockshelf {
+
+/// What the sessions of an entry share.
+struct entry_environment
+{
+    const call_settings& settings_;
+    const retry_settings& retry_;
+    const clock& time_;
+    const snapshot_store& snapshots_;
+    call_router& router_;
+    connection_pool& gates_;
+    call_quota& quota_;
+    metric_sink& metrics_;
+    session_group& group_;
+    vm_id vm_;
+    std::string source_address_;
+};
+
+/// A caller's connection. Passes each request to a gate.
+class entry_session final : public relay_session
+{
+public:
+    entry_session(
+        http_connection::socket_type socket, entry_environment& environment);
+
+protected:
+    boost::asio::awaitable<bool> serve(request_parser& request) override;
+
+private:
+    /// How one attempt ended.
+    struct attempt_end
+    {
+        /// Whether an answer to the caller has begun.
+        bool answered_ = false;
+        bool keep_connection_ = false;
+        error failure_;
+        /// Whether the failure proves that the request was not run.
+        bool not_run_ = true;
+        retry_decision decision_;
+        call_report report_;
+    };
+
+    struct call_state
+    {
+        request_parser& request_;
+        entry_call call_;
+        request_body body_;
+        unsigned attempts_ = 0;
+    };
+
+    boost::asio::awaitable<bool> run_attempts(call_state& state);
+    boost::asio::awaitable<bool>
+    fail(const request_parser& request, error failure, bool not_run);
+    boost::asio::awaitable<bool>
+    finish_failed(call_state& state, attempt_end& end);
+    boost::asio::awaitable<void>
+    try_gate(call_state& state, const gate_choice& choice, attempt_end& end);
+    boost::asio::awaitable<void>
+    use_gate(call_state& state, peer_exchange& exchange, attempt_end& end);
+    boost::asio::awaitable<bool> await_continue(
+        call_state& state,
+        peer_exchange& exchange,
+        std::string head,
+        attempt_end& end);
+    boost::asio::awaitable<bool> dispatch(
+        call_state& state,
+        peer_exchange& exchange,
+        std::string head,
+        attempt_end& end);
+    boost::asio::awaitable<void>
+    take_answer(call_state& state, peer_exchange& exchange, attempt_end& end);
+    boost::asio::awaitable<void>
+    pass_answer(call_state& state, peer_exchange& exchange, attempt_end& end);
+
+    void lose_gate(
+        call_state& state,
+        peer_exchange& exchange,
+        const std::string& what,
+        attempt_end& end);
+    void decide(call_state& state, attempt_end& end);
+    void
+    limit_silence(const call_state& state, std::chrono::milliseconds longest);
+    void count_call(const call_state& state, std::string_view outcome);
+    [[nodiscard]] bool caller_is_gone() const;
+
+    entry_environment& environment_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/http/gate_call_head.cpp
@@ -0,0 +1,100 @@
+#include "adapters/http/gate_call_head.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/beast/core/string.hpp>
+#include <fmt/format.h>
+
+#include "adapters/http/headers.hpp"
+
+namespace hemlockshelf {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+result<std::chrono::milliseconds> time_left_of(const request_head& head)
+{
+    const auto text = field_value(head, headers::deadline_ms);
+    const auto given = parse_milliseconds(text);
+    if (!given)
+    {
+        return make_error(
+            error_kind::bad_request,
+            fmt::format(
+                "gate: Hemlockshelf-Deadline-Ms: expected a number of "
+                "milliseconds, given \"{}\"",
+                text));
+    }
+    return std::chrono::milliseconds(*given);
+}
+
+void prepare_head(gate_request& prepared, request_head& head)
+{
+    remove_connection_headers(head);
+    remove_node_headers(head, true);
+    head.erase(headers::deadline_ms);
+    append_head(prepared.head_, head);
+}
+
+} // namespace
+
+result<gate_request> read_gate_request(request_parser& request, steady_time now)
+{
+    request_head& head = request.get();
+    const auto checked = check_transfer_coding(head);
+    if (!checked)
+    {
+        return tl::unexpected<error>(checked.error());
+    }
+    const auto time_left = time_left_of(head);
+    if (!time_left)
+    {
+        return tl::unexpected<error>(time_left.error());
+    }
+    gate_request read;
+    read.call_.account_ =
+        client_account_id{std::string(field_value(head, headers::account))};
+    read.call_.entry_vm_ =
+        vm_id{std::string(field_value(head, headers::entry_vm))};
+    read.call_.class_ =
+        find_traffic_class(field_value(head, headers::traffic_class))
+            .value_or(traffic_class::standard);
+    read.call_.deadline_ = now + *time_left;
+    read.pool_ = field_value(head, headers::pool);
+    read.request_id_ = field_value(head, headers::request_id);
+    const auto key = field_value(head, headers::idempotency_key);
+    if (!key.empty())
+    {
+        read.idempotency_ = make_idempotency_id(read.call_.account_, key);
+    }
+    read.framing_.chunked_ = request.chunked();
+    if (const auto length = request.content_length())
+    {
+        read.framing_.length_ = *length;
+    }
+    read.handshake_ = beast::iequals(head[http::field::expect], "100-continue");
+    read.to_head_request_ = head.method() == http::verb::head;
+    read.version_ = head.version();
+    prepare_head(read, head);
+    return read;
+}
+
+std::string
+upstream_head(const gate_request& request, std::chrono::nanoseconds time_left)
+{
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
+    constexpr std::int64_t least = 1;
+    std::string head = request.head_;
+    append_field(
+        head, headers::deadline_ms,
+        static_cast<std::uint64_t>(std::max(milliseconds.count(), least)));
+    append_framing(head, request.framing_);
+    head.append("\r\n");
+    return head;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/http/gate_session.cpp
@@ -0,0 +1,473 @@
+#include "adapters/http/gate_session.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include "adapters/http/headers.hpp"
+#include "hemlockshelf/core/error_table.hpp"
+
+namespace hemlockshelf {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::string_view progress_answer = "HTTP/1.1 102 Processing\r\n\r\n";
+
+/// What the gate has decided about a queued call. Used on the session's thread.
+struct queue_decision
+{
+    bool decided_ = false;
+    std::optional<refusal_reason> reason_;
+};
+
+std::string refusal_message(refusal_reason reason)
+{
+    return fmt::format("gate: refused ({})", to_string(reason));
+}
+
+std::optional<error> duplicate_error(idempotency_verdict verdict)
+{
+    switch (verdict)
+    {
+    case idempotency_verdict::run:
+        return std::nullopt;
+    case idempotency_verdict::running:
+        return error{
+            error_kind::duplicate_request,
+            "gate: a request with this Idempotency-Key is running"};
+    case idempotency_verdict::finished:
+        return error{
+            error_kind::duplicate_request,
+            "gate: a request with this Idempotency-Key has run"};
+    case idempotency_verdict::full:
+        break;
+    }
+    return error{error_kind::overloaded, "gate: no idempotency record is free"};
+}
+
+} // namespace
+
+gate_session::gate_session(
+    http_connection::socket_type socket, gate_environment& environment)
+    : relay_session(
+          std::move(socket),
+          environment.settings_,
+          environment.time_,
+          environment.group_),
+      environment_(environment),
+      progress_timer_(client().socket().get_executor())
+{}
+
+asio::awaitable<bool> gate_session::serve(request_parser& request)
+{
+    auto read = read_gate_request(request, now());
+    if (!read)
+    {
+        auto failure = std::move(read.error());
+        co_return co_await refuse(request, std::move(failure));
+    }
+    limit(read->call_.deadline_);
+    request_body body(
+        client(), request, settings().relay_buffer_bytes_,
+        settings().relay_buffer_bytes_);
+    if (read->handshake_)
+    {
+        body.expect_continue();
+    }
+    call_state state{request, std::move(*read), std::move(body)};
+    report_progress(true);
+    const bool usable = co_await run(state);
+    report_progress(false);
+    co_return usable;
+}
+
+asio::awaitable<bool> gate_session::run(call_state& state)
+{
+    gate_call_id id;
+    auto failed = co_await admit(state, id);
+    if (failed)
+    {
+        co_return co_await fail(state, std::move(*failed));
+    }
+    const slot_lease slot(environment_.gate_, id);
+    failed = co_await await_body(state);
+    if (!failed)
+    {
+        failed = begin_request(state);
+    }
+    if (failed)
+    {
+        co_return co_await fail(state, std::move(*failed));
+    }
+    const bool keep = co_await try_upstream(state, failed);
+    if (failed)
+    {
+        co_return co_await fail(state, std::move(*failed));
+    }
+    co_return keep;
+}
+
+asio::awaitable<std::optional<gate_session::call_failure>>
+gate_session::admit(call_state& state, gate_call_id& id)
+{
+    const auto pending = std::make_shared<queue_decision>();
+    const auto self =
+        std::static_pointer_cast<gate_session>(shared_from_this());
+    const auto answer = environment_.gate_.offer(
+        state.request_.call_,
+        [self, pending](std::optional<refusal_reason> reason)
+        {
+            asio::post(
+                self->client().socket().get_executor(),
+                [self, pending, reason]
+                {
+                    *pending = {true, reason};
+                    self->wake();
+                });
+        });
+    id = answer.id_;
+    if (answer.admission_ == admission::refused)
+    {
+        co_return call_failure{
+            {refusal_kind(answer.reason_), refusal_message(answer.reason_)}};
+    }
+    if (answer.admission_ == admission::admitted)
+    {
+        co_return std::nullopt;
+    }
+    watch_client();
+    while (!pending->decided_ && stopped() == stop_reason::none)
+    {
+        co_await pause(steady_time::max());
+    }
+    if (!pending->decided_)
+    {
+        environment_.gate_.withdraw(id);
+        co_return call_failure{
+            {error_kind::deadline_exceeded,
+             "gate: the deadline passed in the queue"}};
+    }
+    if (pending->reason_)
+    {
+        co_return call_failure{
+            {refusal_kind(*pending->reason_),
+             refusal_message(*pending->reason_)}};
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<gate_session::call_failure>>
+gate_session::await_body(call_state& state)
+{
+    if (state.request_.handshake_)
+    {
+        report_progress(false);
+        limit(std::min(
+            state.request_.call_.deadline_,
+            now() + settings().first_byte_timeout_));
+        const auto failure = co_await state.body_.await_first();
+        if (failure)
+        {
+            co_return call_failure{
+                {error_kind::deadline_exceeded,
+                 "gate: no body after the 100: " + failure.message()}};
+        }
+        limit(state.request_.call_.deadline_);
+        report_progress(true);
+    }
+    if (late(state))
+    {
+        co_return call_failure{
+            {error_kind::deadline_exceeded, "gate: the deadline has passed"}};
+    }
+    // Guards against work for an entry that has given up while this process
+    // was paused.
+    if (client().look() == connection_look::closed)
+    {
+        stop(stop_reason::client_gone);
+        co_return call_failure{
+            {error_kind::deadline_exceeded, "gate: the entry has gone"}};
+    }
+    co_return std::nullopt;
+}
+
+std::optional<gate_session::call_failure>
+gate_session::begin_request(const call_state& state)
+{
+    const auto& id = state.request_.idempotency_;
+    if (!id)
+    {
+        return std::nullopt;
+    }
+    auto failure = duplicate_error(
+        environment_.gate_.begin_request(state.request_.call_.account_, *id));
+    if (!failure)
+    {
+        return std::nullopt;
+    }
+    return call_failure{std::move(*failure)};
+}
+
+void gate_session::end_request(const call_state& state, bool not_run)
+{
+    const auto& id = state.request_.idempotency_;
+    if (id && not_run)
+    {
+        environment_.gate_.abandon_request(*id);
+    }
+    else if (id)
+    {
+        environment_.gate_.finish_request(*id);
+    }
+}
+
+asio::awaitable<bool> gate_session::try_upstream(
+    call_state& state, std::optional<call_failure>& failed)
+{
+    auto lease = co_await take_connection(state);
+    if (!lease)
+    {
+        failed = call_failure{std::move(lease.error())};
+        end_request(state, true);
+        co_return false;
+    }
+    peer_exchange exchange(
+        client(), state.body_, std::move(*lease), settings());
+    on_stop(
+        [&exchange]
+        {
+            exchange.interrupt();
+        });
+    attempt_end end;
+    co_await use_upstream(state, exchange, end);
+    co_await exchange.close_request();
+    on_stop({});
+    exchange.finish(now());
+    end_request(state, end.not_run_);
+    failed = std::move(end.failed_);
+    co_return end.keep_connection_;
+}
+
+asio::awaitable<result<connection_lease>>
+gate_session::take_connection(call_state& state)
+{
+    while (stopped() == stop_reason::none && !late(state))
+    {
+        auto offer = environment_.gate_.take_connection(
+            client().socket().get_executor());
+        if (!offer)
+        {
+            co_return tl::unexpected<error>(std::move(offer.error()));
+        }
+        if (offer->lease_)
+        {
+            co_return std::move(*offer->lease_);
+        }
+        co_await pause(offer->retry_at_);
+    }
+    co_return make_error(
+        error_kind::deadline_exceeded,
+        "gate: no connection to the upstream before the deadline");
+}
+
+asio::awaitable<void> gate_session::use_upstream(
+    call_state& state, peer_exchange& exchange, attempt_end& end)
+{
+    limit(std::min(
+        state.request_.call_.deadline_, now() + settings().connect_timeout_));
+    const auto connected =
+        co_await exchange.connect(environment_.source_address_);
+    if (!connected || late(state) || stopped() != stop_reason::none)
+    {
+        end.failed_ = call_failure{
+            {connected ? error_kind::deadline_exceeded
+                       : error_kind::no_upstream,
+             connected ? "gate: the deadline has passed"
+                       : connected.error().message_}};
+        end.not_run_ = true;
+        co_return;
+    }
+    environment_.metrics_.add(
+        metric_id::gate_admissions, to_string(state.request_.call_.class_));
+    limit(state.request_.call_.deadline_);
+    auto head =
+        upstream_head(state.request_, state.request_.call_.deadline_ - now());
+    // After a failed write the upstream may still have answered.
+    co_await exchange.send(std::move(head), state.request_.framing_.chunked_);
+    if (state.body_.received())
+    {
+        watch_client();
+    }
+    const auto failure = co_await exchange.read_answer_head(
+        false, state.request_.to_head_request_);
+    report_progress(false);
+    if (failure)
+    {
+        end.failed_ = upstream_failure(exchange, failure.message());
+        co_return;
+    }
+    co_await pass_answer(state, exchange, end);
+}
+
+asio::awaitable<void> gate_session::pass_answer(
+    call_state& state, peer_exchange& exchange, attempt_end& end)
+{
+    auto& answer = exchange.answer();
+    const auto echoed = field_value(answer.get(), headers::request_id);
+    if (!echoed.empty() && echoed != state.request_.request_id_)
+    {
+        end.failed_ =
+            upstream_failure(exchange, "the answer is to another request");
+        co_return;
+    }
+    end.not_run_ = answer.get().result() == http::status::service_unavailable &&
+                   environment_.shed_is_not_run_(state.request_.pool_);
+    const auto framing = answer_framing(
+        answer, state.request_.to_head_request_, state.request_.version_);
+    end.keep_connection_ = can_keep(state.parser_) && exchange.request_sent();
+    auto head = answer_head(state, answer.get(), framing, end);
+    const auto relayed =
+        co_await exchange.relay_answer(std::move(head), framing.chunked_);
+    if (relayed == relay_end::complete)
+    {
+        co_return;
+    }
+    end.keep_connection_ = false;
+    if (exchange.answer_begun())
+    {
+        client().reset();
+        co_return;
+    }
+    end.not_run_ = false;
+    end.failed_ = upstream_failure(exchange, "the answer is not whole");
+}
+
+asio::awaitable<bool>
+gate_session::fail(call_state& state, call_failure failure)
+{
+    report_progress(false);
+    if (stopped() == stop_reason::client_gone)
+    {
+        co_return false;
+    }
+    environment_.metrics_.add(
+        metric_id::refusals, answer_for(failure.error_.kind_).name_);
+    const auto fields = gate_fields(state);
+    const auto claim =
+        failure.not_run_ ? not_run_claim::by_kind : not_run_claim::never;
+    co_return co_await refuse(
+        state.parser_, std::move(failure.error_), claim, fields);
+}
+
+gate_session::call_failure gate_session::upstream_failure(
+    const peer_exchange& exchange, const std::string& what) const
+{
+    const bool out_of_time = stopped() == stop_reason::time_limit;
+    return {
+        {out_of_time ? error_kind::outcome_unknown
+                     : error_kind::upstream_failed,
+         fmt::format(
+             "upstream {}: {}", to_string(exchange.peer().peer()),
+             out_of_time ? "no answer before the deadline" : what)},
+        false};
+}
+
+std::string gate_session::answer_head(
+    const call_state& state,
+    response_head& head,
+    const body_framing& framing,
+    const attempt_end& end) const
+{
+    remove_connection_headers(head);
+    remove_node_headers(head, false);
+    std::string text;
+    append_head(text, head);
+    if (end.not_run_)
+    {
+        append_field(
+            text, headers::error, answer_for(error_kind::overloaded).name_);
+        append_field(text, headers::not_run, "true");
+    }
+    text.append(gate_fields(state));
+    append_framing(text, framing);
+    if (!end.keep_connection_)
+    {
+        append_field(text, "Connection", "close");
+    }
+    text.append("\r\n");
+    return text;
+}
+
+std::string gate_session::gate_fields(const call_state& state) const
+{
+    std::string fields;
+    append_field(fields, headers::request_id, state.request_.request_id_);
+    append_field(
+        fields, headers::free_slots,
+        std::uint64_t{environment_.gate_.free_slots()});
+    return fields;
+}
+
+bool gate_session::late(const call_state& state) const
+{
+    return now() >= state.request_.call_.deadline_;
+}
+
+void gate_session::report_progress(bool on)
+{
+    reporting_ = on;
+    reporting_since_ = now();
+    if (on && !progress_armed_)
+    {
+        arm_progress();
+    }
+}
+
+void gate_session::arm_progress()
+{
+    progress_armed_ = true;
+    progress_timer_.expires_after(settings().progress_interval_);
+    const std::weak_ptr<relay_session> weak = weak_from_this();
+    progress_timer_.async_wait(
+        [this, weak](const error_code& failure)
+        {
+            const auto self = weak.lock();
+            if (self && !failure)
+            {
+                send_progress();
+            }
+        });
+}
+
+void gate_session::send_progress()
+{
+    progress_armed_ = false;
+    if (!reporting_)
+    {
+        return;
+    }
+    arm_progress();
+    if (now() - reporting_since_ < settings().progress_interval_ / 2)
+    {
+        return;
+    }
+    const auto sent = ::send(
+        client().socket().native_handle(), progress_answer.data(),
+        progress_answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent != static_cast<ssize_t>(progress_answer.size()))
+    {
+        stop(stop_reason::client_gone);
+    }
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/http/gate_session.hpp
@@ -0,0 +1,109 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_GATE_SESSION_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_GATE_SESSION_HPP
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/http/gate_call_head.hpp"
+#include "adapters/http/peer_exchange.hpp"
+#include "adapters/http/relay_session.hpp"
+#include "adapters/http/request_body.hpp"
+#include "adapters/http/upstream_gate.hpp"
+#include "hemlockshelf/core/metric_sink.hpp"
+
+namespace hemlockshelf {
+
+/// What the sessions of a gate share.
+struct gate_environment
+{
+    const call_settings& settings_;
+    const clock& time_;
+    upstream_gate& gate_;
+    /// Whether a pool's row says `shed_is_not_run`.
+    std::function<bool(std::string_view)> shed_is_not_run_;
+    metric_sink& metrics_;
+    session_group& group_;
+    std::string source_address_;
+};
+
+/// An entry's connection. Passes each request to the node's own upstream.
+class gate_session final : public relay_session
+{
+public:
+    gate_session(
+        http_connection::socket_type socket, gate_environment& environment);
+
+protected:
+    boost::asio::awaitable<bool> serve(request_parser& request) override;
+
+private:
+    struct call_state
+    {
+        request_parser& parser_;
+        gate_request request_;
+        request_body body_;
+    };
+
+    /// A failure, and whether the request was not run.
+    struct call_failure
+    {
+        error error_;
+        bool not_run_ = true;
+    };
+
+    /// How the use of the upstream ended.
+    struct attempt_end
+    {
+        std::optional<call_failure> failed_;
+        /// Whether the upstream certainly did not run the request.
+        bool not_run_ = false;
+        bool keep_connection_ = false;
+    };
+
+    boost::asio::awaitable<bool> run(call_state& state);
+    boost::asio::awaitable<std::optional<call_failure>>
+    admit(call_state& state, gate_call_id& id);
+    boost::asio::awaitable<std::optional<call_failure>>
+    await_body(call_state& state);
+    boost::asio::awaitable<bool>
+    try_upstream(call_state& state, std::optional<call_failure>& failed);
+    boost::asio::awaitable<result<connection_lease>>
+    take_connection(call_state& state);
+    boost::asio::awaitable<void>
+    use_upstream(call_state& state, peer_exchange& exchange, attempt_end& end);
+    boost::asio::awaitable<void>
+    pass_answer(call_state& state, peer_exchange& exchange, attempt_end& end);
+    boost::asio::awaitable<bool> fail(call_state& state, call_failure failure);
+
+    [[nodiscard]] call_failure upstream_failure(
+        const peer_exchange& exchange, const std::string& what) const;
+    std::optional<call_failure> begin_request(const call_state& state);
+    void end_request(const call_state& state, bool not_run);
+    [[nodiscard]] std::string answer_head(
+        const call_state& state,
+        response_head& head,
+        const body_framing& framing,
+        const attempt_end& end) const;
+    [[nodiscard]] std::string gate_fields(const call_state& state) const;
+    [[nodiscard]] bool late(const call_state& state) const;
+
+    /// Says whether the entry waits and must be told that work goes on.
+    void report_progress(bool on);
+    void arm_progress();
+    void send_progress();
+
+    gate_environment& environment_;
+    boost::asio::steady_timer progress_timer_;
+    bool progress_armed_ = false;
+    bool reporting_ = false;
+    steady_time reporting_since_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/http/http_connection.cpp
@@ -0,0 +1,114 @@
+#include "adapters/http/http_connection.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace hemlockshelf {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t read_bytes = std::size_t{8} * 1024;
+
+} // namespace
+
+http_connection::http_connection(
+    socket_type socket, std::size_t max_header_bytes)
+    : socket_(std::move(socket)), buffer_(max_header_bytes + read_bytes)
+{}
+
+asio::awaitable<error_code> http_connection::fill()
+{
+    error_code failure;
+    if (interrupted_)
+    {
+        co_return asio::error::operation_aborted;
+    }
+    const auto room = buffer_.max_size() - buffer_.size();
+    if (room == 0)
+    {
+        co_return asio::error::no_buffer_space;
+    }
+    const auto space = buffer_.prepare(std::min(room, read_bytes));
+    const auto count = co_await socket_.async_read_some(
+        space, asio::redirect_error(asio::use_awaitable, failure));
+    buffer_.commit(count);
+    co_return failure;
+}
+
+asio::awaitable<error_code> http_connection::write(
+    asio::const_buffer first,
+    asio::const_buffer second,
+    asio::const_buffer third,
+    asio::const_buffer fourth)
+{
+    error_code failure;
+    if (interrupted_)
+    {
+        co_return asio::error::operation_aborted;
+    }
+    const std::array<asio::const_buffer, 4> buffers{
+        first, second, third, fourth};
+    co_await asio::async_write(
+        socket_, buffers, asio::redirect_error(asio::use_awaitable, failure));
+    co_return failure;
+}
+
+void http_connection::interrupt()
+{
+    interrupted_ = true;
+    error_code ignored;
+    socket_.cancel(ignored);
+}
+
+void http_connection::resume() noexcept
+{
+    interrupted_ = false;
+}
+
+void http_connection::close()
+{
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+void http_connection::reset()
+{
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+}
+
+connection_look http_connection::look()
+{
+    if (buffer_.size() > 0)
+    {
+        return connection_look::readable;
+    }
+    if (!socket_.is_open())
+    {
+        return connection_look::closed;
+    }
+    char byte = 0;
+    const auto count =
+        ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+    {
+        return connection_look::readable;
+    }
+    const bool nothing_yet =
+        count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return nothing_yet ? connection_look::quiet : connection_look::closed;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/http/http_connection.hpp
@@ -0,0 +1,74 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_HTTP_CONNECTION_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_HTTP_CONNECTION_HPP
+
+#include <cstddef>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace hemlockshelf {
+
+/// What a look at a connection without a pending answer shows.
+enum class connection_look
+{
+    quiet,
+    readable,
+    closed,
+};
+
+/// A TCP connection with the bytes that were read from it and not yet parsed.
+/// Used by one coroutine per direction, all on one thread.
+class http_connection
+{
+public:
+    using socket_type = boost::asio::ip::tcp::socket;
+
+    /// The buffer has room for a whole header and what came with it.
+    http_connection(socket_type socket, std::size_t max_header_bytes);
+
+    [[nodiscard]] socket_type& socket() noexcept
+    {
+        return socket_;
+    }
+
+    /// Bytes that were read and not yet consumed.
+    [[nodiscard]] boost::beast::flat_buffer& buffer() noexcept
+    {
+        return buffer_;
+    }
+
+    /// Reads at least one byte into the buffer.
+    boost::asio::awaitable<boost::system::error_code> fill();
+
+    /// Writes up to four buffers completely.
+    boost::asio::awaitable<boost::system::error_code> write(
+        boost::asio::const_buffer first,
+        boost::asio::const_buffer second = {},
+        boost::asio::const_buffer third = {},
+        boost::asio::const_buffer fourth = {});
+
+    /// Ends the operations in progress and fails later ones until `resume`.
+    void interrupt();
+    void resume() noexcept;
+
+    void close();
+    /// Closes with a reset, so that the peer can't take a cut message whose
+    /// end is marked by the end of the connection for a whole one.
+    void reset();
+
+    /// Tells, without consuming anything, whether bytes or the end of the
+    /// connection wait to be read.
+    [[nodiscard]] connection_look look();
+
+private:
+    socket_type socket_;
+    boost::beast::flat_buffer buffer_;
+    bool interrupted_ = false;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/http/peer_exchange.cpp
@@ -0,0 +1,290 @@
+#include "adapters/http/peer_exchange.hpp"
+
+#include <charconv>
+#include <exception>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace hemlockshelf {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// Bounds what a peer can send without ever answering.
+constexpr unsigned max_interim_answers = 1000;
+constexpr std::string_view line_end = "\r\n";
+constexpr std::string_view last_chunk = "0\r\n\r\n";
+constexpr std::string_view line_end_and_last_chunk = "\r\n0\r\n\r\n";
+
+asio::const_buffer to_buffer(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Writes the size line of a chunk into `line`.
+std::string_view size_line(std::array<char, 24>& line, std::size_t size)
+{
+    constexpr int hexadecimal = 16;
+    auto* end = std::to_chars(
+                    line.data(), line.data() + line.size() - line_end.size(),
+                    size, hexadecimal)
+                    .ptr;
+    *end++ = '\r';
+    *end++ = '\n';
+    return {line.data(), static_cast<std::size_t>(end - line.data())};
+}
+
+struct chunk_frame
+{
+    std::string_view before_;
+    std::string_view after_;
+};
+
+/// Returns the lines around a piece of a body.
+chunk_frame frame_piece(
+    std::array<char, 24>& line, std::size_t size, bool chunked, bool last)
+{
+    if (!chunked)
+    {
+        return {};
+    }
+    if (size == 0)
+    {
+        return {{}, last ? last_chunk : std::string_view{}};
+    }
+    return {size_line(line, size), last ? line_end_and_last_chunk : line_end};
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(
+    http_connection& client,
+    request_body& body,
+    connection_lease peer,
+    const call_settings& settings)
+    : client_(client), body_(body), peer_(std::move(peer)), settings_(settings),
+      pump_ended_(client_.socket().get_executor())
+{}
+
+asio::awaitable<result<void>> peer_exchange::connect(const std::string& source)
+{
+    if (peer_.reused())
+    {
+        co_return result<void>{};
+    }
+    co_return co_await peer_.connect(source);
+}
+
+asio::awaitable<error_code> peer_exchange::send_head(std::string head)
+{
+    co_return co_await peer_.connection().write(to_buffer(head));
+}
+
+asio::awaitable<error_code> peer_exchange::send(std::string head, bool chunked)
+{
+    chunked_ = chunked;
+    const auto piece = body_.next_at_hand(client_failure_);
+    if (client_failure_)
+    {
+        co_return client_failure_;
+    }
+    const auto failure = co_await write_piece(head, piece);
+    if (!failure && !request_sent_)
+    {
+        start_pump();
+    }
+    co_return failure;
+}
+
+asio::awaitable<error_code>
+peer_exchange::write_piece(std::string_view head, std::span<const char> piece)
+{
+    const bool last = body_.finished();
+    const auto around =
+        frame_piece(request_line_, piece.size(), chunked_, last);
+    body_released_ = body_released_ || !piece.empty() || last;
+    const auto failure = co_await peer_.connection().write(
+        to_buffer(head), to_buffer(around.before_),
+        asio::const_buffer(piece.data(), piece.size()),
+        to_buffer(around.after_));
+    request_sent_ = last && !failure;
+    co_return failure;
+}
+
+void peer_exchange::start_pump()
+{
+    pumping_ = true;
+    pump_ended_.expires_at(asio::steady_timer::time_point::max());
+    asio::co_spawn(
+        client_.socket().get_executor(), pump(),
+        [this](const std::exception_ptr& failure)
+        {
+            if (failure)
+            {
+                interrupt();
+            }
+            pumping_ = false;
+            pump_ended_.cancel();
+        });
+}
+
+asio::awaitable<void> peer_exchange::pump()
+{
+    while (!closing_ && !request_sent_)
+    {
+        const auto piece = co_await body_.next(client_failure_);
+        if (client_failure_)
+        {
+            // The rest of the request will not come, so that no answer to it
+            // may be taken for one to the whole request.
+            interrupt();
+            co_return;
+        }
+        const auto failure = co_await write_piece({}, piece);
+        if (failure)
+        {
+            // The peer may have answered before it closed the connection.
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<error_code> peer_exchange::read_answer_head(
+    bool until_continue,
+    bool to_head_request,
+    const std::function<void()>& on_interim)
+{
+    for (unsigned interim = 0; interim < max_interim_answers; ++interim)
+    {
+        answer_.emplace();
+        answer_->header_limit(settings_.max_header_bytes_);
+        answer_->body_limit(boost::none);
+        answer_->skip(to_head_request);
+        const auto failure = co_await read_head(peer_.connection(), *answer_);
+        if (failure)
+        {
+            co_return failure;
+        }
+        const auto status = answer_->get().result();
+        if (status == http::status::switching_protocols ||
+            !check_transfer_coding(answer_->get()))
+        {
+            co_return http::error::bad_status;
+        }
+        if (http::to_status_class(status) !=
+                http::status_class::informational ||
+            (until_continue && status == http::status::continue_))
+        {
+            co_return error_code{};
+        }
+        if (on_interim)
+        {
+            on_interim();
+        }
+    }
+    co_return http::error::bad_status;
+}
+
+asio::awaitable<relay_end>
+peer_exchange::relay_answer(std::string head, bool chunked)
+{
+    const auto memory =
+        std::make_unique_for_overwrite<char[]>(settings_.relay_buffer_bytes_);
+    const std::span<char> space(memory.get(), settings_.relay_buffer_bytes_);
+    std::string_view start = head;
+    error_code failure;
+    auto count = parse_body(peer_.connection(), *answer_, space, failure);
+    while (true)
+    {
+        if (failure)
+        {
+            co_return relay_end::peer_failed;
+        }
+        const bool last = answer_->is_done();
+        const auto around = frame_piece(answer_line_, count, chunked, last);
+        answer_begun_ = true;
+        const auto unwritten = co_await client_.write(
+            to_buffer(start), to_buffer(around.before_),
+            asio::const_buffer(space.data(), count), to_buffer(around.after_));
+        if (unwritten)
+        {
+            co_return relay_end::client_failed;
+        }
+        if (last)
+        {
+            answer_whole_ = true;
+            co_return relay_end::complete;
+        }
+        start = {};
+        count =
+            co_await read_body(peer_.connection(), *answer_, space, failure);
+    }
+}
+
+asio::awaitable<bool> peer_exchange::drop_answer()
+{
+    std::vector<char> space(settings_.relay_buffer_bytes_);
+    std::size_t dropped = 0;
+    error_code failure;
+    while (!failure && !answer_->is_done() && dropped < space.size())
+    {
+        dropped +=
+            co_await read_body(peer_.connection(), *answer_, space, failure);
+    }
+    answer_whole_ = !failure && answer_->is_done();
+    co_return answer_whole_;
+}
+
+asio::awaitable<void> peer_exchange::close_request()
+{
+    if (!pumping_)
+    {
+        co_return;
+    }
+    closing_ = true;
+    client_.interrupt();
+    interrupt();
+    error_code ignored;
+    while (pumping_)
+    {
+        co_await pump_ended_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    client_.resume();
+}
+
+void peer_exchange::interrupt()
+{
+    peer_.connection().interrupt();
+}
+
+void peer_exchange::finish(steady_time now)
+{
+    if (reusable())
+    {
+        peer_.give_back(now);
+    }
+    else
+    {
+        peer_.discard();
+    }
+}
+
+bool peer_exchange::reusable() const
+{
+    return answer_ && answer_whole_ && request_sent_ &&
+           answer_->get().keep_alive() && !answer_->get().need_eof() &&
+           peer_.connection().buffer().size() == 0;
+}
+
+} // namespace hemlockshelf
--- a/adapters/http/refusal.cpp
+++ b/adapters/http/refusal.cpp
@@ -1,30 +1,45 @@
 #include "adapters/http/refusal.hpp"
 
+#include <boost/beast/http/status.hpp>
+#include <nlohmann/json.hpp>
+
 #include "adapters/http/headers.hpp"
-#include "adapters/http/json_server.hpp"
+#include "adapters/http/message_head.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 
 namespace hemlockshelf {
 
-http_response call_error_response(const error& failure)
+namespace http = boost::beast::http;
+
+std::string refusal_text(
+    const error& failure,
+    bool may_claim_not_run,
+    bool keep_connection,
+    std::string_view extra_fields)
 {
-    auto response = error_response(failure);
-    if (answer_for(failure.kind_).execution_ == execution::not_run)
+    const auto& answer = answer_for(failure.kind_);
+    // A message may hold bytes of a caller that are not UTF-8.
+    const auto body =
+        nlohmann::json{{"error", answer.name_}, {"message", failure.message_}}
+            .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+        "\n";
+    http::response_header<> head;
+    head.result(static_cast<unsigned>(answer.http_status_));
+    std::string text;
+    append_head(text, head);
+    append_field(text, "Content-Type", "application/json");
+    append_field(text, "Content-Length", body.size());
+    append_field(text, headers::error, answer.name_);
+    if (may_claim_not_run && answer.execution_ == execution::not_run)
     {
-        response.set(headers::not_run, "true");
+        append_field(text, headers::not_run, "true");
     }
-    return response;
-}
-
-void remove_internal_headers(boost::beast::http::fields& fields)
-{
-    for (const auto* name :
-         {headers::not_run, headers::error, headers::pool,
-          headers::traffic_class, headers::entry_vm, headers::attempt,
-          headers::free_slots})
+    if (!keep_connection)
     {
-        fields.erase(name);
+        append_field(text, "Connection", "close");
     }
+    text.append(extra_fields).append("\r\n").append(body);
+    return text;
 }
 
 } // namespace hemlockshelf
--- a/adapters/http/refusal.hpp
+++ b/adapters/http/refusal.hpp
@@ -1,19 +1,21 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_REFUSAL_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_REFUSAL_HPP
 
-#include "adapters/http/http_message.hpp"
+#include <string>
+#include <string_view>
+
 #include "hemlockshelf/core/error.hpp"
 
 namespace hemlockshelf {
 
-/// Makes the answer to a call that ended with an error. It carries the
-/// not-run header if, and only if, the error kind says that the request
-/// cannot have run.
-http_response call_error_response(const error& failure);
-
-/// Removes the headers that only nodes may set from a message of a caller or
-/// an upstream.
-void remove_internal_headers(boost::beast::http::fields& fields);
+/// Makes the whole answer to a call that ended with an error. It carries the
+/// not-run header only if `may_claim_not_run` and the error kind says that the
+/// request cannot have run. `extra_fields` are whole header lines.
+std::string refusal_text(
+    const error& failure,
+    bool may_claim_not_run,
+    bool keep_connection,
+    std::string_view extra_fields);
 
 } // namespace hemlockshelf
 
--- /dev/null
+++ b/adapters/http/relay_session.cpp
@@ -0,0 +1,283 @@
+#include "adapters/http/relay_session.hpp"
+
+#include <chrono>
+#include <exception>
+#include <string>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <spdlog/spdlog.h>
+
+#include "adapters/http/refusal.hpp"
+#include "hemlockshelf/core/error_table.hpp"
+
+namespace hemlockshelf {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// Limits of what is read and dropped before a close, so that the client gets
+// the answer instead of a reset.
+constexpr std::chrono::milliseconds close_timeout{500};
+constexpr std::size_t close_drop_bytes = std::size_t{256} * 1024;
+
+error framing_error(const error_code& failure)
+{
+    if (failure == http::error::header_limit)
+    {
+        return {error_kind::header_too_large, "header: longer than the limit"};
+    }
+    if (failure == http::error::body_limit)
+    {
+        return {error_kind::body_too_large, "body: longer than the limit"};
+    }
+    return {error_kind::bad_request, "request: " + failure.message()};
+}
+
+bool is_framing_error(const error_code& failure)
+{
+    return failure.category() ==
+               make_error_code(http::error::bad_method).category() &&
+           failure != http::error::end_of_stream &&
+           failure != http::error::partial_message;
+}
+
+} // namespace
+
+relay_session::relay_session(
+    http_connection::socket_type socket,
+    const call_settings& settings,
+    const clock& time,
+    session_group& group)
+    : client_(std::move(socket), settings.max_header_bytes_),
+      settings_(settings), time_(time), group_(group),
+      timer_(client_.socket().get_executor()),
+      wake_(client_.socket().get_executor())
+{}
+
+relay_session::~relay_session()
+{
+    group_.remove(this);
+}
+
+void relay_session::start(const std::shared_ptr<relay_session>& session)
+{
+    if (!session->group_.add(
+            session, session->settings_.max_client_connections_))
+    {
+        return;
+    }
+    error_code ignored;
+    session->client_.socket().set_option(
+        asio::ip::tcp::no_delay(true), ignored);
+    asio::co_spawn(
+        session->client_.socket().get_executor(), session->run(),
+        [session](const std::exception_ptr& failure)
+        {
+            if (failure)
+            {
+                spdlog::error("a connection ended with an exception");
+            }
+            session->client_.close();
+            session->timer_.cancel();
+        });
+}
+
+void relay_session::cut()
+{
+    asio::post(
+        client_.socket().get_executor(),
+        [self = shared_from_this()]
+        {
+            self->stop(stop_reason::node_stops);
+            self->client_.close();
+        });
+}
+
+asio::awaitable<void> relay_session::run()
+{
+    bool usable = true;
+    while (usable)
+    {
+        resume();
+        usable = co_await serve_next();
+    }
+    if (stop_ != stop_reason::client_gone && stop_ != stop_reason::node_stops)
+    {
+        co_await close_gently();
+    }
+}
+
+asio::awaitable<bool> relay_session::serve_next()
+{
+    request_parser request;
+    request.header_limit(settings_.max_header_bytes_);
+    request.body_limit(settings_.max_body_bytes_);
+    limit(now() + settings_.idle_timeout_);
+    const auto failure = co_await read_head(client_, request);
+    if (is_framing_error(failure))
+    {
+        auto refusal = framing_error(failure);
+        co_await refuse(request, std::move(refusal));
+    }
+    if (failure)
+    {
+        co_return false;
+    }
+    group_.begin_call();
+    in_call_ = true;
+    const bool usable = co_await serve(request);
+    in_call_ = false;
+    group_.end_call();
+    co_return usable&& stop_ != stop_reason::node_stops;
+}
+
+asio::awaitable<bool> relay_session::refuse(
+    const request_parser& request,
+    error failure,
+    not_run_claim claim,
+    std::string_view extra_fields)
+{
+    const bool keep = can_keep(request);
+    const auto text = refusal_text(
+        failure, claim == not_run_claim::by_kind, keep, extra_fields);
+    resume();
+    limit(now() + settings_.refusal_timeout_);
+    const auto written = co_await client_.write(asio::buffer(text));
+    co_return keep && !written;
+}
+
+void relay_session::limit(steady_time when)
+{
+    limit_ = when;
+    if (!timer_armed_ || armed_until_ > when)
+    {
+        arm_timer(when);
+    }
+}
+
+asio::awaitable<void> relay_session::pause(steady_time until)
+{
+    if (stop_ != stop_reason::none)
+    {
+        co_return;
+    }
+    error_code ignored;
+    wake_.expires_at(until);
+    co_await wake_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void relay_session::wake()
+{
+    wake_.cancel();
+}
+
+void relay_session::watch_client()
+{
+    if (watching_)
+    {
+        return;
+    }
+    watching_ = true;
+    client_.socket().async_wait(
+        asio::socket_base::wait_read,
+        [weak = weak_from_this()](const error_code& failure)
+        {
+            if (const auto self = weak.lock())
+            {
+                self->check_client(!failure);
+            }
+        });
+}
+
+void relay_session::resume()
+{
+    if (stop_ != stop_reason::node_stops)
+    {
+        stop_ = stop_reason::none;
+        client_.resume();
+    }
+}
+
+void relay_session::stop(stop_reason reason)
+{
+    if (stop_ == stop_reason::none)
+    {
+        stop_ = reason;
+    }
+    client_.interrupt();
+    wake();
+    if (stop_action_)
+    {
+        stop_action_();
+    }
+}
+
+bool relay_session::can_keep(const request_parser& request) const
+{
+    return request.is_done() && request.get().keep_alive() &&
+           request.get().version() >= 11 && !group_.draining();
+}
+
+asio::awaitable<void> relay_session::close_gently()
+{
+    error_code ignored;
+    resume();
+    limit(now() + close_timeout);
+    client_.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+    std::size_t dropped = client_.buffer().size();
+    error_code failure;
+    while (!failure && dropped < close_drop_bytes)
+    {
+        client_.buffer().clear();
+        failure = co_await client_.fill();
+        dropped += client_.buffer().size();
+    }
+}
+
+void relay_session::arm_timer(steady_time when)
+{
+    timer_armed_ = true;
+    armed_until_ = when;
+    timer_.expires_at(when);
+    timer_.async_wait(
+        [weak = weak_from_this()](const error_code& failure)
+        {
+            const auto self = weak.lock();
+            if (self && !failure)
+            {
+                self->check_time();
+            }
+        });
+}
+
+void relay_session::check_time()
+{
+    timer_armed_ = false;
+    if (now() < limit_)
+    {
+        arm_timer(limit_);
+        return;
+    }
+    stop(stop_reason::time_limit);
+}
+
+void relay_session::check_client(bool readable)
+{
+    watching_ = false;
+    if (readable && in_call_ && client_.look() == connection_look::closed)
+    {
+        stop(stop_reason::client_gone);
+    }
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/http/relay_session.hpp
@@ -0,0 +1,153 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_RELAY_SESSION_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_RELAY_SESSION_HPP
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/http/call_settings.hpp"
+#include "adapters/http/http_connection.hpp"
+#include "adapters/http/message_reader.hpp"
+#include "adapters/http/session_group.hpp"
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/error.hpp"
+
+namespace hemlockshelf {
+
+/// Why the work on a request ends early.
+enum class stop_reason
+{
+    none,
+    time_limit,
+    client_gone,
+    node_stops,
+};
+
+/// Whether a refusal may say that the request was not run.
+enum class not_run_claim
+{
+    /// As the error table says.
+    by_kind,
+    /// Part of the request has already gone to a peer.
+    never,
+};
+
+/// A client's connection, which carries one request after another. Everything
+/// but `cut` runs on the thread of the connection.
+class relay_session : public std::enable_shared_from_this<relay_session>
+{
+public:
+    relay_session(
+        http_connection::socket_type socket,
+        const call_settings& settings,
+        const clock& time,
+        session_group& group);
+    virtual ~relay_session();
+
+    relay_session(const relay_session&) = delete;
+    relay_session& operator=(const relay_session&) = delete;
+
+    /// Serves the connection until it ends. Closes it at once if the group is
+    /// full.
+    static void start(const std::shared_ptr<relay_session>& session);
+
+    /// Ends the connection. May be called from any thread.
+    void cut();
+
+protected:
+    /// Serves one request whose head has been read. Returns whether the
+    /// connection can carry another one.
+    virtual boost::asio::awaitable<bool> serve(request_parser& request) = 0;
+
+    /// Sends an answer that the node itself gives. Returns whether the
+    /// connection can carry another request.
+    boost::asio::awaitable<bool> refuse(
+        const request_parser& request,
+        error failure,
+        not_run_claim claim = not_run_claim::by_kind,
+        std::string_view extra_fields = {});
+
+    /// Ends the work on the request at `when` unless another limit replaces
+    /// this one.
+    void limit(steady_time when);
+
+    /// Waits until `until`, `wake` or `stop`.
+    boost::asio::awaitable<void> pause(steady_time until);
+
+    /// Ends a `pause`.
+    void wake();
+
+    /// Ends the work on the request when the client closes its connection.
+    /// Only while nothing is read from the client.
+    void watch_client();
+
+    /// Starts the work on a request, or on the next attempt, anew.
+    void resume();
+
+    /// Ends the operations in progress on the request.
+    void stop(stop_reason reason);
+
+    [[nodiscard]] stop_reason stopped() const noexcept
+    {
+        return stop_;
+    }
+
+    /// Sets what `stop` calls to end operations that the session does not know.
+    void on_stop(std::function<void()> action)
+    {
+        stop_action_ = std::move(action);
+    }
+
+    /// Whether the connection can stay open after the answer to `request`.
+    [[nodiscard]] bool can_keep(const request_parser& request) const;
+
+    [[nodiscard]] http_connection& client() noexcept
+    {
+        return client_;
+    }
+
+    [[nodiscard]] const call_settings& settings() const noexcept
+    {
+        return settings_;
+    }
+
+    [[nodiscard]] steady_time now() const
+    {
+        return time_.now();
+    }
+
+    [[nodiscard]] session_group& group() noexcept
+    {
+        return group_;
+    }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> serve_next();
+    boost::asio::awaitable<void> close_gently();
+    void arm_timer(steady_time when);
+    void check_time();
+    void check_client(bool readable);
+
+    http_connection client_;
+    const call_settings& settings_;
+    const clock& time_;
+    session_group& group_;
+    stop_reason stop_ = stop_reason::none;
+    std::function<void()> stop_action_;
+    /// Fires at or before `limit_`; a later limit needs no timer operation.
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer wake_;
+    bool timer_armed_ = false;
+    steady_time armed_until_;
+    steady_time limit_;
+    bool watching_ = false;
+    bool in_call_ = false;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/http/session_group.hpp
@@ -0,0 +1,60 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_HTTP_SESSION_GROUP_HPP
+#define HEMLOCKSHELF_ADAPTERS_HTTP_SESSION_GROUP_HPP
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include "hemlockshelf/core/clock.hpp"
+
+namespace hemlockshelf {
+
+class relay_session;
+
+/// The connections that the listeners serve, and what they are to do when the
+/// node leaves. Thread-safe.
+class session_group
+{
+public:
+    /// Counts a connection; false if there are already `limit`.
+    bool add(const std::shared_ptr<relay_session>& session, std::size_t limit);
+    void remove(const relay_session* session);
+
+    void begin_call();
+    void end_call();
+
+    /// From now on each connection is closed after its current answer.
+    void drain() noexcept
+    {
+        draining_ = true;
+    }
+
+    [[nodiscard]] bool draining() const noexcept
+    {
+        return draining_;
+    }
+
+    /// Waits until no call is in progress. False if `limit` came first.
+    bool wait_for_calls(steady_time limit);
+
+    /// Cuts every connection.
+    void cut_all();
+
+    /// Waits until every connection has ended. False if `limit` came first.
+    bool wait_for_sessions(steady_time limit);
+
+private:
+    std::atomic<bool> draining_ = false;
+    std::atomic<std::size_t> calls_ = 0;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::unordered_map<const relay_session*, std::weak_ptr<relay_session>>
+        sessions_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/http/upstream_gate.cpp
@@ -0,0 +1,288 @@
+#include "adapters/http/upstream_gate.hpp"
+
+#include "hemlockshelf/config/traffic_class.hpp"
+#include "hemlockshelf/core/error_table.hpp"
+
+namespace hemlockshelf {
+
+upstream_gate::upstream_gate(
+    const call_settings& settings,
+    const gate_settings& limits,
+    const clock& time,
+    std::function<std::optional<upstream_announcement>()> upstream,
+    metric_sink& metrics)
+    : settings_(settings), time_(time), upstream_(std::move(upstream)),
+      metrics_(metrics), pace_(limits.new_connections_), state_(limits),
+      records_(limits)
+{}
+
+admission_result
+upstream_gate::offer(const gate_call& call, decision_handler decided)
+{
+    const auto now = time_.now();
+    decision_list others;
+    admission_result answer;
+    {
+        const std::lock_guard lock(mutex_);
+        follow_upstream(now, others);
+        answer = offer_call(state_, call, now);
+        if (answer.admission_ == admission::queued)
+        {
+            waiting_.emplace(answer.id_, std::move(decided));
+        }
+        collect(answer.events_, others);
+        report();
+    }
+    upstream_gate::call(others);
+    return answer;
+}
+
+void upstream_gate::release_slot(gate_call_id id)
+{
+    decision_list decided;
+    {
+        const std::lock_guard lock(mutex_);
+        if (const auto events = release_call(state_, id, time_.now()))
+        {
+            collect(*events, decided);
+        }
+        report();
+    }
+    call(decided);
+}
+
+void upstream_gate::withdraw(gate_call_id id)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        waiting_.erase(id);
+        if (cancel_waiting(state_, id))
+        {
+            return;
+        }
+    }
+    release_slot(id);
+}
+
+result<upstream_gate::connection_offer>
+upstream_gate::take_connection(const boost::asio::any_io_executor& executor)
+{
+    const auto now = time_.now();
+    const std::lock_guard lock(mutex_);
+    if (address_.address_.empty())
+    {
+        return make_error(
+            error_kind::no_upstream, "gate: no upstream is announced");
+    }
+    drop_idle(idle_.drop_aged(now, settings_.pool_idle_age_));
+    while (true)
+    {
+        const auto decided = hemlockshelf::take_connection(ledger_, pace_, now);
+        switch (decided.grant_)
+        {
+        case connection_grant::reuse:
+            if (auto connection = idle_.take(executor))
+            {
+                return connection_offer{
+                    connection_lease(
+                        *this, address_, std::move(connection), true),
+                    now};
+            }
+            return_connection(ledger_, false);
+            break;
+        case connection_grant::open:
+            return connection_offer{
+                connection_lease(
+                    *this, address_, make_connection(executor, settings_),
+                    false),
+                now};
+        case connection_grant::wait:
+            return connection_offer{std::nullopt, decided.retry_at_};
+        case connection_grant::exhausted:
+            return make_error(
+                error_kind::overloaded,
+                "gate: every connection to the upstream is in use");
+        }
+    }
+}
+
+void upstream_gate::release(
+    const endpoint& peer,
+    std::unique_ptr<http_connection> connection,
+    steady_time now)
+{
+    const std::lock_guard lock(mutex_);
+    const bool reusable = connection != nullptr && peer == address_ &&
+                          connection->look() == connection_look::quiet;
+    if (return_connection(ledger_, reusable))
+    {
+        drop_idle(
+            idle_.put(std::move(connection), now, settings_.pool_idle_limit_));
+    }
+}
+
+idempotency_verdict upstream_gate::begin_request(
+    const client_account_id& account, const idempotency_id& id)
+{
+    const std::lock_guard lock(mutex_);
+    return records_.begin(account, id, time_.now());
+}
+
+void upstream_gate::abandon_request(const idempotency_id& id)
+{
+    const std::lock_guard lock(mutex_);
+    records_.abandon(id);
+}
+
+void upstream_gate::finish_request(const idempotency_id& id)
+{
+    const std::lock_guard lock(mutex_);
+    records_.finish(id, time_.now());
+}
+
+void upstream_gate::leave()
+{
+    decision_list decided;
+    {
+        const std::lock_guard lock(mutex_);
+        leaving_ = true;
+        collect(begin_drain(state_), decided);
+        report();
+    }
+    call(decided);
+}
+
+void upstream_gate::refresh()
+{
+    const auto now = time_.now();
+    decision_list decided;
+    {
+        const std::lock_guard lock(mutex_);
+        follow_upstream(now, decided);
+        collect(expire_waiting(state_, now), decided);
+        drop_idle(idle_.drop_aged(now, settings_.pool_idle_age_));
+        report();
+    }
+    call(decided);
+}
+
+void upstream_gate::close_idle()
+{
+    const std::lock_guard lock(mutex_);
+    drop_idle(idle_.clear());
+}
+
+std::uint32_t upstream_gate::free_slots() const
+{
+    const std::lock_guard lock(mutex_);
+    return hemlockshelf::free_slots(state_);
+}
+
+std::uint32_t upstream_gate::open_connections() const
+{
+    const std::lock_guard lock(mutex_);
+    return ledger_.in_use_ + ledger_.idle_;
+}
+
+void upstream_gate::follow_upstream(steady_time now, decision_list& decided)
+{
+    auto announced = upstream_();
+    if (announced == followed_)
+    {
+        return;
+    }
+    followed_ = std::move(announced);
+    if (followed_)
+    {
+        apply(*followed_, now, decided);
+        return;
+    }
+    address_ = {};
+    drop_idle(idle_.clear());
+    collect(set_capacity(state_, {}, {}, now), decided);
+}
+
+void upstream_gate::apply(
+    const upstream_announcement& announcement,
+    steady_time now,
+    decision_list& decided)
+{
+    const auto address = parse_endpoint(announcement.address_);
+    if (!address || *address != address_)
+    {
+        drop_idle(idle_.clear());
+        address_ = address ? *address : endpoint{};
+    }
+    ledger_.limit_ = announcement.connections_;
+    close_surplus();
+    collect(
+        set_capacity(
+            state_, address ? announcement.slots_ : slot_count{},
+            announcement.connections_, now),
+        decided);
+    if (announcement.draining_)
+    {
+        collect(begin_drain(state_), decided);
+    }
+    else if (!leaving_)
+    {
+        end_drain(state_);
+    }
+}
+
+void upstream_gate::collect(const gate_events& events, decision_list& decided)
+{
+    const auto decide = [&](gate_call_id id, auto reason)
+    {
+        const auto found = waiting_.find(id);
+        if (found != waiting_.end())
+        {
+            decided.emplace_back(std::move(found->second), reason);
+            waiting_.erase(found);
+        }
+    };
+    for (const auto id : events.started_)
+    {
+        decide(id, std::optional<refusal_reason>{});
+    }
+    for (const auto& refused : events.refused_)
+    {
+        decide(refused.id_, std::optional(refused.reason_));
+    }
+}
+
+void upstream_gate::close_surplus()
+{
+    if (surplus_connections(ledger_) > 0)
+    {
+        drop_idle(idle_.clear());
+    }
+}
+
+void upstream_gate::drop_idle(std::size_t count)
+{
+    for (std::size_t dropped = 0; dropped < count; ++dropped)
+    {
+        drop_idle_connection(ledger_);
+    }
+}
+
+void upstream_gate::report()
+{
+    metrics_.set(
+        metric_id::gate_slots_used, {},
+        static_cast<double>(state_.running_.size()));
+    metrics_.set(
+        metric_id::gate_queue_length, {},
+        static_cast<double>(state_.queue_.size()));
+}
+
+void upstream_gate::call(decision_list& decided)
+{
+    for (auto& [handler, reason] : decided)
+    {
+        handler(reason);
+    }
+}
+
+} // namespace hemlockshelf
--- a/adapters/node/admin_handler.cpp
+++ b/adapters/node/admin_handler.cpp
@@ -201,6 +201,42 @@
     return json_response(200, {{"accepted", true}});
 }
 
+http_response explain(const admin_context& context, const http_request& request)
+{
+    const auto explanation = context.calls_->explain(
+        client_account_id{query_parameter(request, "account")},
+        query_parameter(request, "host"), query_parameter(request, "path"),
+        query_parameter(request, "method"));
+    if (!explanation)
+    {
+        return error_response(explanation.error());
+    }
+    return json_response(200, *explanation);
+}
+
+http_response drain(const admin_context& context, const http_request& request)
+{
+    const auto account = operator_account(context, request);
+    if (!account)
+    {
+        return error_response(account.error());
+    }
+    const auto upstream = context.upstream_->current();
+    if (!upstream)
+    {
+        return error_response(
+            {error_kind::no_upstream, "drain: no upstream is announced"});
+    }
+    if (upstream->account_ != *account)
+    {
+        return error_response(
+            {error_kind::forbidden,
+             "drain: the upstream belongs to another account"});
+    }
+    context.upstream_->drain();
+    return json_response(200, {{"draining", true}});
+}
+
 } // namespace
 
 http_response handle_admin_request(
@@ -239,6 +275,14 @@
     {
         return set_log_level(context, request);
     }
+    if (is_get && path == "/v1/explain")
+    {
+        return explain(context, request);
+    }
+    if (is_post && path == "/v1/drain")
+    {
+        return drain(context, request);
+    }
     if (is_post && path == "/v1/announce")
     {
         return announce(context, request, peer);
--- a/adapters/node/admin_handler.hpp
+++ b/adapters/node/admin_handler.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "adapters/http/http_message.hpp"
+#include "adapters/node/call_plane.hpp"
 #include "adapters/node/own_upstream.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "adapters/telemetry/prometheus_metrics.hpp"
@@ -20,6 +21,7 @@
     table_service* tables_ = nullptr;
     editor* editor_ = nullptr;
     own_upstream* upstream_ = nullptr;
+    call_plane* calls_ = nullptr;
     const prometheus_metrics* metrics_ = nullptr;
 };
 
--- a/adapters/node/call_plane.cpp
+++ b/adapters/node/call_plane.cpp
@@ -1,16 +1,24 @@
 #include "adapters/node/call_plane.hpp"
 
+#include <atomic>
+#include <chrono>
 #include <optional>
-#include <thread>
 #include <utility>
-#include <vector>
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-
-#include "adapters/http/call_server.hpp"
-#include "adapters/http/entry_handler.hpp"
-#include "adapters/http/gate_handler.hpp"
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "adapters/http/call_quota.hpp"
+#include "adapters/http/call_threads.hpp"
+#include "adapters/http/connection_pool.hpp"
+#include "adapters/http/entry_session.hpp"
+#include "adapters/http/gate_session.hpp"
+#include "adapters/http/relay_listener.hpp"
+#include "adapters/http/session_group.hpp"
+#include "adapters/http/upstream_gate.hpp"
+#include "adapters/node/mesh_router.hpp"
 #include "hemlockshelf/config/row_codec.hpp"
 
 namespace hemlockshelf {
@@ -19,7 +27,18 @@
 
 namespace {
 
-constexpr std::size_t call_threads = 2;
+// The gate learns of a drain or a changed capacity within this time even when
+// no call arrives.
+constexpr std::chrono::milliseconds refresh_interval{200};
+constexpr std::chrono::seconds cut_timeout{2};
+
+bool shed_is_not_run(const snapshot_store& snapshots, std::string_view pool)
+{
+    const auto snapshot = snapshots.current();
+    const auto& pools = snapshot->tables().pools_;
+    const auto found = pools.find(row_key{std::string(pool)});
+    return found != pools.end() && found->second->shed_is_not_run_;
+}
 
 } // namespace
 
@@ -28,106 +47,209 @@
 public:
     parts(
         const node_settings& settings,
+        const clock& time,
         const snapshot_store& snapshots,
         const member_table& members,
-        const own_upstream& upstream)
-        : members_(members),
+        const own_upstream& upstream,
+        metric_sink& metrics)
+        : time_(time), snapshots_(snapshots),
+          router_(
+              members,
+              settings.routing_,
+              settings.retry_,
+              {settings.failure_domain_, settings.region_},
+              metrics),
+          gates_(settings.call_path_), upstream_gate_(
+                                           settings.call_path_,
+                                           settings.gate_limits_,
+                                           time,
+                                           [&upstream]
+                                           {
+                                               return upstream.current();
+                                           },
+                                           metrics),
           entry_{
-              &snapshots,
-              [this](const resolved_route& route)
+              settings.call_path_,
+              settings.retry_,
+              time,
+              snapshots,
+              router_,
+              gates_,
+              quota_,
+              metrics,
+              group_,
+              settings.vm_,
+              settings.source_address_},
+          gate_{
+              settings.call_path_,
+              time,
+              upstream_gate_,
+              [&snapshots](std::string_view pool)
               {
-                  return choose_gate(route);
+                  return shed_is_not_run(snapshots, pool);
               },
-              settings.vm_, settings.source_address_},
-          gate_{[&upstream]
-                {
-                    return upstream.current();
-                }},
-          calls_server_(
-              context_,
+              metrics,
+              group_,
+              settings.source_address_},
+          threads_(settings.call_path_.threads_),
+          calls_listener_(
+              threads_,
               settings.calls_,
-              [this](http_request request)
+              [this](http_connection::socket_type socket)
               {
-                  return handle_call(entry_, std::move(request));
+                  return std::make_shared<entry_session>(
+                      std::move(socket), entry_);
               }),
-          gate_server_(
-              context_,
+          gate_listener_(
+              threads_,
               settings.gate_,
-              [this](http_request request)
+              [this](http_connection::socket_type socket)
               {
-                  return handle_gate_call(gate_, std::move(request));
+                  return std::make_shared<gate_session>(
+                      std::move(socket), gate_);
               })
-    {}
+    {
+        asio::co_spawn(threads_.first(), refresh(), asio::detached);
+    }
+
+    ~parts()
+    {
+        stop();
+    }
+
+    parts(const parts&) = delete;
+    parts& operator=(const parts&) = delete;
 
     void start()
     {
-        for (std::size_t index = 0; index < call_threads; ++index)
+        running_ = true;
+        threads_.start();
+    }
+
+    bool drain(steady_time deadline)
+    {
+        upstream_gate_.leave();
+        group_.drain();
+        return group_.wait_for_calls(deadline);
+    }
+
+    void close_listeners()
+    {
+        calls_listener_.close();
+        gate_listener_.close();
+    }
+
+    void stop()
+    {
+        if (running_.exchange(false))
         {
-            threads_.emplace_back(
-                [this]
-                {
-                    context_.run();
-                });
+            close_listeners();
+            group_.drain();
+            group_.cut_all();
+            group_.wait_for_sessions(
+                std::chrono::steady_clock::now() + cut_timeout);
         }
+        threads_.stop();
+        // The sockets must go before the loops to which they belong.
+        gates_.close_all();
+        upstream_gate_.close_idle();
     }
 
-    void stop()
+    result<nlohmann::json> explain(
+        const client_account_id& account,
+        std::string_view host,
+        std::string_view path,
+        std::string_view method)
     {
-        context_.stop();
-        for (auto& thread : threads_)
+        const auto snapshot = snapshots_.current();
+        const auto* route = snapshot->find_route(account, host, path);
+        if (route == nullptr)
         {
-            thread.join();
+            return make_error(
+                snapshot->has_account(account) ? error_kind::no_route
+                                               : error_kind::unknown_account,
+                "no route of the account matches the host and the path");
         }
-        threads_.clear();
+        auto json = router_.describe(*route, time_.now());
+        const auto verb =
+            boost::beast::http::string_to_verb({method.data(), method.size()});
+        json["idempotent"] = is_idempotent(verb) || route->route_->idempotent_;
+        json["revision"] = snapshot->number().value();
+        json["route"] = {
+            {"key", route->key_.value()}, {"row", to_json(*route->route_)}};
+        json["pool"] = {
+            {"key", route->pool_key_.value()}, {"row", to_json(*route->pool_)}};
+        return json;
     }
 
 private:
-    std::optional<endpoint> choose_gate(const resolved_route& route)
+    asio::awaitable<void> refresh()
     {
-        const auto members = members_.members_of(
-            {account_of(route.pool_key_), route.pool_->service_});
-        for (const auto& member : *members)
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        while (true)
         {
-            const auto gate = parse_endpoint(member.record_.gate_address_);
-            if (gate)
-            {
-                return *gate;
-            }
+            upstream_gate_.refresh();
+            gates_.close_aged(time_.now());
+            timer.expires_after(refresh_interval);
+            co_await timer.async_wait(asio::use_awaitable);
         }
-        return std::nullopt;
     }
 
-    const member_table& members_;
-    asio::io_context context_;
-    entry_context entry_;
-    gate_context gate_;
-    call_server calls_server_;
-    call_server gate_server_;
-    std::vector<std::thread> threads_;
+    const clock& time_;
+    const snapshot_store& snapshots_;
+    session_group group_;
+    mesh_router router_;
+    call_quota quota_;
+    connection_pool gates_;
+    upstream_gate upstream_gate_;
+    entry_environment entry_;
+    gate_environment gate_;
+    std::atomic<bool> running_ = false;
+    call_threads threads_;
+    relay_listener calls_listener_;
+    relay_listener gate_listener_;
 };
 
 call_plane::call_plane(
     const node_settings& settings,
-    const clock& /*time*/,
+    const clock& time,
     const snapshot_store& snapshots,
     const member_table& members,
-    const own_upstream& upstream)
-    : parts_(std::make_unique<parts>(settings, snapshots, members, upstream))
+    const own_upstream& upstream,
+    metric_sink& metrics)
+    : parts_(std::make_unique<parts>(
+          settings, time, snapshots, members, upstream, metrics))
 {}
 
-call_plane::~call_plane()
-{
-    stop();
-}
+call_plane::~call_plane() = default;
 
 void call_plane::start()
 {
     parts_->start();
 }
 
+bool call_plane::drain(steady_time deadline)
+{
+    return parts_->drain(deadline);
+}
+
+void call_plane::close_listeners()
+{
+    parts_->close_listeners();
+}
+
 void call_plane::stop()
 {
     parts_->stop();
 }
 
+result<nlohmann::json> call_plane::explain(
+    const client_account_id& account,
+    std::string_view host,
+    std::string_view path,
+    std::string_view method)
+{
+    return parts_->explain(account, host, path, method);
+}
+
 } // namespace hemlockshelf
--- a/adapters/node/call_plane.hpp
+++ b/adapters/node/call_plane.hpp
@@ -2,17 +2,22 @@
 #define HEMLOCKSHELF_ADAPTERS_NODE_CALL_PLANE_HPP
 
 #include <memory>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
 
 #include "adapters/node/own_upstream.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/metric_sink.hpp"
 #include "hemlockshelf/membership/member_table.hpp"
 
 namespace hemlockshelf {
 
 /// Carries calls: the entry for callers and the gate before the own upstream.
-/// Runs on threads of its own between `start` and `stop`.
+/// Runs on threads of its own between `start` and `stop`. Thread-safe.
 class call_plane
 {
 public:
@@ -23,15 +28,35 @@
         const clock& time,
         const snapshot_store& snapshots,
         const member_table& members,
-        const own_upstream& upstream);
+        const own_upstream& upstream,
+        metric_sink& metrics);
     ~call_plane();
 
     call_plane(const call_plane&) = delete;
     call_plane& operator=(const call_plane&) = delete;
 
     void start();
+
+    /// Refuses new work at the gate as not run, closes each connection after
+    /// its current answer and waits until no call is in progress. The
+    /// listeners stay open and the entry goes on serving. False if `deadline`
+    /// came first. May be called again, after `close_listeners`.
+    bool drain(steady_time deadline);
+
+    /// Accepts no further connections.
+    void close_listeners();
+
+    /// Cuts what is left and ends the threads.
     void stop();
 
+    /// Tells how a call would be routed now: route, pool, candidates and the
+    /// choice with reasons. The errors are those of a call.
+    result<nlohmann::json> explain(
+        const client_account_id& account,
+        std::string_view host,
+        std::string_view path,
+        std::string_view method);
+
 private:
     class parts;
     std::unique_ptr<parts> parts_;
--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -32,7 +32,7 @@
           upstream_(time_),
           control_(
               settings_, time_, platform_, snapshots_, members_, upstream_),
-          calls_(settings_, time_, snapshots_, members_, upstream_),
+          calls_(settings_, time_, snapshots_, members_, upstream_, metrics_),
           editor_(
               platform_,
               time_,
@@ -45,8 +45,8 @@
               {
                   control_.accept(record);
               }),
-          admin_{&settings_, &snapshots_, &platform_,
-                 &editor_,   &upstream_,  &metrics_},
+          admin_{&settings_, &snapshots_, &platform_, &editor_,
+                 &upstream_, &calls_,     &metrics_},
           admin_server_(
               context_,
               settings_.admin_,
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/http/call_settings.hpp"
 #include "adapters/http/endpoint.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
@@ -37,6 +38,7 @@
     std::vector<endpoint> peers_;
     /// SHA-256 of each account's operator token, in hexadecimal.
     std::map<client_account_id, std::string> token_hashes_;
+    call_settings call_path_;
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
