--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/http/call_settings.hpp"
 #include "adapters/http/endpoint.hpp"
 #include "adapters/settings/settings_section.hpp"
 #include "adapters/telemetry/event_log.hpp"
@@ -42,6 +43,7 @@
     log_format log_format_ = log_format::text;
     std::string log_level_ = "info";
     editing_settings editing_;
+    call_settings call_path_;
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
