--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -33,6 +33,15 @@
     value = section.number(key, value, 0, any_rate);
 }
 
+template <class Integer>
+void read_size(
+    settings_section& section, const setting_key& key, Integer& value)
+{
+    value = static_cast<Integer>(
+        section.size(key, byte_count{static_cast<std::uint64_t>(value)})
+            .value());
+}
+
 template <class Duration>
 void read_duration(
     settings_section& section, const setting_key& key, Duration& value)
@@ -116,6 +125,81 @@
 
 } // namespace
 
+void read_call_path(settings_section section, call_settings& settings)
+{
+    read_count(
+        section, {"threads", "Threads that carry calls."}, settings.threads_, 1,
+        64);
+    read_count(
+        section, {"max_header_bytes", "Longest header of a message, in bytes."},
+        settings.max_header_bytes_);
+    read_size(
+        section, {"max_body", "Longest body of a message."},
+        settings.max_body_bytes_);
+    read_size(
+        section, {"relay_buffer", "Buffer of one direction of one call."},
+        settings.relay_buffer_bytes_);
+    read_size(
+        section,
+        {"retry_body_limit",
+         "Longest body of a request that can be sent again."},
+        settings.retry_body_limit_);
+    read_count(
+        section,
+        {"max_client_connections",
+         "Connections that a listener serves at once."},
+        settings.max_client_connections_);
+    read_duration(
+        section,
+        {"idle_timeout",
+         "Time after which a client's connection without a request is closed."},
+        settings.idle_timeout_);
+    read_duration(
+        section,
+        {"refusal_timeout",
+         "Limit for writing an answer that the node makes itself."},
+        settings.refusal_timeout_);
+    read_duration(
+        section, {"connect_timeout", "Limit for opening a connection."},
+        settings.connect_timeout_);
+    read_duration(
+        section,
+        {"handshake_timeout", "Limit for a gate's 100 Continue or refusal."},
+        settings.handshake_timeout_);
+    read_duration(
+        section,
+        {"progress_interval",
+         "Interval at which a gate reports that a request is still in work."},
+        settings.progress_interval_);
+    read_duration(
+        section,
+        {"silence_timeout", "Time without an answer or report after which a "
+                            "gate's connection counts as silent."},
+        settings.silence_timeout_);
+    read_duration(
+        section,
+        {"first_byte_timeout",
+         "Limit for the first body byte after the gate's 100 Continue."},
+        settings.first_byte_timeout_);
+    read_count(
+        section, {"pool_idle_limit", "Idle connections kept per peer."},
+        settings.pool_idle_limit_);
+    read_count(
+        section, {"pool_open_limit", "Open connections per gate."},
+        settings.pool_open_limit_);
+    read_duration(
+        section,
+        {"pool_idle_age", "Age beyond which an idle connection is not reused."},
+        settings.pool_idle_age_);
+    if (settings.silence_timeout_ <= settings.progress_interval_)
+    {
+        section.report(
+            {"silence_timeout", ""},
+            "expected a duration above progress_interval");
+    }
+    section.reject_unknown_keys();
+}
+
 void read_editing(settings_section section, editing_settings& settings)
 {
     auto& quotas = settings.quotas_;
--- a/adapters/settings/section_readers.hpp
+++ b/adapters/settings/section_readers.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_SETTINGS_SECTION_READERS_HPP
 #define HEMLOCKSHELF_ADAPTERS_SETTINGS_SECTION_READERS_HPP
 
+#include "adapters/http/call_settings.hpp"
 #include "adapters/settings/settings_section.hpp"
 #include "hemlockshelf/editing/editing_settings.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
@@ -12,6 +13,7 @@
 // Each reads one section of the settings file. Values that are absent keep
 // their defaults; errors go to the section.
 
+void read_call_path(settings_section section, call_settings& settings);
 void read_editing(settings_section section, editing_settings& settings);
 void read_routing(settings_section section, routing_settings& settings);
 void read_retry(settings_section section, retry_settings& settings);
