--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -5,7 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "adapters/http/call_settings.hpp"
 #include "adapters/http/endpoint.hpp"
+#include "adapters/settings/settings_section.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
@@ -41,6 +43,7 @@
     log_format log_format_ = log_format::text;
     std::string log_level_ = "info";
     editing_settings editing_;
+    call_settings call_path_;
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
@@ -50,6 +53,9 @@
 /// the file, the line, what was given and what was expected.
 result<node_settings> load_node_settings(const std::string& path);
 
+/// Returns a description of every setting, in the order of the file.
+std::vector<setting_info> describe_node_settings();
+
 } // namespace hemlockshelf
 
 #endif
