--- a/adapters/node/admin_handler.cpp
+++ b/adapters/node/admin_handler.cpp
@@ -28,6 +28,18 @@
         context.settings_->token_hashes_, {header.data(), header.size()});
 }
 
+nlohmann::json member_counts(const admin_context& context)
+{
+    auto json = nlohmann::json::object();
+    const auto counts = context.members_->counts();
+    for (std::size_t index = 0; index < counts.size(); ++index)
+    {
+        json[std::string(to_string(static_cast<liveness>(index)))] =
+            counts.at(index);
+    }
+    return json;
+}
+
 http_response show_status(const admin_context& context)
 {
     const auto snapshot = context.snapshots_->current();
@@ -35,11 +47,44 @@
         200, {{"vm", context.settings_->vm_.value()},
               {"failure_domain", context.settings_->failure_domain_.value()},
               {"region", context.settings_->region_.value()},
-              {"state", "serving"},
+              {"state", to_string(context.control_->state())},
+              {"incarnation", context.control_->own_incarnation().value()},
+              {"members", member_counts(context)},
+              {"highest_known_revision",
+               context.control_->highest_known_revision().value()},
               {"revision", snapshot->number().value()},
               {"hash", snapshot->tables().hash_.to_string()}});
 }
 
+nlohmann::json to_json(const member_entry& entry)
+{
+    const auto& record = entry.record_;
+    return {
+        {"vm", record.vm_.value()},
+        {"failure_domain", record.failure_domain_.value()},
+        {"region", record.region_.value()},
+        {"gate", record.gate_address_},
+        {"control", record.control_address_},
+        {"incarnation", record.incarnation_.value()},
+        {"sequence", record.sequence_.value()},
+        {"state", to_string(record.state_)},
+        {"liveness", to_string(entry.liveness_)},
+        {"client_account", record.account_.value()},
+        {"service", record.service_.value()},
+        {"slots", record.slots_.value()},
+        {"connections", record.connections_.value()}};
+}
+
+http_response show_members(const admin_context& context)
+{
+    auto members = nlohmann::json::array();
+    for (const auto& entry : context.members_->all())
+    {
+        members.push_back(to_json(entry));
+    }
+    return json_response(200, {{"members", std::move(members)}});
+}
+
 http_response
 submit_edit(const admin_context& context, const http_request& request)
 {
@@ -215,6 +260,10 @@
     {
         return show_status(context);
     }
+    if (is_get && path == "/v1/members")
+    {
+        return show_members(context);
+    }
     if (is_post && path == "/v1/edits")
     {
         return submit_edit(context, request);
--- a/adapters/node/admin_handler.hpp
+++ b/adapters/node/admin_handler.hpp
@@ -4,11 +4,13 @@
 #include <string>
 
 #include "adapters/http/http_message.hpp"
+#include "adapters/node/control_plane.hpp"
 #include "adapters/node/own_upstream.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/editing/editor.hpp"
+#include "hemlockshelf/membership/member_table.hpp"
 
 namespace hemlockshelf {
 
@@ -21,6 +23,8 @@
     editor* editor_ = nullptr;
     own_upstream* upstream_ = nullptr;
     const prometheus_metrics* metrics_ = nullptr;
+    const member_table* members_ = nullptr;
+    const control_plane* control_ = nullptr;
 };
 
 /// Answers a request on the admin address. `peer` is the sender's address.
--- /dev/null
+++ b/adapters/node/config_keeper.cpp
@@ -0,0 +1,160 @@
+#include "adapters/node/config_keeper.hpp"
+
+#include <chrono>
+#include <utility>
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include "hemlockshelf/core/error_table.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+double seconds(std::chrono::nanoseconds value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+std::string_view to_string(apply_source source)
+{
+    switch (source)
+    {
+    case apply_source::push:
+        return "push";
+    case apply_source::poll:
+        return "poll";
+    case apply_source::repair:
+        return "repair";
+    case apply_source::edit:
+        return "edit";
+    }
+    return "unknown";
+}
+
+config_keeper::config_keeper(
+    snapshot_store& snapshots,
+    const clock& time,
+    metric_sink& metrics,
+    std::size_t kept_deltas)
+    : snapshots_(snapshots), time_(time), metrics_(metrics),
+      kept_deltas_(kept_deltas), started_at_(time.wall_now())
+{}
+
+result<void> config_keeper::apply(
+    const std::vector<accepted_delta>& deltas, apply_source source)
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto& delta : deltas)
+    {
+        if (delta.delta_.to_ <= snapshots_.current()->number())
+        {
+            continue;
+        }
+        auto applied = apply_one(delta, source);
+        if (!applied)
+        {
+            metrics_.add(
+                metric_id::config_rejections,
+                answer_for(applied.error().kind_).name_);
+            return applied;
+        }
+    }
+    return {};
+}
+
+result<void>
+config_keeper::apply_one(const accepted_delta& delta, apply_source source)
+{
+    const auto begin = time_.now();
+    const auto next = apply_delta(*snapshots_.current(), delta.delta_);
+    if (!next)
+    {
+        return tl::unexpected<error>(next.error());
+    }
+    auto advanced = snapshots_.advance(*next);
+    if (!advanced)
+    {
+        return advanced;
+    }
+    metrics_.observe(
+        metric_id::config_apply_duration, {}, seconds(time_.now() - begin));
+    recent_.push_back(delta);
+    if (recent_.size() > kept_deltas_)
+    {
+        recent_.pop_front();
+    }
+    report(source, delta.accepted_at_);
+    return {};
+}
+
+result<void> config_keeper::adopt(
+    std::shared_ptr<const config_snapshot> snapshot, apply_source source)
+{
+    const std::lock_guard lock(mutex_);
+    auto advanced = snapshots_.advance(std::move(snapshot));
+    if (!advanced)
+    {
+        return advanced;
+    }
+    recent_.clear();
+    report(source, std::nullopt);
+    return {};
+}
+
+std::shared_ptr<const config_snapshot> config_keeper::current() const
+{
+    return snapshots_.current();
+}
+
+revision config_keeper::held() const
+{
+    return snapshots_.current()->number();
+}
+
+std::optional<std::vector<accepted_delta>>
+config_keeper::deltas_after(revision from) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto now = snapshots_.current()->number();
+    if (from >= now)
+    {
+        return std::vector<accepted_delta>{};
+    }
+    const bool covered = !recent_.empty() &&
+                         recent_.front().delta_.to_.value() <= from.value() + 1;
+    if (!covered)
+    {
+        return std::nullopt;
+    }
+    std::vector<accepted_delta> deltas;
+    for (const auto& delta : recent_)
+    {
+        if (delta.delta_.to_ > from)
+        {
+            deltas.push_back(delta);
+        }
+    }
+    return deltas;
+}
+
+void config_keeper::report(
+    apply_source source, std::optional<wall_time> accepted_at) const
+{
+    const auto now_held = snapshots_.current()->number().value();
+    metrics_.add(metric_id::config_applies, to_string(source));
+    metrics_.set(metric_id::config_revision, {}, static_cast<double>(now_held));
+    // A node that has just started catches up with edits of the past.
+    if (accepted_at && *accepted_at >= started_at_)
+    {
+        metrics_.observe(
+            metric_id::convergence_duration, to_string(source),
+            seconds(time_.wall_now() - *accepted_at));
+    }
+    spdlog::info("revision {} is in force ({})", now_held, to_string(source));
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/config_keeper.hpp
@@ -0,0 +1,76 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_CONFIG_KEEPER_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_CONFIG_KEEPER_HPP
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "adapters/rpc/config_payload.hpp"
+#include "hemlockshelf/config/snapshot_store.hpp"
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/metric_sink.hpp"
+
+namespace hemlockshelf {
+
+/// How a revision reached this node.
+enum class apply_source
+{
+    push,
+    poll,
+    repair,
+    edit,
+};
+
+std::string_view to_string(apply_source source);
+
+/// Puts revisions into force and keeps the recent deltas for peers that fetch.
+/// Thread-safe.
+class config_keeper
+{
+public:
+    config_keeper(
+        snapshot_store& snapshots,
+        const clock& time,
+        metric_sink& metrics,
+        std::size_t kept_deltas);
+
+    /// Applies the deltas that follow the revision in force, in order, and
+    /// skips older ones. `revision_gap` if one is missing before them; the
+    /// errors of `apply_delta` otherwise. What came before the error stays in
+    /// force.
+    result<void>
+    apply(const std::vector<accepted_delta>& deltas, apply_source source);
+
+    /// Puts a whole snapshot into force, unless an equal or newer revision is.
+    result<void>
+    adopt(std::shared_ptr<const config_snapshot> snapshot, apply_source source);
+
+    [[nodiscard]] std::shared_ptr<const config_snapshot> current() const;
+    [[nodiscard]] revision held() const;
+
+    /// Returns the deltas after `from` up to the revision in force; nothing if
+    /// they are no longer kept.
+    [[nodiscard]] std::optional<std::vector<accepted_delta>>
+    deltas_after(revision from) const;
+
+private:
+    result<void> apply_one(const accepted_delta& delta, apply_source source);
+    void
+    report(apply_source source, std::optional<wall_time> accepted_at) const;
+
+    snapshot_store& snapshots_;
+    const clock& time_;
+    metric_sink& metrics_;
+    std::size_t kept_deltas_;
+    wall_time started_at_;
+    mutable std::mutex mutex_;
+    std::deque<accepted_delta> recent_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/node/contact_tracker.hpp
@@ -0,0 +1,33 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_CONTACT_TRACKER_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_CONTACT_TRACKER_HPP
+
+#include "adapters/node/control_context.hpp"
+#include "hemlockshelf/membership/domain_reachability.hpp"
+
+namespace hemlockshelf {
+
+/// Marks the members of other failure domains `unreachable` when contacts
+/// with the domain fail, and alive again when one succeeds.
+class contact_tracker
+{
+public:
+    explicit contact_tracker(control_context& context);
+
+    /// Notes a contact with a member, in either direction.
+    void note(const tree_member& peer, bool reached);
+
+    [[nodiscard]] bool is_reachable(const failure_domain_id& domain) const;
+
+    /// Forgets all failures.
+    void reset();
+
+private:
+    void mark(const failure_domain_id& domain, liveness from, liveness to);
+
+    control_context& context_;
+    domain_reachability domains_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/node/control_context.cpp
@@ -0,0 +1,60 @@
+#include "adapters/node/control_context.hpp"
+
+namespace hemlockshelf {
+
+bool may_answer(const member_entry& entry)
+{
+    return entry.liveness_ != liveness::down &&
+           entry.record_.state_ != upstream_state::left;
+}
+
+tree_member to_tree_member(const member_record& record)
+{
+    return {record.vm_, record.failure_domain_, record.region_};
+}
+
+std::optional<peer_address>
+address_of(const control_context& context, const member_record& record)
+{
+    const auto parsed = parse_endpoint(record.control_address_);
+    if (!parsed)
+    {
+        return std::nullopt;
+    }
+    return peer_address{
+        *parsed, scope_between(context.self_, to_tree_member(record))};
+}
+
+std::optional<peer_address>
+address_of(const control_context& context, const vm_id& vm)
+{
+    const auto entry = context.members_.find(vm);
+    return entry ? address_of(context, entry->record_) : std::nullopt;
+}
+
+std::vector<vm_id>
+peers_in(const control_context& context, const failure_domain_id& domain)
+{
+    std::vector<vm_id> vms;
+    const auto members = context.members_.members_in(domain);
+    for (const auto& entry : *members)
+    {
+        if (may_answer(*entry) && entry->record_.vm_ != context.self_.vm_)
+        {
+            vms.push_back(entry->record_.vm_);
+        }
+    }
+    return vms;
+}
+
+heartbeat_message own_heartbeat(const control_context& context)
+{
+    const auto own = context.members_.find(context.self_.vm_);
+    const auto snapshot = context.keeper_.current();
+    return {
+        context.self_, own ? own->record_.incarnation_ : incarnation{},
+        snapshot->number(), snapshot->tables().hash_,
+        root_of(context.members_.digest())};
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/control_context.hpp
@@ -0,0 +1,51 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_CONTROL_CONTEXT_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_CONTROL_CONTEXT_HPP
+
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "adapters/node/config_keeper.hpp"
+#include "adapters/rpc/control_network.hpp"
+#include "adapters/settings/node_settings.hpp"
+#include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/metric_sink.hpp"
+#include "hemlockshelf/membership/member_table.hpp"
+
+namespace hemlockshelf {
+
+/// What the parts of the control plane share. Used on the control loop only,
+/// as are the parts.
+struct control_context
+{
+    const node_settings& settings_;
+    const clock& time_;
+    member_table& members_;
+    config_keeper& keeper_;
+    metric_sink& metrics_;
+    tree_member self_;
+    control_network& network_;
+    std::mt19937_64 random_{std::random_device{}()};
+};
+
+/// Tells whether a member may answer: it is neither down nor has it left.
+bool may_answer(const member_entry& entry);
+
+tree_member to_tree_member(const member_record& record);
+
+/// Returns where to call a member; nothing if its address is unknown.
+std::optional<peer_address>
+address_of(const control_context& context, const member_record& record);
+std::optional<peer_address>
+address_of(const control_context& context, const vm_id& vm);
+
+/// Returns the other members of a failure domain that may answer.
+std::vector<vm_id>
+peers_in(const control_context& context, const failure_domain_id& domain);
+
+/// Returns what this node holds.
+heartbeat_message own_heartbeat(const control_context& context);
+
+} // namespace hemlockshelf
+
+#endif
--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -1,128 +1,528 @@
 #include "adapters/node/control_plane.hpp"
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <future>
+#include <memory>
+#include <utility>
+#include <vector>
 
 #include <spdlog/spdlog.h>
 
-#include "hemlockshelf/editing/config_reader.hpp"
+#include "adapters/node/config_keeper.hpp"
+#include "adapters/node/contact_tracker.hpp"
+#include "adapters/node/control_context.hpp"
+#include "adapters/node/directory.hpp"
+#include "adapters/node/heartbeat_agent.hpp"
+#include "adapters/node/join_agent.hpp"
+#include "adapters/node/platform_poller.hpp"
+#include "adapters/node/push_agent.hpp"
+#include "adapters/node/record_keeper.hpp"
+#include "adapters/node/repair_agent.hpp"
+#include "hemlockshelf/dissemination/readers.hpp"
 
 namespace hemlockshelf {
 
 namespace {
 
-constexpr std::chrono::milliseconds poll_interval{200};
+constexpr std::chrono::milliseconds tick_interval{100};
+constexpr std::chrono::seconds housekeeping_interval{5};
+// Readers wait this long for the accepting node's push before they push a
+// revision that they polled.
+constexpr std::chrono::milliseconds polled_push_delay{150};
+// A joining node leaves it to peers for this long to send what it misses.
+constexpr std::chrono::milliseconds join_grace{1000};
+// Time for the last record to reach the first nodes of its tree.
+constexpr std::chrono::milliseconds farewell_time{250};
 
-incarnation make_incarnation(const clock& time)
+rpc_settings make_rpc_settings(const node_settings& settings)
 {
-    const auto since_epoch = time.wall_now().time_since_epoch();
-    return incarnation{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
-            .count())};
+    rpc_settings rpc;
+    rpc.self_ = {settings.vm_, settings.failure_domain_, settings.region_};
+    rpc.listen_ = settings.control_;
+    rpc.source_address_ = settings.source_address_;
+    return rpc;
 }
 
 } // namespace
 
+class control_plane::parts final : public control_handler
+{
+public:
+    parts(
+        const node_settings& settings,
+        const clock& time,
+        table_service& tables,
+        snapshot_store& snapshots,
+        member_table& members,
+        const own_upstream& upstream,
+        metric_sink& metrics)
+        : settings_(settings), time_(time), metrics_(metrics),
+          keeper_(
+              snapshots, time, metrics, settings.dissemination_.kept_deltas_),
+          network_(make_rpc_settings(settings), *this, metrics),
+          context_{settings,
+                   time,
+                   members,
+                   keeper_,
+                   metrics,
+                   {settings.vm_, settings.failure_domain_, settings.region_},
+                   network_},
+          contacts_(context_), pushes_(context_, contacts_),
+          records_(context_, pushes_, upstream),
+          repairs_(context_, pushes_, records_, contacts_),
+          heartbeats_(context_, pushes_, repairs_, contacts_),
+          joins_(
+              context_,
+              repairs_,
+              [this]
+              {
+                  look_up_directory();
+              }),
+          poller_(
+              tables,
+              keeper_,
+              settings.dissemination_.poll_interval_,
+              [this](poll_report report)
+              {
+                  network_.post(
+                      [this, held = std::move(report)]
+                      {
+                          on_polled(held);
+                      });
+              })
+    {}
+
+    void start()
+    {
+        running_ = true;
+        network_.start();
+        poller_.start();
+        network_.post(
+            [this]
+            {
+                lifecycle_.listening();
+                begin_join();
+                last_tick_ = time_.now();
+                every(
+                    tick_interval,
+                    [this]
+                    {
+                        tick();
+                    });
+                every(
+                    settings_.membership_.heartbeat_interval_,
+                    [this]
+                    {
+                        heartbeats_.send_heartbeats();
+                    });
+                every(
+                    housekeeping_interval,
+                    [this]
+                    {
+                        keep_house();
+                    });
+            });
+    }
+
+    void drain()
+    {
+        network_.post(
+            [this]
+            {
+                lifecycle_.drain();
+                records_.drain();
+                publish_state();
+            });
+    }
+
+    void stop()
+    {
+        if (!std::exchange(running_, false))
+        {
+            return;
+        }
+        poller_.stop();
+        auto sent = std::make_shared<std::promise<void>>();
+        network_.post(
+            [this, sent]
+            {
+                lifecycle_.drain();
+                lifecycle_.leave();
+                records_.leave();
+                publish_state();
+                network_.after(
+                    farewell_time,
+                    [sent]
+                    {
+                        sent->set_value();
+                    });
+            });
+        sent->get_future().wait_for(2 * farewell_time);
+        network_.stop();
+    }
+
+    void accept(const change_record& record)
+    {
+        const std::vector<accepted_delta> deltas{
+            {record.delta_, record.audit_.at_}};
+        const auto applied = keeper_.apply(deltas, apply_source::edit);
+        if (!applied)
+        {
+            // This node was behind when it accepted the edit.
+            poller_.poll_now();
+        }
+        network_.post(
+            [this, deltas]
+            {
+                repairs_.note_revision(deltas.back().delta_.to_);
+                note_pushed(deltas.back().delta_.to_);
+                pushes_.push_deltas(deltas, push_scope::global);
+            });
+    }
+
+    [[nodiscard]] node_state state() const
+    {
+        return state_;
+    }
+
+    [[nodiscard]] revision highest_known_revision() const
+    {
+        return std::max(revision{highest_known_}, keeper_.held());
+    }
+
+    [[nodiscard]] incarnation own_incarnation() const
+    {
+        const auto own = context_.members_.find(settings_.vm_);
+        return own ? own->record_.incarnation_ : incarnation{};
+    }
+
+private:
+    heartbeat_message on_heartbeat(const heartbeat_message& request) override
+    {
+        return heartbeats_.on_heartbeat(request);
+    }
+
+    revision on_push(push_message request) override
+    {
+        contacts_.note(request.sender_, true);
+        if (!request.records_.empty())
+        {
+            records_.merge(request.records_);
+        }
+        if (!request.deltas_.empty())
+        {
+            take_deltas(request);
+        }
+        if (!request.deltas_.empty() || !request.records_.empty())
+        {
+            pushes_.forward(std::move(request));
+        }
+        return keeper_.held();
+    }
+
+    config_answer on_fetch(const fetch_request& request) override
+    {
+        contacts_.note(request.sender_, true);
+        return repairs_.on_fetch(request);
+    }
+
+    digest_answer on_digest(const digest_request& request) override
+    {
+        contacts_.note(request.sender_, true);
+        return repairs_.on_digest(request);
+    }
+
+    void on_probe(
+        const probe_request& request, std::function<void(bool)> answer) override
+    {
+        heartbeats_.on_probe(request, std::move(answer));
+    }
+
+    void take_deltas(const push_message& request)
+    {
+        const auto deltas = decode_deltas(request.deltas_);
+        if (!deltas || deltas->empty())
+        {
+            spdlog::warn(
+                "a push from {} is malformed", request.origin_.value());
+            return;
+        }
+        repairs_.note_revision(request.revision_);
+        note_pushed(request.revision_);
+        const auto applied = keeper_.apply(*deltas, apply_source::push);
+        if (applied)
+        {
+            return;
+        }
+        spdlog::info(
+            "a push from {} does not apply: {}", request.origin_.value(),
+            applied.error().message_);
+        if (const auto peer = address_of(context_, request.sender_.vm_))
+        {
+            repairs_.fetch_from(*peer, [](bool) {});
+        }
+    }
+
+    void every(std::chrono::milliseconds interval, std::function<void()> task)
+    {
+        network_.after(
+            interval,
+            [this, interval, task = std::move(task)]
+            {
+                every(interval, task);
+                task();
+            });
+    }
+
+    void tick()
+    {
+        const auto now = time_.now();
+        const auto pause = now - std::exchange(last_tick_, now);
+        if (pause > settings_.membership_.pause_threshold_)
+        {
+            on_paused(pause);
+        }
+        records_.refresh();
+        repairs_.tick();
+        if (lifecycle_.state() == node_state::joining && joins_.tick())
+        {
+            finish_join();
+        }
+        highest_known_ = repairs_.highest_seen().value();
+    }
+
+    void on_paused(std::chrono::nanoseconds pause)
+    {
+        spdlog::warn(
+            "the process was paused for {} ms; refreshing from peers",
+            std::chrono::duration_cast<std::chrono::milliseconds>(pause)
+                .count());
+        heartbeats_.reset();
+        contacts_.reset();
+        lifecycle_.paused();
+        if (lifecycle_.state() == node_state::joining)
+        {
+            begin_join();
+        }
+    }
+
+    void begin_join()
+    {
+        publish_state();
+        joins_.start();
+        join_grace_until_ = time_.now() + join_grace;
+        poller_.set_mode(poll_mode::head_only);
+    }
+
+    void finish_join()
+    {
+        lifecycle_.caught_up();
+        publish_state();
+        records_.announce();
+        choose_poll_mode();
+        spdlog::info(
+            "serving with revision {} and {} members", keeper_.held().value(),
+            context_.members_.size());
+    }
+
+    void publish_state()
+    {
+        state_ = lifecycle_.state();
+    }
+
+    void on_polled(const poll_report& report)
+    {
+        if (!report.answered_)
+        {
+            return;
+        }
+        repairs_.note_revision(report.head_);
+        if (lifecycle_.state() == node_state::joining)
+        {
+            joins_.note_platform(report.head_);
+            // Peers send what was missed at once; the platform's change rows
+            // are read one page after the other.
+            const bool peers_first =
+                joins_.has_contacts() && time_.now() < join_grace_until_;
+            if (!peers_first && keeper_.held() < report.head_)
+            {
+                poller_.poll_now();
+            }
+            return;
+        }
+        if (report.deltas_.empty())
+        {
+            return;
+        }
+        network_.after(
+            polled_push_delay,
+            [this, deltas = report.deltas_]
+            {
+                if (deltas.back().delta_.to_ > last_pushed_)
+                {
+                    note_pushed(deltas.back().delta_.to_);
+                    pushes_.push_deltas(deltas, push_scope::domain);
+                }
+            });
+    }
+
+    void note_pushed(revision number)
+    {
+        last_pushed_ = std::max(last_pushed_, number);
+    }
+
+    void keep_house()
+    {
+        context_.members_.remove_expired(time_.now(), settings_.membership_);
+        choose_poll_mode();
+        report_members();
+        maintain_directory();
+    }
+
+    void choose_poll_mode()
+    {
+        if (lifecycle_.state() == node_state::joining)
+        {
+            return;
+        }
+        auto live = peers_in(context_, settings_.failure_domain_);
+        live.push_back(settings_.vm_);
+        const auto readers = choose_readers(
+            settings_.failure_domain_, std::move(live),
+            settings_.dissemination_.readers_per_domain_);
+        const bool is_reader =
+            std::ranges::find(readers, settings_.vm_) != readers.end();
+        poller_.set_mode(is_reader ? poll_mode::follow : poll_mode::off);
+    }
+
+    void report_members()
+    {
+        const auto counts = context_.members_.counts();
+        for (std::size_t index = 0; index < counts.size(); ++index)
+        {
+            metrics_.set(
+                metric_id::members, to_string(static_cast<liveness>(index)),
+                static_cast<double>(counts.at(index)));
+        }
+    }
+
+    void look_up_directory()
+    {
+        poller_.run_task(
+            [this](table_service& tables)
+            {
+                network_.post(
+                    [this, contacts = read_directory(tables)]
+                    {
+                        joins_.add_contacts(contacts);
+                    });
+            });
+    }
+
+    /// The first members of the rendezvous order hold the directory's rows.
+    void maintain_directory()
+    {
+        const auto now = time_.now();
+        if (lifecycle_.state() != node_state::serving || now < next_directory_)
+        {
+            return;
+        }
+        next_directory_ = now + settings_.membership_.directory_interval_;
+        auto live = peers_in(context_, settings_.failure_domain_);
+        live.push_back(settings_.vm_);
+        const auto holders = choose_readers(
+            settings_.failure_domain_, std::move(live),
+            settings_.membership_.directory_rows_);
+        const auto found = std::ranges::find(holders, settings_.vm_);
+        if (found == holders.end())
+        {
+            return;
+        }
+        const directory_row row{
+            settings_.failure_domain_,
+            static_cast<std::size_t>(found - holders.begin()), settings_.vm_,
+            settings_.advertised_control_};
+        poller_.run_task(
+            [row](table_service& tables)
+            {
+                write_directory_row(tables, row);
+            });
+    }
+
+    const node_settings& settings_;
+    const clock& time_;
+    metric_sink& metrics_;
+    config_keeper keeper_;
+    control_network network_;
+    control_context context_;
+    contact_tracker contacts_;
+    push_agent pushes_;
+    record_keeper records_;
+    repair_agent repairs_;
+    heartbeat_agent heartbeats_;
+    join_agent joins_;
+    platform_poller poller_;
+    node_lifecycle lifecycle_;
+    std::atomic<node_state> state_ = node_state::starting;
+    std::atomic<std::uint64_t> highest_known_ = 0;
+    steady_time last_tick_;
+    steady_time next_directory_;
+    steady_time join_grace_until_;
+    revision last_pushed_;
+    bool running_ = false;
+};
+
 control_plane::control_plane(
     const node_settings& settings,
     const clock& time,
     table_service& tables,
     snapshot_store& snapshots,
     member_table& members,
-    const own_upstream& upstream)
-    : settings_(settings), time_(time), tables_(tables), snapshots_(snapshots),
-      members_(members), upstream_(upstream),
-      incarnation_(make_incarnation(time_))
+    const own_upstream& upstream,
+    metric_sink& metrics)
+    : parts_(std::make_unique<parts>(
+          settings, time, tables, snapshots, members, upstream, metrics))
 {}
 
-control_plane::~control_plane()
+control_plane::~control_plane() = default;
+
+void control_plane::start()
 {
-    stop();
+    parts_->start();
 }
 
-void control_plane::start()
+void control_plane::drain()
 {
-    poller_ = std::thread(
-        [this]
-        {
-            poll_platform();
-        });
+    parts_->drain();
 }
 
 void control_plane::stop()
 {
-    stopping_ = true;
-    if (poller_.joinable())
-    {
-        poller_.join();
-    }
+    parts_->stop();
 }
 
 void control_plane::accept(const change_record& record)
 {
-    const auto next = apply_delta(*snapshots_.current(), record.delta_);
-    if (next && snapshots_.advance(*next))
-    {
-        spdlog::info("revision {} is in force", record.delta_.to_.value());
-    }
+    parts_->accept(record);
 }
 
-void control_plane::poll_platform()
+node_state control_plane::state() const
 {
-    while (!stopping_)
-    {
-        write_own_record();
-        poll_once();
-        std::this_thread::sleep_for(poll_interval);
-    }
+    return parts_->state();
 }
 
-void control_plane::poll_once()
+revision control_plane::highest_known_revision() const
 {
-    const auto head = read_head(tables_);
-    const auto held = snapshots_.current();
-    if (!head || head->revision_ <= held->number())
-    {
-        return;
-    }
-    const auto next = catch_up(tables_, held, head->revision_);
-    if (!next)
-    {
-        spdlog::warn("catching up failed: {}", next.error().message_);
-        return;
-    }
-    if (snapshots_.advance(*next))
-    {
-        spdlog::info("revision {} is in force", head->revision_.value());
-    }
+    return parts_->highest_known_revision();
 }
 
-void control_plane::write_own_record()
+incarnation control_plane::own_incarnation() const
 {
-    const auto held = members_.find(settings_.vm_);
-    member_record record;
-    record.vm_ = settings_.vm_;
-    record.failure_domain_ = settings_.failure_domain_;
-    record.region_ = settings_.region_;
-    record.gate_address_ = to_string(settings_.advertised_gate_);
-    record.control_address_ = to_string(settings_.advertised_control_);
-    record.incarnation_ = incarnation_;
-    if (const auto upstream = upstream_.current())
-    {
-        record.state_ = upstream->draining_ ? upstream_state::draining
-                                            : upstream_state::ready;
-        record.account_ = upstream->account_;
-        record.service_ = upstream->service_;
-        record.slots_ = upstream->slots_;
-        record.connections_ = upstream->connections_;
-    }
-    record.sequence_ = held ? held->record_.sequence_ : sequence{0};
-    if (held && held->record_ == record)
-    {
-        return;
-    }
-    record.sequence_ = sequence{record.sequence_.value() + 1};
-    members_.merge(record);
+    return parts_->own_incarnation();
 }
 
 } // namespace hemlockshelf
--- a/adapters/node/control_plane.hpp
+++ b/adapters/node/control_plane.hpp
@@ -1,57 +1,65 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_NODE_CONTROL_PLANE_HPP
 #define HEMLOCKSHELF_ADAPTERS_NODE_CONTROL_PLANE_HPP
 
-#include <atomic>
-#include <thread>
+#include <memory>
 
 #include "adapters/node/own_upstream.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/metric_sink.hpp"
 #include "hemlockshelf/editing/change_record.hpp"
 #include "hemlockshelf/editing/table_service.hpp"
 #include "hemlockshelf/membership/member_table.hpp"
+#include "hemlockshelf/membership/node_lifecycle.hpp"
 
 namespace hemlockshelf {
 
 /// Keeps the configuration and the membership of this node current. Runs on
-/// threads of its own between `start` and `stop`.
+/// threads of its own between `start` and `stop`. Members may be called from
+/// any thread.
 class control_plane
 {
 public:
+    /// Binds the control listener. Throws `std::system_error` if the address
+    /// can't be bound.
     control_plane(
         const node_settings& settings,
         const clock& time,
         table_service& tables,
         snapshot_store& snapshots,
         member_table& members,
-        const own_upstream& upstream);
+        const own_upstream& upstream,
+        metric_sink& metrics);
     ~control_plane();
 
     control_plane(const control_plane&) = delete;
     control_plane& operator=(const control_plane&) = delete;
 
     void start();
+
+    /// Tells the other nodes that this one drains.
+    void drain();
+
+    /// Tells the other nodes that this one leaves and stops.
     void stop();
 
-    /// Takes an edit that this node has just committed. May be called from any
-    /// thread and does not block.
+    /// Takes an edit that this node has just committed: puts it into force and
+    /// pushes it. Does not block.
     void accept(const change_record& record);
 
+    [[nodiscard]] node_state state() const;
+
+    /// Returns the highest revision that the platform or a peer was seen to
+    /// hold.
+    [[nodiscard]] revision highest_known_revision() const;
+
+    /// Returns the incarnation of this node's record.
+    [[nodiscard]] incarnation own_incarnation() const;
+
 private:
-    void poll_platform();
-    void poll_once();
-    void write_own_record();
-
-    const node_settings& settings_;
-    const clock& time_;
-    table_service& tables_;
-    snapshot_store& snapshots_;
-    member_table& members_;
-    const own_upstream& upstream_;
-    incarnation incarnation_;
-    std::atomic<bool> stopping_ = false;
-    std::thread poller_;
+    class parts;
+    std::unique_ptr<parts> parts_;
 };
 
 } // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/heartbeat_agent.cpp
@@ -0,0 +1,269 @@
+#include "adapters/node/heartbeat_agent.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <spdlog/spdlog.h>
+
+namespace hemlockshelf {
+
+heartbeat_agent::heartbeat_agent(
+    control_context& context,
+    push_agent& pushes,
+    repair_agent& repairs,
+    contact_tracker& contacts)
+    : context_(context), pushes_(pushes), repairs_(repairs), contacts_(contacts)
+{}
+
+void heartbeat_agent::send_heartbeats()
+{
+    choose_watched();
+    for (const auto& vm : neighbours_)
+    {
+        send_heartbeat(vm);
+    }
+    watch_predecessor();
+}
+
+// A predecessor that is silent gets heartbeats until it answers again or is
+// confirmed to be down.
+void heartbeat_agent::watch_predecessor()
+{
+    const auto& settings = context_.settings_.membership_;
+    const auto limit = settings.heartbeat_interval_ * settings.missed_limit_;
+    if (predecessor_ && context_.time_.now() - predecessor_heard_ > limit &&
+        std::ranges::find(neighbours_, *predecessor_) == neighbours_.end())
+    {
+        send_heartbeat(*predecessor_);
+    }
+}
+
+void heartbeat_agent::choose_watched()
+{
+    const auto& domain = context_.self_.failure_domain_;
+    auto members = context_.members_.members_in(domain);
+    // The list is replaced whenever a member of the domain changes.
+    if (members == domain_members_)
+    {
+        return;
+    }
+    domain_members_ = std::move(members);
+    const auto peers = peers_in(context_, domain);
+    neighbours_ = choose_neighbours(
+        context_.self_.vm_, peers, context_.settings_.membership_.neighbours_);
+    auto predecessor = choose_predecessor(context_.self_.vm_, peers);
+    if (predecessor != predecessor_)
+    {
+        predecessor_ = std::move(predecessor);
+        predecessor_heard_ = context_.time_.now();
+    }
+    std::erase_if(
+        watches_,
+        [this](const auto& item)
+        {
+            return item.first != predecessor_ &&
+                   std::ranges::find(neighbours_, item.first) ==
+                       neighbours_.end();
+        });
+}
+
+void heartbeat_agent::send_heartbeat(const vm_id& vm)
+{
+    const auto peer = address_of(context_, vm);
+    if (!peer)
+    {
+        return;
+    }
+    context_.network_.heartbeat(
+        *peer, own_heartbeat(context_),
+        context_.settings_.membership_.heartbeat_deadline_,
+        [this, vm, peer = *peer](const result<heartbeat_message>& answer)
+        {
+            if (answer && answer->sender_.vm_ == vm)
+            {
+                on_answer(vm, *answer);
+                repairs_.note_peer(peer, *answer);
+                return;
+            }
+            on_missed(vm);
+        });
+}
+
+void heartbeat_agent::on_answer(
+    const vm_id& vm, const heartbeat_message& answer)
+{
+    auto& watch = watches_[vm];
+    if (watch.missed_ > 0)
+    {
+        context_.members_.set_liveness(
+            vm, answer.incarnation_, liveness::alive);
+    }
+    watch.missed_ = 0;
+    watch.rounds_ = 0;
+}
+
+void heartbeat_agent::on_missed(const vm_id& vm)
+{
+    const auto entry = context_.members_.find(vm);
+    if (!entry || !may_answer(*entry))
+    {
+        return;
+    }
+    const auto limit = context_.settings_.membership_.missed_limit_;
+    if (note_missed(watches_[vm], limit) == detector_action::confirm)
+    {
+        const auto seen = entry->record_.incarnation_;
+        context_.members_.set_liveness(vm, seen, liveness::suspect);
+        confirm(vm, seen);
+    }
+}
+
+void heartbeat_agent::confirm(const vm_id& vm, incarnation seen)
+{
+    auto poll = std::make_shared<vote>();
+    poll->target_ = vm;
+    poll->incarnation_ = seen;
+    const auto confirming = choose_confirming(vm);
+    poll->answers_.asked_ = confirming.size();
+    poll->outstanding_ = confirming.size();
+    if (confirming.empty())
+    {
+        finish_vote(*poll);
+        return;
+    }
+    for (const auto& helper : confirming)
+    {
+        const auto peer = address_of(context_, helper);
+        context_.network_.probe(
+            peer.value_or(peer_address{}), {context_.self_, vm},
+            context_.settings_.membership_.probe_deadline_,
+            [this, poll](const result<bool>& reachable)
+            {
+                if (reachable)
+                {
+                    ++(*reachable ? poll->answers_.reachable_
+                                  : poll->answers_.unreachable_);
+                }
+                if (--poll->outstanding_ == 0)
+                {
+                    finish_vote(*poll);
+                }
+            });
+    }
+}
+
+std::vector<vm_id> heartbeat_agent::choose_confirming(const vm_id& suspect)
+{
+    const auto wanted = context_.settings_.membership_.confirming_nodes_;
+    std::vector<vm_id> chosen;
+    const auto add_from = [&](const failure_domain_id& domain)
+    {
+        auto peers = peers_in(context_, domain);
+        std::erase(peers, suspect);
+        std::ranges::shuffle(peers, context_.random_);
+        for (const auto& vm : peers)
+        {
+            const auto entry = context_.members_.find(vm);
+            if (chosen.size() < wanted && entry &&
+                entry->liveness_ == liveness::alive)
+            {
+                chosen.push_back(vm);
+            }
+        }
+    };
+    const auto& own = context_.self_.failure_domain_;
+    add_from(own);
+    // Members of a small failure domain may have failed together; nodes of
+    // other failure domains fill up the number.
+    for (const auto& [domain, region] : context_.members_.domains())
+    {
+        if (domain != own && chosen.size() < wanted)
+        {
+            add_from(domain);
+        }
+    }
+    return chosen;
+}
+
+void heartbeat_agent::finish_vote(const vote& result)
+{
+    const auto found = watches_.find(result.target_);
+    if (found == watches_.end())
+    {
+        return;
+    }
+    switch (judge(found->second, result.answers_))
+    {
+    case suspicion_verdict::inconclusive:
+        break;
+    case suspicion_verdict::alive:
+        context_.members_.set_liveness(
+            result.target_, result.incarnation_, liveness::alive);
+        break;
+    case suspicion_verdict::down:
+        report_down(result.target_, result.incarnation_);
+        break;
+    }
+}
+
+void heartbeat_agent::report_down(const vm_id& vm, incarnation seen)
+{
+    if (!context_.members_.set_liveness(vm, seen, liveness::down))
+    {
+        return;
+    }
+    spdlog::warn("member {} is down", vm.value());
+    if (const auto entry = context_.members_.find(vm))
+    {
+        pushes_.push_records({to_update(*entry)});
+    }
+}
+
+heartbeat_message
+heartbeat_agent::on_heartbeat(const heartbeat_message& request)
+{
+    contacts_.note(request.sender_, true);
+    repairs_.note_revision(request.revision_);
+    if (request.sender_.vm_ == predecessor_)
+    {
+        predecessor_heard_ = context_.time_.now();
+    }
+    const auto entry = context_.members_.find(request.sender_.vm_);
+    if (entry && entry->liveness_ == liveness::down &&
+        entry->record_.incarnation_ == request.incarnation_)
+    {
+        // The sender is alive: it has to hear of the finding to refute it.
+        if (const auto peer = address_of(context_, entry->record_))
+        {
+            pushes_.send_records(*peer, {to_update(*entry)});
+        }
+    }
+    return own_heartbeat(context_);
+}
+
+void heartbeat_agent::on_probe(
+    const probe_request& request, std::function<void(bool)> answer)
+{
+    const auto peer = address_of(context_, request.target_);
+    if (!peer)
+    {
+        answer(false);
+        return;
+    }
+    context_.network_.heartbeat(
+        *peer, own_heartbeat(context_),
+        context_.settings_.membership_.heartbeat_deadline_,
+        [target = request.target_,
+         answer = std::move(answer)](const result<heartbeat_message>& reply)
+        {
+            answer(reply && reply->sender_.vm_ == target);
+        });
+}
+
+void heartbeat_agent::reset()
+{
+    watches_.clear();
+    predecessor_heard_ = context_.time_.now();
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/join_agent.cpp
@@ -0,0 +1,170 @@
+#include "adapters/node/join_agent.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace hemlockshelf {
+
+namespace {
+
+constexpr std::chrono::milliseconds ask_deadline{1000};
+constexpr std::chrono::milliseconds round_interval{300};
+// Peers that give their records to a node that joins.
+constexpr std::size_t record_sources = 2;
+
+} // namespace
+
+join_agent::join_agent(
+    control_context& context,
+    repair_agent& repairs,
+    std::function<void()> look_up)
+    : context_(context), repairs_(repairs), look_up_(std::move(look_up))
+{}
+
+void join_agent::start()
+{
+    ++round_;
+    outstanding_ = 0;
+    answers_.clear();
+    followed_up_ = false;
+    directory_asked_ = false;
+    platform_answered_ = false;
+    started_at_ = context_.time_.now();
+    next_round_ = started_at_;
+    contacts_ = context_.settings_.peers_;
+    for (const auto& vm : peers_in(context_, context_.self_.failure_domain_))
+    {
+        if (const auto peer = address_of(context_, vm))
+        {
+            contacts_.push_back(peer->endpoint_);
+        }
+    }
+    std::erase(contacts_, context_.settings_.advertised_control_);
+}
+
+void join_agent::add_contacts(const std::vector<endpoint>& contacts)
+{
+    directory_empty_ = true;
+    for (const auto& contact : contacts)
+    {
+        if (contact != context_.settings_.advertised_control_)
+        {
+            contacts_.push_back(contact);
+            directory_empty_ = false;
+        }
+    }
+}
+
+void join_agent::note_platform(revision head)
+{
+    platform_answered_ = true;
+    platform_head_ = std::max(platform_head_, head);
+}
+
+bool join_agent::tick()
+{
+    const auto now = context_.time_.now();
+    if (answers_.empty() && outstanding_ == 0 && now >= next_round_)
+    {
+        next_round_ = now + round_interval;
+        ask_peers();
+    }
+    return is_complete();
+}
+
+void join_agent::ask_peers()
+{
+    if (contacts_.empty())
+    {
+        if (!std::exchange(directory_asked_, true))
+        {
+            look_up_();
+        }
+        return;
+    }
+    std::ranges::shuffle(contacts_, context_.random_);
+    const auto count =
+        std::min(contacts_.size(), context_.settings_.membership_.join_peers_);
+    outstanding_ = count;
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        const peer_address peer{contacts_.at(index), {}};
+        context_.network_.heartbeat(
+            peer, own_heartbeat(context_), ask_deadline,
+            [this, peer,
+             round = round_](const result<heartbeat_message>& answer)
+            {
+                if (round == round_)
+                {
+                    on_answer(peer, answer);
+                }
+            });
+    }
+}
+
+void join_agent::on_answer(
+    const peer_address& peer, const result<heartbeat_message>& answer)
+{
+    --outstanding_;
+    if (answer)
+    {
+        repairs_.note_revision(answer->revision_);
+        answers_.push_back({peer, answer->revision_});
+    }
+    if (outstanding_ == 0 && !answers_.empty())
+    {
+        follow_up();
+        return;
+    }
+    // The contacts from the settings may all be gone; the directory is newer.
+    if (outstanding_ == 0 && !std::exchange(directory_asked_, true))
+    {
+        look_up_();
+    }
+}
+
+void join_agent::follow_up()
+{
+    std::ranges::sort(
+        answers_,
+        [](const answered_peer& left, const answered_peer& right)
+        {
+            return left.revision_ > right.revision_;
+        });
+    outstanding_ = std::min(answers_.size(), record_sources);
+    const auto finish = [this, round = round_](bool)
+    {
+        if (round == round_)
+        {
+            --outstanding_;
+            followed_up_ = outstanding_ == 0;
+        }
+    };
+    for (std::size_t index = 0; index < outstanding_; ++index)
+    {
+        repairs_.exchange_records(answers_.at(index).peer_, finish);
+    }
+    const auto& best = answers_.front();
+    if (best.revision_ > context_.keeper_.held())
+    {
+        repairs_.fetch_from(best.peer_, [](bool) {});
+    }
+}
+
+bool join_agent::is_complete() const
+{
+    const auto held = context_.keeper_.held();
+    const bool patience_over = context_.time_.now() - started_at_ >=
+                               context_.settings_.membership_.join_patience_;
+    const bool peers_done = followed_up_ && held >= answers_.front().revision_;
+    const bool platform_done = platform_answered_ && held >= platform_head_;
+    const bool no_peers = contacts_.empty() && directory_empty_;
+    if (peers_done)
+    {
+        return platform_done || (!platform_answered_ && patience_over);
+    }
+    return platform_done && answers_.empty() && (no_peers || patience_over);
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/join_agent.hpp
@@ -0,0 +1,71 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_JOIN_AGENT_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_JOIN_AGENT_HPP
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+#include "adapters/node/control_context.hpp"
+#include "adapters/node/repair_agent.hpp"
+
+namespace hemlockshelf {
+
+/// Brings a new or resumed node up to date: asks several peers and the
+/// platform, and takes the highest revision.
+class join_agent
+{
+public:
+    /// `look_up` asks the platform's directory for contacts and passes them
+    /// to `add_contacts` later.
+    join_agent(
+        control_context& context,
+        repair_agent& repairs,
+        std::function<void()> look_up);
+
+    /// Starts afresh, with the known members as contacts.
+    void start();
+
+    /// Goes on with the exchange. Returns true once the node is up to date.
+    bool tick();
+
+    void add_contacts(const std::vector<endpoint>& contacts);
+    void note_platform(revision head);
+
+    /// Tells whether there are peers to ask.
+    [[nodiscard]] bool has_contacts() const noexcept
+    {
+        return !contacts_.empty();
+    }
+
+private:
+    struct answered_peer
+    {
+        peer_address peer_;
+        revision revision_;
+    };
+
+    void ask_peers();
+    void on_answer(
+        const peer_address& peer, const result<heartbeat_message>& answer);
+    void follow_up();
+    [[nodiscard]] bool is_complete() const;
+
+    control_context& context_;
+    repair_agent& repairs_;
+    std::function<void()> look_up_;
+    std::vector<endpoint> contacts_;
+    std::vector<answered_peer> answers_;
+    std::size_t outstanding_ = 0;
+    std::size_t round_ = 0;
+    steady_time started_at_;
+    steady_time next_round_;
+    bool directory_asked_ = false;
+    bool directory_empty_ = false;
+    bool platform_answered_ = false;
+    bool followed_up_ = false;
+    revision platform_head_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -1,9 +1,11 @@
 #include "adapters/node/node.hpp"
 
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "adapters/http/json_server.hpp"
 #include "adapters/node/admin_handler.hpp"
@@ -20,6 +22,8 @@
 namespace {
 
 constexpr std::size_t admin_threads = 4;
+// A record reaches every node well within this time.
+constexpr std::chrono::milliseconds drain_notice{1000};
 
 } // namespace
 
@@ -29,9 +33,14 @@
     explicit parts(node_settings settings)
         : settings_(std::move(settings)),
           platform_({settings_.platform_, settings_.source_address_}),
-          upstream_(time_),
-          control_(
-              settings_, time_, platform_, snapshots_, members_, upstream_),
+          upstream_(time_), control_(
+                                settings_,
+                                time_,
+                                platform_,
+                                snapshots_,
+                                members_,
+                                upstream_,
+                                metrics_),
           calls_(settings_, time_, snapshots_, members_, upstream_),
           editor_(
               platform_,
@@ -45,8 +54,8 @@
               {
                   control_.accept(record);
               }),
-          admin_{&settings_, &snapshots_, &platform_,
-                 &editor_,   &upstream_,  &metrics_},
+          admin_{&settings_, &snapshots_, &platform_, &editor_,
+                 &upstream_, &metrics_,   &members_,  &control_},
           admin_server_(
               context_,
               settings_.admin_,
@@ -55,7 +64,7 @@
               {
                   return handle_admin_request(admin_, request, peer);
               }),
-          signals_(context_, SIGINT, SIGTERM)
+          signals_(context_, SIGINT, SIGTERM), drain_timer_(context_)
     {}
 
     void run()
@@ -63,7 +72,7 @@
         signals_.async_wait(
             [this](const auto&, int)
             {
-                context_.stop();
+                begin_drain();
             });
         control_.start();
         calls_.start();
@@ -73,6 +82,19 @@
     }
 
 private:
+    /// Keeps serving until the other nodes have learned of the drain.
+    void begin_drain()
+    {
+        control_.drain();
+        drain_timer_.expires_after(
+            upstream_.current() ? drain_notice : std::chrono::milliseconds{0});
+        drain_timer_.async_wait(
+            [this](const auto&)
+            {
+                context_.stop();
+            });
+    }
+
     node_settings settings_;
     real_clock time_;
     prometheus_metrics metrics_;
@@ -87,6 +109,7 @@
     admin_context admin_;
     json_server admin_server_;
     asio::signal_set signals_;
+    asio::steady_timer drain_timer_;
 };
 
 node::node(node_settings settings)
--- /dev/null
+++ b/adapters/node/platform_poller.hpp
@@ -0,0 +1,84 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_PLATFORM_POLLER_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_PLATFORM_POLLER_HPP
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "adapters/node/config_keeper.hpp"
+#include "hemlockshelf/editing/table_service.hpp"
+
+namespace hemlockshelf {
+
+/// How much this node asks of the platform.
+enum class poll_mode
+{
+    off,
+    /// Read the head, but leave catching up to peers.
+    head_only,
+    /// Read the head and the change rows up to it.
+    follow,
+};
+
+/// What one poll brought.
+struct poll_report
+{
+    bool answered_ = false;
+    revision head_;
+    /// Deltas that were read, whether or not they were new.
+    std::vector<accepted_delta> deltas_;
+};
+
+/// Polls the platform in a thread of its own, because its calls block and may
+/// last until their timeout during an outage.
+class platform_poller
+{
+public:
+    using report_handler = std::function<void(poll_report)>;
+
+    /// `on_report` is called on the poller's thread after each poll.
+    platform_poller(
+        table_service& tables,
+        config_keeper& keeper,
+        std::chrono::milliseconds interval,
+        report_handler on_report);
+    ~platform_poller();
+
+    platform_poller(const platform_poller&) = delete;
+    platform_poller& operator=(const platform_poller&) = delete;
+
+    void start();
+    void stop();
+
+    void set_mode(poll_mode mode);
+
+    /// Polls once at the next occasion, in the mode `follow`.
+    void poll_now();
+
+    /// Runs a task that calls the platform, between two polls.
+    void run_task(std::function<void(table_service&)> task);
+
+private:
+    void run();
+    void poll(poll_mode mode);
+    void read_deltas(poll_report& report);
+
+    table_service& tables_;
+    config_keeper& keeper_;
+    std::chrono::milliseconds interval_;
+    report_handler on_report_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_ = false;
+    bool poll_now_ = false;
+    poll_mode mode_ = poll_mode::off;
+    std::vector<std::function<void(table_service&)>> tasks_;
+    std::thread thread_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/node/push_agent.cpp
@@ -0,0 +1,223 @@
+#include "adapters/node/push_agent.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <spdlog/spdlog.h>
+
+namespace hemlockshelf {
+
+namespace {
+
+constexpr std::size_t remembered_pushes = 256;
+
+bool covers(const push_duty& held, const push_duty& asked)
+{
+    return held.seed_ == asked.seed_ && held.scope_ <= asked.scope_ &&
+           held.range_.first_ <= asked.range_.first_ &&
+           held.range_.last_ >= asked.range_.last_;
+}
+
+} // namespace
+
+push_agent::push_agent(control_context& context, contact_tracker& contacts)
+    : context_(context), contacts_(contacts)
+{}
+
+void push_agent::push_deltas(
+    const std::vector<accepted_delta>& deltas, push_scope scope)
+{
+    if (deltas.empty())
+    {
+        return;
+    }
+    push_message message;
+    message.origin_ = context_.self_.vm_;
+    message.duty_ = {scope, context_.random_(), {}};
+    message.revision_ = deltas.back().delta_.to_;
+    message.deltas_ = encode_deltas(deltas);
+    forward(std::move(message));
+}
+
+void push_agent::push_records(std::vector<member_update> records)
+{
+    if (records.empty())
+    {
+        return;
+    }
+    const bool is_first = batch_.empty();
+    std::ranges::move(records, std::back_inserter(batch_));
+    if (is_first)
+    {
+        context_.network_.after(
+            context_.settings_.dissemination_.record_batch_delay_,
+            [this]
+            {
+                flush_records();
+            });
+    }
+}
+
+void push_agent::flush_records()
+{
+    push_message message;
+    message.origin_ = context_.self_.vm_;
+    message.duty_ = {push_scope::global, context_.random_(), {}};
+    message.records_ = std::exchange(batch_, {});
+    forward(std::move(message));
+}
+
+void push_agent::send_records(
+    const peer_address& peer, std::vector<member_update> records)
+{
+    push_message message;
+    message.sender_ = context_.self_;
+    message.origin_ = context_.self_.vm_;
+    message.duty_ = {push_scope::domain, context_.random_(), {1, 0}};
+    message.records_ = std::move(records);
+    context_.network_.push(
+        peer, message,
+        context_.settings_.dissemination_.cross_domain_push_deadline_,
+        [](const result<revision>&) {});
+}
+
+void push_agent::forward(push_message message)
+{
+    if (is_repeated(message.duty_))
+    {
+        return;
+    }
+    message.sender_ = context_.self_;
+    const auto& settings = context_.settings_.dissemination_;
+    auto legs = plan_push(
+        message.duty_, context_.self_, view_for(message.duty_.scope_),
+        settings.domain_fanout_);
+    for (auto& leg : legs)
+    {
+        auto task = std::make_shared<leg_task>();
+        task->message_ = message;
+        task->offer_ =
+            settings.offer_first_ && !is_local(leg) && !message.deltas_.empty();
+        task->leg_ = std::move(leg);
+        send(task);
+    }
+}
+
+bool push_agent::is_repeated(const push_duty& duty)
+{
+    const bool repeated = std::ranges::any_of(
+        recent_,
+        [&duty](const push_duty& held)
+        {
+            return covers(held, duty);
+        });
+    if (!repeated)
+    {
+        recent_.push_back(duty);
+    }
+    if (recent_.size() > remembered_pushes)
+    {
+        recent_.pop_front();
+    }
+    return repeated;
+}
+
+std::vector<tree_member> push_agent::view_for(push_scope scope) const
+{
+    std::vector<tree_member> view;
+    const auto add = [&](const failure_domain_id& domain)
+    {
+        const auto members = context_.members_.members_in(domain);
+        for (const auto& entry : *members)
+        {
+            if (may_answer(*entry) && entry->liveness_ != liveness::unreachable)
+            {
+                view.push_back(to_tree_member(entry->record_));
+            }
+        }
+    };
+    if (scope == push_scope::domain)
+    {
+        add(context_.self_.failure_domain_);
+        return view;
+    }
+    for (const auto& [domain, region] : context_.members_.domains())
+    {
+        if (scope == push_scope::global || region == context_.self_.region_)
+        {
+            add(domain);
+        }
+    }
+    return view;
+}
+
+void push_agent::send(const std::shared_ptr<leg_task>& task)
+{
+    if (task->candidate_ >= attempts_for(task->leg_))
+    {
+        spdlog::warn(
+            "no receiver of a push answered in {}/{}; left to repair",
+            task->leg_.region_.value(), task->leg_.failure_domain_.value());
+        return;
+    }
+    const auto& vm = task->leg_.candidates_.at(task->candidate_);
+    const auto peer = address_of(context_, vm);
+    if (!peer)
+    {
+        ++task->candidate_;
+        send(task);
+        return;
+    }
+    auto message = task->message_;
+    message.duty_ = duty_of(task->leg_, task->candidate_, message.duty_.seed_);
+    if (task->offer_)
+    {
+        message.deltas_.clear();
+        message.records_.clear();
+    }
+    const auto& settings = context_.settings_.dissemination_;
+    context_.network_.push(
+        *peer, message,
+        is_local(task->leg_) ? settings.domain_push_deadline_
+                             : settings.cross_domain_push_deadline_,
+        [this, task](const result<revision>& answer)
+        {
+            on_answer(task, answer);
+        });
+}
+
+void push_agent::on_answer(
+    const std::shared_ptr<leg_task>& task, const result<revision>& answer)
+{
+    const auto& vm = task->leg_.candidates_.at(task->candidate_);
+    if (const auto entry = context_.members_.find(vm))
+    {
+        contacts_.note(to_tree_member(entry->record_), answer.has_value());
+    }
+    if (!answer)
+    {
+        ++task->candidate_;
+        send(task);
+        return;
+    }
+    if (std::exchange(task->offer_, false) &&
+        *answer < task->message_.revision_)
+    {
+        send(task);
+    }
+}
+
+std::size_t push_agent::attempts_for(const push_leg& leg) const
+{
+    const auto& settings = context_.settings_.dissemination_;
+    const auto limit =
+        is_local(leg) ? settings.takeover_attempts_ : settings.bridge_attempts_;
+    return std::min(limit, leg.candidates_.size());
+}
+
+bool push_agent::is_local(const push_leg& leg) const
+{
+    return leg.failure_domain_ == context_.self_.failure_domain_;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/record_keeper.cpp
@@ -0,0 +1,125 @@
+#include "adapters/node/record_keeper.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <utility>
+
+#include <spdlog/spdlog.h>
+
+namespace hemlockshelf {
+
+namespace {
+
+incarnation make_incarnation(const clock& time)
+{
+    const auto since_epoch = time.wall_now().time_since_epoch();
+    return incarnation{static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+            .count())};
+}
+
+member_record make_record(const control_context& context)
+{
+    const auto& settings = context.settings_;
+    member_record record;
+    record.vm_ = settings.vm_;
+    record.failure_domain_ = settings.failure_domain_;
+    record.region_ = settings.region_;
+    record.gate_address_ = to_string(settings.advertised_gate_);
+    record.control_address_ = to_string(settings.advertised_control_);
+    record.incarnation_ = make_incarnation(context.time_);
+    return record;
+}
+
+} // namespace
+
+record_keeper::record_keeper(
+    control_context& context, push_agent& pushes, const own_upstream& upstream)
+    : context_(context), pushes_(pushes), upstream_(upstream),
+      lifecycle_(context.settings_.membership_), record_(make_record(context))
+{
+    context_.members_.merge(record_);
+}
+
+void record_keeper::refresh()
+{
+    const auto announcement = upstream_.current();
+    lifecycle_.observe(announcement, context_.time_.now());
+    auto next = record_;
+    next.state_ = lifecycle_.state();
+    // A silent upstream keeps its service, so that its pool lists it as down.
+    if (announcement)
+    {
+        next.account_ = announcement->account_;
+        next.service_ = announcement->service_;
+        next.slots_ = announcement->slots_;
+        next.connections_ = announcement->connections_;
+    }
+    if (next != record_)
+    {
+        publish(std::move(next));
+    }
+}
+
+void record_keeper::announce()
+{
+    pushes_.push_records({{record_, false}});
+}
+
+std::vector<member_update>
+record_keeper::merge(const std::vector<member_update>& updates)
+{
+    std::vector<member_update> newer;
+    for (const auto& update : updates)
+    {
+        if (update.record_.vm_ == context_.self_.vm_)
+        {
+            refute(update);
+        }
+        else if (context_.members_.merge(update))
+        {
+            newer.push_back(update);
+        }
+    }
+    return newer;
+}
+
+void record_keeper::drain()
+{
+    lifecycle_.drain();
+    refresh();
+}
+
+void record_keeper::leave()
+{
+    lifecycle_.leave();
+    refresh();
+}
+
+void record_keeper::publish(member_record next)
+{
+    next.sequence_ = sequence{record_.sequence_.value() + 1};
+    record_ = std::move(next);
+    context_.members_.merge(record_);
+    announce();
+}
+
+void record_keeper::refute(const member_update& claim)
+{
+    if (!supersedes(claim, {record_, false}))
+    {
+        return;
+    }
+    spdlog::warn(
+        "peers hold a newer record of this node (incarnation {}, down {}); "
+        "raising the incarnation",
+        claim.record_.incarnation_.value(), claim.down_);
+    auto next = record_;
+    const auto lowest = claim.record_.incarnation_.value() + 1;
+    next.incarnation_ =
+        incarnation{std::max(make_incarnation(context_.time_).value(), lowest)};
+    publish(std::move(next));
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/record_keeper.hpp
@@ -0,0 +1,53 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_RECORD_KEEPER_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_RECORD_KEEPER_HPP
+
+#include <vector>
+
+#include "adapters/node/control_context.hpp"
+#include "adapters/node/own_upstream.hpp"
+#include "adapters/node/push_agent.hpp"
+#include "hemlockshelf/membership/upstream_lifecycle.hpp"
+
+namespace hemlockshelf {
+
+/// Writes this node's record and merges those of others.
+class record_keeper
+{
+public:
+    record_keeper(
+        control_context& context,
+        push_agent& pushes,
+        const own_upstream& upstream);
+
+    /// Brings the own record up to date and spreads it if it changed.
+    void refresh();
+
+    /// Spreads the own record as it is.
+    void announce();
+
+    /// Merges updates and returns those that were newer than what was held. An
+    /// update that claims this node is down or has a newer version is refuted.
+    std::vector<member_update> merge(const std::vector<member_update>& updates);
+
+    void drain();
+    void leave();
+
+    [[nodiscard]] incarnation own_incarnation() const noexcept
+    {
+        return record_.incarnation_;
+    }
+
+private:
+    void publish(member_record next);
+    void refute(const member_update& claim);
+
+    control_context& context_;
+    push_agent& pushes_;
+    const own_upstream& upstream_;
+    upstream_lifecycle lifecycle_;
+    member_record record_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/node/repair_agent.cpp
@@ -0,0 +1,356 @@
+#include "adapters/node/repair_agent.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <utility>
+
+#include <spdlog/spdlog.h>
+
+namespace hemlockshelf {
+
+namespace {
+
+// A peer with a snapshot may be busy for several rounds.
+constexpr int max_fetch_attempts = 8;
+// Neighbours whose digests differ exchange records at most this often.
+constexpr std::chrono::seconds exchange_interval{2};
+constexpr std::chrono::milliseconds contact_retry{500};
+constexpr std::uint64_t configured_peer_share = 4;
+
+std::map<vm_id, member_update> by_vm(const std::vector<member_update>& updates)
+{
+    std::map<vm_id, member_update> map;
+    for (const auto& update : updates)
+    {
+        map.emplace(update.record_.vm_, update);
+    }
+    return map;
+}
+
+} // namespace
+
+repair_agent::repair_agent(
+    control_context& context,
+    push_agent& pushes,
+    record_keeper& records,
+    contact_tracker& contacts)
+    : context_(context), pushes_(pushes), records_(records),
+      contacts_(contacts), limiter_(context.settings_.dissemination_)
+{
+    take_due(
+        schedule_, context_.time_.now(), context_.settings_.dissemination_,
+        context_.random_());
+}
+
+void repair_agent::tick()
+{
+    const auto due = take_due(
+        schedule_, context_.time_.now(), context_.settings_.dissemination_,
+        context_.random_());
+    if (due.local_)
+    {
+        contact_local();
+    }
+    if (due.cross_)
+    {
+        contact_other_domain();
+    }
+}
+
+void repair_agent::contact_local()
+{
+    const auto peers = peers_in(context_, context_.self_.failure_domain_);
+    if (const auto vm = choose_peer(peers, context_.random_()))
+    {
+        contact_member(*vm);
+    }
+}
+
+void repair_agent::contact_other_domain()
+{
+    std::vector<failure_domain_id> domains;
+    std::vector<failure_domain_id> unreachable;
+    for (const auto& [domain, region] : context_.members_.domains())
+    {
+        if (domain == context_.self_.failure_domain_)
+        {
+            continue;
+        }
+        domains.push_back(domain);
+        if (!contacts_.is_reachable(domain))
+        {
+            unreachable.push_back(domain);
+        }
+    }
+    if (domains.empty() || context_.random_() % configured_peer_share == 0)
+    {
+        contact_configured_peer();
+    }
+    // Half of the contacts look for domains that can be reached again.
+    if (!unreachable.empty() && context_.random_() % 2 == 0)
+    {
+        domains = std::move(unreachable);
+    }
+    if (domains.empty())
+    {
+        return;
+    }
+    const auto& domain = domains.at(context_.random_() % domains.size());
+    if (const auto vm =
+            choose_peer(peers_in(context_, domain), context_.random_()))
+    {
+        contact_member(*vm);
+    }
+}
+
+// Two groups that started apart know nothing of each other but this.
+void repair_agent::contact_configured_peer()
+{
+    const auto& peers = context_.settings_.peers_;
+    if (peers.empty())
+    {
+        return;
+    }
+    const auto& address = peers.at(context_.random_() % peers.size());
+    if (address != context_.settings_.advertised_control_)
+    {
+        contact({address, {}}, std::nullopt);
+    }
+}
+
+void repair_agent::contact_member(const vm_id& vm)
+{
+    const auto entry = context_.members_.find(vm);
+    const auto peer =
+        entry ? address_of(context_, entry->record_) : std::nullopt;
+    if (peer)
+    {
+        contact(*peer, to_tree_member(entry->record_));
+    }
+}
+
+void repair_agent::contact(
+    const peer_address& peer, std::optional<tree_member> member)
+{
+    context_.network_.heartbeat(
+        peer, own_heartbeat(context_),
+        context_.settings_.dissemination_.cross_domain_push_deadline_,
+        [this, peer,
+         member = std::move(member)](const result<heartbeat_message>& answer)
+        {
+            if (member)
+            {
+                contacts_.note(*member, answer.has_value());
+            }
+            if (answer)
+            {
+                note_peer(peer, *answer);
+                return;
+            }
+            // A failure is soon confirmed or refuted by another contact.
+            if (member && contacts_.is_reachable(member->failure_domain_))
+            {
+                schedule_.next_cross_ = std::min(
+                    schedule_.next_cross_,
+                    context_.time_.now() + contact_retry);
+            }
+        });
+}
+
+void repair_agent::note_revision(revision seen)
+{
+    highest_seen_ = std::max(highest_seen_, seen);
+    const auto held = context_.keeper_.held();
+    const auto lag =
+        highest_seen_ > held ? highest_seen_.value() - held.value() : 0;
+    context_.metrics_.set(metric_id::config_lag, {}, static_cast<double>(lag));
+}
+
+void repair_agent::note_peer(
+    const peer_address& peer, const heartbeat_message& held)
+{
+    note_revision(held.revision_);
+    if (held.revision_ > context_.keeper_.held() && !fetch_planned_)
+    {
+        fetch_planned_ = true;
+        context_.network_.after(
+            context_.settings_.dissemination_.repair_grace_,
+            [this, peer, seen = held.revision_]
+            {
+                fetch_planned_ = false;
+                if (seen > context_.keeper_.held())
+                {
+                    fetch_from(peer, [](bool) {});
+                }
+            });
+    }
+    const auto now = context_.time_.now();
+    if (held.membership_root_ != root_of(context_.members_.digest()) &&
+        now >= next_exchange_)
+    {
+        next_exchange_ = now + exchange_interval;
+        exchange_records(peer, [](bool) {});
+    }
+}
+
+void repair_agent::fetch_from(const peer_address& peer, const finished& done)
+{
+    if (fetching_)
+    {
+        done(false);
+        return;
+    }
+    fetching_ = true;
+    fetch(peer, false, 0, done);
+}
+
+void repair_agent::fetch(
+    const peer_address& peer, bool whole, int attempt, const finished& done)
+{
+    if (attempt >= max_fetch_attempts)
+    {
+        finish_fetch(done, false);
+        return;
+    }
+    context_.network_.fetch_config(
+        peer, {context_.self_, context_.keeper_.held(), whole},
+        context_.settings_.dissemination_.fetch_deadline_,
+        [this, peer, attempt, done](const result<config_answer>& answer)
+        {
+            if (answer)
+            {
+                on_config(peer, attempt, *answer, done);
+                return;
+            }
+            finish_fetch(done, false);
+        });
+}
+
+void repair_agent::on_config(
+    const peer_address& peer,
+    int attempt,
+    const config_answer& answer,
+    const finished& done)
+{
+    if (answer.kind_ == config_answer_kind::busy)
+    {
+        // Jitter spreads nodes that were refused together.
+        const auto wait =
+            answer.retry_after_ +
+            answer.retry_after_ *
+                static_cast<std::int64_t>(context_.random_() % 8) / 8;
+        context_.network_.after(
+            wait,
+            [this, peer, attempt, done]
+            {
+                fetch(peer, false, attempt + 1, done);
+            });
+        return;
+    }
+    if (answer.kind_ == config_answer_kind::deltas)
+    {
+        const auto deltas = decode_deltas(answer.payload_);
+        const auto applied =
+            deltas ? context_.keeper_.apply(*deltas, apply_source::repair)
+                   : result<void>(tl::unexpected<error>(deltas.error()));
+        if (!applied)
+        {
+            spdlog::warn(
+                "deltas of a peer were rejected: {}", applied.error().message_);
+            fetch(peer, true, attempt + 1, done);
+            return;
+        }
+    }
+    if (answer.kind_ == config_answer_kind::snapshot)
+    {
+        const auto snapshot = decode_snapshot(answer.payload_);
+        if (!snapshot)
+        {
+            spdlog::warn(
+                "the snapshot of a peer was rejected: {}",
+                snapshot.error().message_);
+            finish_fetch(done, false);
+            return;
+        }
+        context_.keeper_.adopt(*snapshot, apply_source::repair);
+    }
+    finish_fetch(done, true);
+}
+
+void repair_agent::finish_fetch(const finished& done, bool success)
+{
+    fetching_ = false;
+    done(success);
+}
+
+void repair_agent::exchange_records(const peer_address& peer, finished done)
+{
+    context_.network_.member_digest(
+        peer, {context_.self_, context_.members_.digest()},
+        context_.settings_.dissemination_.fetch_deadline_,
+        [this, peer,
+         done = std::move(done)](const result<digest_answer>& answer)
+        {
+            if (answer)
+            {
+                on_records(peer, *answer);
+            }
+            done(answer.has_value());
+        });
+}
+
+void repair_agent::on_records(
+    const peer_address& peer, const digest_answer& answer)
+{
+    records_.merge(answer.records_);
+    const auto theirs = by_vm(answer.records_);
+    std::vector<member_update> missing;
+    for (auto& update : context_.members_.updates_in(
+             member_table::bucket_set(answer.differing_)))
+    {
+        const auto found = theirs.find(update.record_.vm_);
+        if (found == theirs.end() || supersedes(update, found->second))
+        {
+            missing.push_back(std::move(update));
+        }
+    }
+    if (!missing.empty())
+    {
+        pushes_.send_records(peer, std::move(missing));
+    }
+}
+
+config_answer repair_agent::on_fetch(const fetch_request& request)
+{
+    const auto held = context_.keeper_.current();
+    if (request.from_ >= held->number())
+    {
+        return {};
+    }
+    if (!request.whole_)
+    {
+        if (const auto deltas = context_.keeper_.deltas_after(request.from_))
+        {
+            return {config_answer_kind::deltas, encode_deltas(*deltas), {}};
+        }
+    }
+    if (const auto wait = limiter_.refuse(context_.time_.now()))
+    {
+        return {config_answer_kind::busy, {}, *wait};
+    }
+    return {config_answer_kind::snapshot, encode_snapshot(*held), {}};
+}
+
+digest_answer repair_agent::on_digest(const digest_request& request)
+{
+    const auto own = context_.members_.digest();
+    member_table::bucket_set differing;
+    for (std::size_t bucket = 0; bucket < own.size(); ++bucket)
+    {
+        differing.set(bucket, own.at(bucket) != request.digest_.at(bucket));
+    }
+    return {differing.to_ullong(), context_.members_.updates_in(differing)};
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/repair_agent.hpp
@@ -0,0 +1,84 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_REPAIR_AGENT_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_REPAIR_AGENT_HPP
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "adapters/node/contact_tracker.hpp"
+#include "adapters/node/control_context.hpp"
+#include "adapters/node/record_keeper.hpp"
+#include "hemlockshelf/dissemination/repair_schedule.hpp"
+#include "hemlockshelf/dissemination/snapshot_limiter.hpp"
+
+namespace hemlockshelf {
+
+/// Finds and repairs what pushes missed, and serves peers that do so.
+class repair_agent
+{
+public:
+    using finished = std::function<void(bool)>;
+
+    repair_agent(
+        control_context& context,
+        push_agent& pushes,
+        record_keeper& records,
+        contact_tracker& contacts);
+
+    /// Contacts random peers when that is due.
+    void tick();
+
+    /// Compares what a peer holds and begins a repair where it differs.
+    void note_peer(const peer_address& peer, const heartbeat_message& held);
+
+    /// Fetches newer revisions from a peer.
+    void fetch_from(const peer_address& peer, const finished& done);
+
+    /// Exchanges the records that differ with a peer.
+    void exchange_records(const peer_address& peer, finished done);
+
+    config_answer on_fetch(const fetch_request& request);
+    digest_answer on_digest(const digest_request& request);
+
+    /// Returns the highest revision that any peer was seen to hold.
+    [[nodiscard]] revision highest_seen() const noexcept
+    {
+        return highest_seen_;
+    }
+
+    void note_revision(revision seen);
+
+private:
+    void contact(const peer_address& peer, std::optional<tree_member> member);
+    void contact_member(const vm_id& vm);
+    void contact_local();
+    void contact_other_domain();
+    void contact_configured_peer();
+    void fetch(
+        const peer_address& peer,
+        bool whole,
+        int attempt,
+        const finished& done);
+    void on_config(
+        const peer_address& peer,
+        int attempt,
+        const config_answer& answer,
+        const finished& done);
+    void finish_fetch(const finished& done, bool success);
+    void on_records(const peer_address& peer, const digest_answer& answer);
+
+    control_context& context_;
+    push_agent& pushes_;
+    record_keeper& records_;
+    contact_tracker& contacts_;
+    snapshot_limiter limiter_;
+    repair_schedule schedule_;
+    revision highest_seen_;
+    bool fetching_ = false;
+    bool fetch_planned_ = false;
+    steady_time next_exchange_;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- a/adapters/rpc/compressed_stream.cpp
+++ b/adapters/rpc/compressed_stream.cpp
@@ -18,8 +18,9 @@
 {
     if (ZSTD_isError(code) != 0)
     {
-        KJ_FAIL_REQUIRE(
-            "control stream: malformed data", ZSTD_getErrorName(code));
+        kj::throwFatalException(KJ_EXCEPTION(
+            DISCONNECTED, "control stream: malformed data",
+            ZSTD_getErrorName(code)));
     }
 }
 
--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -73,7 +73,9 @@
 interface Control {
   heartbeat @0 (request :Heartbeat) -> (answer :Heartbeat);
   push @1 (request :Push) -> (revision :UInt64);
-  fetchConfig @2 (sender :Sender, fromRevision :UInt64) -> (config :Config);
+  fetchConfig @2 (sender :Sender, fromRevision :UInt64, whole :Bool)
+      -> (config :Config);
+  # `whole` asks for a snapshot, after deltas that could not be applied.
   memberDigest @3 (sender :Sender, buckets :List(UInt64))
       -> (differing :UInt64, records :List(MemberRecord));
   # Bit n of `differing` stands for bucket n.
--- a/adapters/rpc/control.capnp.c++
+++ b/adapters/rpc/control.capnp.c++
@@ -1054,17 +1054,17 @@
   0, 1, i_fec322005ba74001, nullptr, nullptr, { &s_fec322005ba74001, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<50> b_debb5f3ff43fab59 = {
+static const ::capnp::_::AlignedData<65> b_debb5f3ff43fab59 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      89, 171,  63, 244,  63,  95, 187, 222,
-     22,   0,   0,   0,   1,   0,   1,   0,
+     22,   0,   0,   0,   1,   0,   2,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  74,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0, 119,   0,   0,   0,
+     33,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
@@ -1073,21 +1073,28 @@
     116,  99, 104,  67, 111, 110, 102, 105,
     103,  36,  80,  97, 114,  97, 109, 115,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  58,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0, 106,   0,   0,   0,
+     73,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
     115, 101, 110, 100, 101, 114,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     178, 211,   9,  73, 117,  24, 145, 146,
@@ -1104,6 +1111,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 104, 111, 108, 101,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_debb5f3ff43fab59 = b_debb5f3ff43fab59.words;
@@ -1111,11 +1126,11 @@
 static const ::capnp::_::RawSchema* const d_debb5f3ff43fab59[] = {
   &s_929118754909d3b2,
 };
-static const uint16_t m_debb5f3ff43fab59[] = {1, 0};
-static const uint16_t i_debb5f3ff43fab59[] = {0, 1};
+static const uint16_t m_debb5f3ff43fab59[] = {1, 0, 2};
+static const uint16_t i_debb5f3ff43fab59[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_debb5f3ff43fab59 = {
-  0xdebb5f3ff43fab59, b_debb5f3ff43fab59.words, 50, d_debb5f3ff43fab59, m_debb5f3ff43fab59,
-  1, 2, i_debb5f3ff43fab59, nullptr, nullptr, { &s_debb5f3ff43fab59, nullptr, nullptr, 0, 0, nullptr }
+  0xdebb5f3ff43fab59, b_debb5f3ff43fab59.words, 65, d_debb5f3ff43fab59, m_debb5f3ff43fab59,
+  1, 3, i_debb5f3ff43fab59, nullptr, nullptr, { &s_debb5f3ff43fab59, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_eaf6f79d98fbe9fa = {
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -231,7 +231,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(debb5f3ff43fab59, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(debb5f3ff43fab59, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1343,6 +1343,8 @@
 
   inline  ::uint64_t getFromRevision() const;
 
+  inline bool getWhole() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1381,6 +1383,9 @@
   inline  ::uint64_t getFromRevision();
   inline void setFromRevision( ::uint64_t value);
 
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2853,6 +2858,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Control::FetchConfigParams::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Control::FetchConfigParams::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Control::FetchConfigParams::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Control::FetchConfigResults::Reader::hasConfig() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/adapters/rpc/control_messages.hpp
+++ b/adapters/rpc/control_messages.hpp
@@ -45,6 +45,8 @@
 {
     message_sender sender_;
     revision from_;
+    /// Asks for a snapshot, after deltas that could not be applied.
+    bool whole_ = false;
 };
 
 enum class config_answer_kind
--- a/adapters/rpc/control_network.cpp
+++ b/adapters/rpc/control_network.cpp
@@ -391,6 +391,7 @@
             auto call = client.fetchConfigRequest();
             write(call.initSender(), request.sender_);
             call.setFromRevision(request.from_.value());
+            call.setWhole(request.whole_);
             return call.send();
         },
         [](const auto& response, byte_meter&)
--- a/adapters/rpc/control_service.cpp
+++ b/adapters/rpc/control_service.cpp
@@ -43,7 +43,8 @@
 {
     const auto params = context.getParams();
     const fetch_request request{
-        read(params.getSender()), revision{params.getFromRevision()}};
+        read(params.getSender()), revision{params.getFromRevision()},
+        params.getWhole()};
     attribute(request.sender_);
     write(context.getResults().initConfig(), handler_.on_fetch(request));
     return kj::READY_NOW;
--- a/adapters/rpc/outgoing_links.cpp
+++ b/adapters/rpc/outgoing_links.cpp
@@ -62,7 +62,11 @@
             kj::Own<kj::AsyncIoStream> socket) -> wire::Control::Client
         {
             const auto held = weak_session.lock();
-            KJ_REQUIRE(held != nullptr, "the link was closed meanwhile");
+            if (!held)
+            {
+                kj::throwFatalException(KJ_EXCEPTION(
+                    DISCONNECTED, "the link was closed meanwhile"));
+            }
             auto connection =
                 kj::heap<control_connection>(kj::mv(socket), held->meter_);
             auto client = connection->bootstrap();
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -9,6 +9,8 @@
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/dissemination/dissemination_settings.hpp"
+#include "hemlockshelf/membership/membership_settings.hpp"
 
 namespace hemlockshelf {
 
@@ -36,6 +38,8 @@
     std::map<client_account_id, std::string> token_hashes_;
     log_format log_format_ = log_format::text;
     std::string log_level_ = "info";
+    membership_settings membership_;
+    dissemination_settings dissemination_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
--- a/include/hemlockshelf/dissemination/dissemination_settings.hpp
+++ b/include/hemlockshelf/dissemination/dissemination_settings.hpp
@@ -27,10 +27,13 @@
     /// domain or region. Costs a round trip; saves a delta that the other side
     /// already holds.
     bool offer_first_ = false;
-    /// Whether members exchange digests with a random peer of another failure
-    /// domain as often as within their own.
-    std::chrono::milliseconds repair_interval_{2000};
-    std::chrono::milliseconds cross_domain_interval_{5000};
+    /// Contact with a random peer of the own failure domain, and of another
+    /// one. Neighbours compare what they hold with each heartbeat, so that
+    /// these only have to find what the neighbours miss as well.
+    std::chrono::milliseconds repair_interval_{10'000};
+    std::chrono::milliseconds cross_domain_interval_{10'000};
+    /// A difference that lasts this long is not a push on its way.
+    std::chrono::milliseconds repair_grace_{250};
     /// Member records wait this long for others, to be sent in one message.
     std::chrono::milliseconds record_batch_delay_{5};
     /// Time after which the next candidate takes over from a peer that does
@@ -39,6 +42,8 @@
     std::chrono::milliseconds cross_domain_push_deadline_{800};
     /// Candidates tried for another failure domain or region.
     std::size_t bridge_attempts_ = 4;
+    /// Members of the own failure domain tried in a row for one subtree.
+    std::size_t takeover_attempts_ = 32;
     std::chrono::milliseconds fetch_deadline_{3000};
     /// Deltas kept for peers that fetch.
     std::size_t kept_deltas_ = 256;
--- a/include/hemlockshelf/membership/failure_detector.hpp
+++ b/include/hemlockshelf/membership/failure_detector.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "hemlockshelf/core/ids.hpp"
@@ -15,6 +16,11 @@
 std::vector<vm_id> choose_neighbours(
     const vm_id& self, std::vector<vm_id> members, std::size_t count);
 
+/// Chooses the member that sends its heartbeats to `self` first of all, that
+/// is the one before it on the ring; nothing if there is no other.
+std::optional<vm_id>
+choose_predecessor(const vm_id& self, const std::vector<vm_id>& members);
+
 /// What is known about one neighbour.
 struct neighbour_watch
 {
--- a/include/hemlockshelf/membership/membership_settings.hpp
+++ b/include/hemlockshelf/membership/membership_settings.hpp
@@ -15,9 +15,9 @@
     std::chrono::milliseconds heartbeat_deadline_{400};
     /// Heartbeats missed in a row before a neighbour is suspected.
     std::uint32_t missed_limit_ = 3;
-    /// Neighbours to which this node sends heartbeats. Each is also known to
-    /// be alive by the heartbeats that it sends itself, so that every node is
-    /// watched by twice as many.
+    /// Neighbours to which this node sends heartbeats. The member before it on
+    /// the ring is watched by its own heartbeats, without further traffic, so
+    /// that each node has one watcher more than this.
     std::size_t neighbours_ = 1;
     /// Nodes that are asked to confirm a suspicion.
     std::size_t confirming_nodes_ = 3;
--- a/include/hemlockshelf/membership/upstream_lifecycle.hpp
+++ b/include/hemlockshelf/membership/upstream_lifecycle.hpp
@@ -27,7 +27,7 @@
         const std::optional<upstream_announcement>& announcement,
         steady_time now);
 
-    /// The node drains: the upstream gets no new work.
+    /// The node drains: the upstream gets no new work, whatever it announces.
     void drain();
 
     /// The node leaves; the state changes no more.
@@ -40,6 +40,7 @@
     const membership_settings settings_;
     std::unique_ptr<machine> machine_;
     steady_time warming_since_;
+    bool node_drains_ = false;
 };
 
 } // namespace hemlockshelf
--- a/src/dissemination/dissemination_settings.cpp
+++ b/src/dissemination/dissemination_settings.cpp
@@ -12,8 +12,9 @@
     settings.domain_fanout_ = 2;
     settings.offer_first_ = true;
     settings.poll_interval_ = std::chrono::milliseconds{1000};
-    settings.repair_interval_ = std::chrono::milliseconds{10'000};
-    settings.cross_domain_interval_ = std::chrono::milliseconds{20'000};
+    settings.repair_interval_ = std::chrono::milliseconds{30'000};
+    settings.cross_domain_interval_ = std::chrono::milliseconds{30'000};
+    settings.repair_grace_ = std::chrono::milliseconds{1000};
     settings.record_batch_delay_ = std::chrono::milliseconds{20};
     return settings;
 }
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -41,6 +41,23 @@
     return neighbours;
 }
 
+std::optional<vm_id>
+choose_predecessor(const vm_id& self, const std::vector<vm_id>& members)
+{
+    const auto own = hash_text(self.value(), ring_seed);
+    std::optional<std::pair<std::uint64_t, vm_id>> nearest;
+    for (const auto& vm : members)
+    {
+        // The distance backwards from the own position.
+        std::pair candidate{own - hash_text(vm.value(), ring_seed), vm};
+        if (vm != self && (!nearest || candidate < *nearest))
+        {
+            nearest = std::move(candidate);
+        }
+    }
+    return nearest ? std::optional(std::move(nearest->second)) : std::nullopt;
+}
+
 detector_action note_missed(neighbour_watch& watch, std::uint32_t limit)
 {
     ++watch.missed_;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -57,12 +57,17 @@
                 return false;
             }
             previous = std::exchange(held.entry_, next);
-            // A removed member stays removed until it reports itself alive.
+            // A removed member stays removed until it reports itself alive. A
+            // member that is first heard of as gone is only remembered.
             if (!is_gone(*next))
             {
                 held.gone_since_.reset();
                 held.removed_ = false;
             }
+            else if (!previous)
+            {
+                held.removed_ = true;
+            }
             if (previous)
             {
                 count_in_digest(*previous, false);
--- a/src/membership/upstream_lifecycle.cpp
+++ b/src/membership/upstream_lifecycle.cpp
@@ -92,7 +92,7 @@
         return;
     }
     const auto before = state();
-    if (announcement->draining_)
+    if (announcement->draining_ || node_drains_)
     {
         machine_->process_event(draining_began{});
         return;
@@ -112,6 +112,7 @@
 
 void upstream_lifecycle::drain()
 {
+    node_drains_ = true;
     machine_->process_event(draining_began{});
 }
 
