--- a/adapters/node/admin_handler.hpp
+++ b/adapters/node/admin_handler.hpp
@@ -5,11 +5,13 @@
 
 #include "adapters/http/http_message.hpp"
 #include "adapters/node/call_plane.hpp"
+#include "adapters/node/control_plane.hpp"
 #include "adapters/node/own_upstream.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/editing/editor.hpp"
+#include "hemlockshelf/membership/member_table.hpp"
 
 namespace hemlockshelf {
 
@@ -23,6 +25,8 @@
     own_upstream* upstream_ = nullptr;
     call_plane* calls_ = nullptr;
     const prometheus_metrics* metrics_ = nullptr;
+    const member_table* members_ = nullptr;
+    const control_plane* control_ = nullptr;
 };
 
 /// Returns the account whose token a request carries. The error is
