--- a/adapters/node/admin_handler.hpp
+++ b/adapters/node/admin_handler.hpp
@@ -27,6 +27,11 @@
     const control_plane* control_ = nullptr;
 };
 
+/// Returns the account whose token a request carries. The error is
+/// `unauthorized`.
+result<client_account_id>
+operator_account(const admin_context& context, const http_request& request);
+
 /// Answers a request on the admin address. `peer` is the sender's address.
 http_response handle_admin_request(
     const admin_context& context,
--- a/adapters/node/platform_poller.hpp
+++ b/adapters/node/platform_poller.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "adapters/node/config_keeper.hpp"
+#include "hemlockshelf/editing/object_store.hpp"
 #include "hemlockshelf/editing/table_service.hpp"
 
 namespace hemlockshelf {
@@ -42,6 +43,7 @@
     /// `on_report` is called on the poller's thread after each poll.
     platform_poller(
         table_service& tables,
+        object_store& objects,
         config_keeper& keeper,
         std::chrono::milliseconds interval,
         report_handler on_report);
@@ -65,8 +67,10 @@
     void run();
     void poll(poll_mode mode);
     void read_deltas(poll_report& report);
+    bool take_blob(revision head);
 
     table_service& tables_;
+    object_store& objects_;
     config_keeper& keeper_;
     std::chrono::milliseconds interval_;
     report_handler on_report_;
