--- /dev/null
+++ b/experiment/disturbance.hpp
@@ -0,0 +1,27 @@
+#ifndef HEMLOCKSHELF_EXPERIMENT_DISTURBANCE_HPP
+#define HEMLOCKSHELF_EXPERIMENT_DISTURBANCE_HPP
+
+#include <span>
+#include <string_view>
+
+#include "experiment/trial_context.hpp"
+
+namespace hemlockshelf {
+
+/// Something that goes wrong for a while, or a planned change under load.
+struct disturbance
+{
+    std::string_view name_;
+    void (*begin_)(trial_context& context);
+    void (*end_)(trial_context& context);
+};
+
+/// Returns every disturbance.
+std::span<const disturbance> all_disturbances();
+
+/// Finds a disturbance by its name. Throws `std::invalid_argument`.
+const disturbance& find_disturbance(std::string_view name);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/test/system/scenarios.hpp
@@ -0,0 +1,26 @@
+#ifndef HEMLOCKSHELF_TEST_SYSTEM_SCENARIOS_HPP
+#define HEMLOCKSHELF_TEST_SYSTEM_SCENARIOS_HPP
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace hemlockshelf {
+
+/// A trial with the real binaries that has to keep every promise.
+struct scenario
+{
+    std::string name_;
+    /// Folder of the example whose mesh is used.
+    std::string user_;
+    std::vector<std::string> disturbances_;
+    /// Whether every call has to get a definite answer.
+    bool every_outcome_known_ = false;
+};
+
+/// Returns every scenario.
+const std::vector<scenario>& all_scenarios();
+
+} // namespace hemlockshelf
+
+#endif
