--- a/adapters/node/admin_handler.hpp
+++ b/adapters/node/admin_handler.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "adapters/http/http_message.hpp"
+#include "adapters/node/call_plane.hpp"
 #include "adapters/node/own_upstream.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "adapters/telemetry/prometheus_metrics.hpp"
@@ -20,9 +21,15 @@
     table_service* tables_ = nullptr;
     editor* editor_ = nullptr;
     own_upstream* upstream_ = nullptr;
+    call_plane* calls_ = nullptr;
     const prometheus_metrics* metrics_ = nullptr;
 };
 
+/// Returns the account whose token a request carries. The error is
+/// `unauthorized`.
+result<client_account_id>
+operator_account(const admin_context& context, const http_request& request);
+
 /// Answers a request on the admin address. `peer` is the sender's address.
 http_response handle_admin_request(
     const admin_context& context,
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -5,10 +5,16 @@
 #include <string>
 #include <vector>
 
+#include "adapters/http/call_settings.hpp"
 #include "adapters/http/endpoint.hpp"
+#include "adapters/settings/settings_section.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/editing/editing_settings.hpp"
+#include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/retry/retry_settings.hpp"
+#include "hemlockshelf/routing/routing_settings.hpp"
 
 namespace hemlockshelf {
 
@@ -36,12 +42,20 @@
     std::map<client_account_id, std::string> token_hashes_;
     log_format log_format_ = log_format::text;
     std::string log_level_ = "info";
+    editing_settings editing_;
+    call_settings call_path_;
+    routing_settings routing_;
+    retry_settings retry_;
+    gate_settings gate_limits_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
 /// the file, the line, what was given and what was expected.
 result<node_settings> load_node_settings(const std::string& path);
 
+/// Returns a description of every setting, in the order of the file.
+std::vector<setting_info> describe_node_settings();
+
 } // namespace hemlockshelf
 
 #endif
--- /dev/null
+++ b/src/gate/admission.cpp
@@ -0,0 +1,213 @@
+#include "hemlockshelf/gate/admission.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "hemlockshelf/gate/waiting_queue.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+std::size_t class_index(const gate_call& call)
+{
+    return static_cast<std::size_t>(call.class_);
+}
+
+waiting_call make_waiting(gate_state& state, const gate_call& call)
+{
+    return {
+        gate_call_id{state.next_id_++}, call,
+        state.account_usage_.share_of(call.account_.value()),
+        state.entry_usage_.share_of(call.entry_vm_.value())};
+}
+
+void charge(
+    gate_state& state,
+    const running_call& call,
+    std::chrono::nanoseconds slot_time,
+    steady_time now)
+{
+    state.account_usage_.charge(call.account_usage_, slot_time, now);
+    state.entry_usage_.charge(call.entry_usage_, slot_time, now);
+}
+
+// The expected service time is charged at once; otherwise all calls of a burst
+// would be judged by the use before the burst.
+void start(gate_state& state, waiting_call waiting, steady_time now)
+{
+    const auto expected = service_time(state, waiting.call_.class_);
+    running_call call{
+        std::move(waiting.call_), now, std::move(waiting.account_usage_),
+        std::move(waiting.entry_usage_), expected};
+    charge(state, call, call.charged_, now);
+    ++state.running_by_class_.at(class_index(call.call_));
+    state.running_.emplace(waiting.id_, std::move(call));
+}
+
+void start_waiting(gate_state& state, gate_events& events, steady_time now)
+{
+    drop_expired(state, events, now);
+    while (auto call = take_next(state, now))
+    {
+        events.started_.push_back(call->id_);
+        start(state, std::move(*call), now);
+    }
+}
+
+std::optional<refusal_reason>
+check_arrival(const gate_state& state, const gate_call& call, steady_time now)
+{
+    if (state.draining_)
+    {
+        return refusal_reason::draining;
+    }
+    if (concurrency_limit(state) == 0)
+    {
+        return refusal_reason::no_capacity;
+    }
+    if (call.deadline_ <= now)
+    {
+        return refusal_reason::expired;
+    }
+    return std::nullopt;
+}
+
+void note_slot_free(gate_state& state, steady_time now)
+{
+    if (state.running_.size() >= concurrency_limit(state))
+    {
+        state.slot_free_since_ = now;
+    }
+}
+
+void learn_service_time(
+    gate_state& state, traffic_class value, std::chrono::nanoseconds measured)
+{
+    auto& mean = state.service_time_.at(static_cast<std::size_t>(value));
+    mean += std::chrono::duration_cast<std::chrono::nanoseconds>(
+        (measured - mean) * state.settings_.service_time_weight_);
+}
+
+} // namespace
+
+admission_result
+offer_call(gate_state& state, const gate_call& call, steady_time now)
+{
+    admission_result result;
+    if (const auto reason = check_arrival(state, call, now))
+    {
+        result.reason_ = *reason;
+        return result;
+    }
+    // The waiting calls go first, so that none is overtaken.
+    start_waiting(state, result.events_, now);
+    auto waiting = make_waiting(state, call);
+    result.id_ = waiting.id_;
+    if (may_start(state, call.class_, now))
+    {
+        result.admission_ = admission::admitted;
+        start(state, std::move(waiting), now);
+        return result;
+    }
+    result.expected_wait_ = expected_wait(state, waiting);
+    const auto refusal =
+        enqueue(state, waiting, result.expected_wait_, result.events_, now);
+    result.admission_ = refusal ? admission::refused : admission::queued;
+    result.reason_ = refusal.value_or(result.reason_);
+    return result;
+}
+
+std::optional<gate_events>
+release_call(gate_state& state, gate_call_id id, steady_time now)
+{
+    const auto found = state.running_.find(id);
+    if (found == state.running_.end())
+    {
+        return std::nullopt;
+    }
+    const auto call = std::move(found->second);
+    note_slot_free(state, now);
+    state.running_.erase(found);
+    --state.running_by_class_.at(class_index(call.call_));
+    const auto measured = now - call.started_at_;
+    charge(state, call, measured - call.charged_, now);
+    learn_service_time(state, call.call_.class_, measured);
+    gate_events events;
+    start_waiting(state, events, now);
+    return events;
+}
+
+bool cancel_waiting(gate_state& state, gate_call_id id)
+{
+    return std::erase_if(
+               state.queue_,
+               [id](const waiting_call& call)
+               {
+                   return call.id_ == id;
+               }) > 0;
+}
+
+gate_events expire_waiting(gate_state& state, steady_time now)
+{
+    gate_events events;
+    start_waiting(state, events, now);
+    return events;
+}
+
+std::optional<steady_time> next_expiry(const gate_state& state)
+{
+    std::optional<steady_time> next;
+    const auto lent_at = reserve_lent_at(state);
+    for (const auto& call : state.queue_)
+    {
+        const bool may_borrow =
+            lent_at && may_start(state, call.call_.class_, *lent_at);
+        const auto latest = latest_start(state, call);
+        const auto at = may_borrow ? std::min(*lent_at, latest) : latest;
+        next = next ? std::min(*next, at) : at;
+    }
+    return next;
+}
+
+gate_events set_capacity(
+    gate_state& state,
+    slot_count slots,
+    connection_count connections,
+    steady_time now)
+{
+    note_slot_free(state, now);
+    state.slots_ = slots;
+    state.connections_ = connections;
+    gate_events events;
+    start_waiting(state, events, now);
+    return events;
+}
+
+gate_events begin_drain(gate_state& state)
+{
+    state.draining_ = true;
+    gate_events events;
+    for (const auto& call : state.queue_)
+    {
+        events.refused_.push_back({call.id_, refusal_reason::draining});
+    }
+    state.queue_.clear();
+    return events;
+}
+
+void end_drain(gate_state& state)
+{
+    state.draining_ = false;
+}
+
+std::uint32_t free_slots(const gate_state& state)
+{
+    const auto limit = concurrency_limit(state);
+    const auto used = state.running_.size() + state.queue_.size();
+    return state.draining_ || used >= limit
+               ? 0
+               : limit - static_cast<std::uint32_t>(used);
+}
+
+} // namespace hemlockshelf
