experiment: close idle connections before their context

Cause: a load generator that had idle connections at its end destroyed them after their io_context (use after free, found by the address sanitizer in system.pause_upstream).

--- a/experiment/load_generator.cpp
+++ b/experiment/load_generator.cpp
@@ -72,6 +72,11 @@
     {
         thread_.join();
     }
+    for (const auto& item : targets_)
+    {
+        // Connections must not outlive the context.
+        item->idle_.clear();
+    }
     return std::move(records_);
 }
 
--- a/experiment/load_generator.hpp
+++ b/experiment/load_generator.hpp
@@ -96,7 +96,8 @@
     std::uint64_t last_number_ = 0;
     std::vector<request_record> records_;
     std::thread thread_;
-    // Destroyed first, since its coroutines use the members above.
+    // Destroyed first, since its coroutines use the members above. `stop` has
+    // closed the connections by then.
     boost::asio::io_context context_{1};
 };
 
