--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -11,8 +11,10 @@
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/dissemination/dissemination_settings.hpp"
 #include "hemlockshelf/editing/editing_settings.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/membership/membership_settings.hpp"
 #include "hemlockshelf/retry/retry_settings.hpp"
 #include "hemlockshelf/routing/routing_settings.hpp"
 
@@ -47,6 +49,8 @@
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
+    membership_settings membership_;
+    dissemination_settings dissemination_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
