--- a/standins/link/relayed_connection.cpp
+++ b/standins/link/relayed_connection.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-constexpr std::size_t read_size = 16 * 1024;
+constexpr std::size_t read_size = 16UL * 1024;
 /// Bytes on the way per direction, about a window at 30 Mbit/s and 40 ms.
-constexpr std::size_t max_queued_bytes = 256 * 1024;
+constexpr std::size_t max_queued_bytes = 256UL * 1024;
 
 link_place source_place(
     const link_network& network,
--- /dev/null
+++ b/test/system/scenarios.cpp
@@ -0,0 +1,34 @@
+#include "test/system/scenarios.hpp"
+
+namespace hemlockshelf {
+
+const std::vector<scenario>& all_scenarios()
+{
+    static const std::vector<scenario> scenarios{
+        // Guards against a mesh that fails without any fault.
+        {"plain", "regie", {}, true},
+        {"plain_guild", "guild", {}, true},
+        // Guard against lost configuration and double runs when VMs die.
+        {"kill_quarter", "regie", {"kill_quarter"}},
+        {"kill_during_push", "guild", {"kill_during_push"}},
+        {"kill_upstream", "guild", {"kill_upstream"}},
+        // Guard against a paused process that acts on what it knew before.
+        {"pause_node", "regie", {"pause_node"}},
+        {"pause_upstream", "guild", {"pause_upstream"}},
+        // Guard against partitions that stop or split the mesh.
+        {"cut_regions", "regie", {"cut_regions"}},
+        {"silence_regions", "guild", {"silence_regions"}},
+        {"silence_open", "regie", {"silence_open"}},
+        {"cut_domain", "guild", {"cut_domain"}},
+        {"silence_domain", "regie", {"silence_domain"}},
+        // Guard against pairs of faults whose repairs hinder each other.
+        {"pair_kill_and_cut", "regie", {"kill_quarter", "cut_regions"}},
+        {"pair_pause_and_silence", "guild", {"pause_node", "silence_domain"}},
+        {"pair_push_and_silence",
+         "regie",
+         {"silence_regions", "kill_during_push"}},
+    };
+    return scenarios;
+}
+
+} // namespace hemlockshelf
