--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -43,6 +43,7 @@
                                 settings_,
                                 time_,
                                 platform_,
+                                platform_,
                                 snapshots_,
                                 members_,
                                 upstream_,
--- a/adapters/settings/node_settings.cpp
+++ b/adapters/settings/node_settings.cpp
@@ -136,6 +136,8 @@
     read_tokens(root, settings);
     read_log(root.section("log"), settings);
     read_call_path(root.section("call_path"), settings.call_path_);
+    read_membership(root.section("membership"), settings.membership_);
+    read_dissemination(root.section("dissemination"), settings.dissemination_);
     read_editing(root.section("editing"), settings.editing_);
     read_routing(root.section("routing"), settings.routing_);
     read_retry(root.section("retry"), settings.retry_);
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -400,4 +400,169 @@
     section.reject_unknown_keys();
 }
 
+void read_membership(settings_section section, membership_settings& settings)
+{
+    read_duration(
+        section,
+        {"heartbeat_interval", "Interval of the heartbeats to neighbours."},
+        settings.heartbeat_interval_);
+    read_duration(
+        section,
+        {"heartbeat_deadline",
+         "Time without an answer after which a heartbeat is missed."},
+        settings.heartbeat_deadline_);
+    read_count(
+        section,
+        {"missed_limit",
+         "Heartbeats missed in a row before a neighbour is suspected."},
+        settings.missed_limit_, 1, 100);
+    read_count(
+        section,
+        {"neighbours", "Neighbours to which this node sends heartbeats."},
+        settings.neighbours_, 1, 16);
+    read_count(
+        section,
+        {"confirming_nodes", "Nodes that are asked to confirm a suspicion."},
+        settings.confirming_nodes_, 1, 16);
+    read_duration(
+        section,
+        {"probe_deadline", "Limit of a request to confirm a suspicion."},
+        settings.probe_deadline_);
+    read_duration(
+        section,
+        {"warm_up_time", "How long a new upstream is reported as warming."},
+        settings.warm_up_time_);
+    read_duration(
+        section,
+        {"removal_delay", "Time after which members that left or are down are "
+                          "no longer listed."},
+        settings.removal_delay_);
+    read_duration(
+        section,
+        {"removed_record_lifetime",
+         "How long the version of a removed member is kept."},
+        settings.removed_record_lifetime_);
+    read_duration(
+        section,
+        {"pause_threshold",
+         "Step of the clock between two ticks that counts as a pause."},
+        settings.pause_threshold_);
+    read_count(
+        section,
+        {"unreachable_after", "Failed contacts in a row after which a failure "
+                              "domain is held to be unreachable."},
+        settings.unreachable_after_, 1, 100);
+    read_count(
+        section,
+        {"directory_rows",
+         "Rows of one failure domain in the platform's directory."},
+        settings.directory_rows_, 1, 8);
+    read_duration(
+        section,
+        {"directory_interval",
+         "Interval at which a node looks after its row in the directory."},
+        settings.directory_interval_);
+    read_count(
+        section,
+        {"join_peers", "Peers that a joining node asks for their revision."},
+        settings.join_peers_, 1, 16);
+    read_duration(
+        section,
+        {"join_patience", "Longest wait of a joining node for peers once the "
+                          "platform has answered."},
+        settings.join_patience_);
+    section.reject_unknown_keys();
+}
+
+void read_dissemination(
+    settings_section section, dissemination_settings& settings)
+{
+    const auto profile = section.choice(
+        {"profile", "What the defaults of this section favour: short "
+                    "convergence time or few control bytes."},
+        "convergence", {"convergence", "bytes"});
+    settings = settings_for(
+        profile == "bytes" ? dissemination_profile::bytes
+                           : dissemination_profile::convergence);
+    read_count(
+        section,
+        {"domain_fanout",
+         "Children of a node in the tree within a failure domain."},
+        settings.domain_fanout_, 1, 64);
+    read_count(
+        section,
+        {"readers_per_domain",
+         "Nodes of a failure domain that poll the platform."},
+        settings.readers_per_domain_, 1, 16);
+    read_duration(
+        section,
+        {"poll_interval",
+         "Interval at which a reader polls the platform's head."},
+        settings.poll_interval_);
+    settings.offer_first_ = section.flag(
+        {"offer_first", "Whether a revision is announced before it is sent to "
+                        "another failure domain or region."},
+        settings.offer_first_);
+    read_duration(
+        section,
+        {"repair_interval", "Interval of the digest exchange with a peer of "
+                            "the own failure domain."},
+        settings.repair_interval_);
+    read_duration(
+        section,
+        {"cross_domain_interval", "Interval of the digest exchange with a peer "
+                                  "of another failure domain."},
+        settings.cross_domain_interval_);
+    read_duration(
+        section,
+        {"repair_grace",
+         "Time that a push gets before a digest that differs starts a repair."},
+        settings.repair_grace_);
+    read_count(
+        section,
+        {"takeover_attempts",
+         "Peers that a push takes over from nodes that do not answer."},
+        settings.takeover_attempts_, 1, 1024);
+    read_duration(
+        section,
+        {"record_batch_delay", "Time that member records wait for others, to "
+                               "be sent in one message."},
+        settings.record_batch_delay_);
+    read_duration(
+        section,
+        {"domain_push_deadline", "Limit of a push within the failure domain."},
+        settings.domain_push_deadline_);
+    read_duration(
+        section,
+        {"cross_domain_push_deadline",
+         "Limit of a push to another failure domain or region."},
+        settings.cross_domain_push_deadline_);
+    read_count(
+        section,
+        {"bridge_attempts",
+         "Candidates that are tried for another failure domain or region."},
+        settings.bridge_attempts_, 1, 64);
+    read_duration(
+        section,
+        {"fetch_deadline", "Limit of a fetch of deltas or a snapshot."},
+        settings.fetch_deadline_);
+    read_count(
+        section, {"kept_deltas", "Deltas that are kept for peers that fetch."},
+        settings.kept_deltas_);
+    read_count(
+        section,
+        {"snapshots_at_once",
+         "Whole snapshots that are served in one snapshot_period."},
+        settings.snapshots_at_once_, 1, 64);
+    read_duration(
+        section, {"snapshot_period", "Period of snapshots_at_once."},
+        settings.snapshot_period_);
+    read_duration(
+        section,
+        {"busy_retry_after",
+         "Time after which a busy node asks to be asked again, before jitter."},
+        settings.busy_retry_after_);
+    section.reject_unknown_keys();
+}
+
 } // namespace hemlockshelf
--- a/adapters/settings/section_readers.hpp
+++ b/adapters/settings/section_readers.hpp
@@ -3,8 +3,10 @@
 
 #include "adapters/http/call_settings.hpp"
 #include "adapters/settings/settings_section.hpp"
+#include "hemlockshelf/dissemination/dissemination_settings.hpp"
 #include "hemlockshelf/editing/editing_settings.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/membership/membership_settings.hpp"
 #include "hemlockshelf/retry/retry_settings.hpp"
 #include "hemlockshelf/routing/routing_settings.hpp"
 
@@ -18,6 +20,9 @@
 void read_routing(settings_section section, routing_settings& settings);
 void read_retry(settings_section section, retry_settings& settings);
 void read_gate_limits(settings_section section, gate_settings& settings);
+void read_membership(settings_section section, membership_settings& settings);
+void read_dissemination(
+    settings_section section, dissemination_settings& settings);
 
 } // namespace hemlockshelf
 
