--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -1,5 +1,7 @@
 #include "adapters/node/node.hpp"
 
+#include <chrono>
+#include <thread>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -21,6 +23,10 @@
 namespace {
 
 constexpr std::size_t admin_threads = 4;
+// A record reaches every node well within this time.
+constexpr std::chrono::milliseconds drain_notice{1000};
+// Longest wait for calls in progress; no route's timeout should exceed it.
+constexpr std::chrono::seconds drain_limit{30};
 
 } // namespace
 
@@ -33,13 +39,19 @@
               {settings_.platform_, settings_.source_address_,
                settings_.editing_.platform_timeout_},
               &metrics_),
-          upstream_(time_),
-          control_(
-              settings_, time_, platform_, snapshots_, members_, upstream_),
+          upstream_(time_), control_(
+                                settings_,
+                                time_,
+                                platform_,
+                                platform_,
+                                snapshots_,
+                                members_,
+                                upstream_,
+                                metrics_),
           calls_(settings_, time_, snapshots_, members_, upstream_, metrics_),
           editor_(make_editor_ports(), settings_.vm_, settings_.editing_),
-          admin_{&settings_, &snapshots_, &platform_, &editor_,
-                 &upstream_, &calls_,     &metrics_},
+          admin_{&settings_, &snapshots_, &platform_, &editor_, &upstream_,
+                 &calls_,    &metrics_,   &members_,  &control_},
           admin_server_(
               context_,
               settings_.admin_,
@@ -56,11 +68,16 @@
         signals_.async_wait(
             [this](const auto&, int)
             {
-                context_.stop();
+                shutdown_ = std::thread(
+                    [this]
+                    {
+                        shut_down();
+                    });
             });
         control_.start();
         calls_.start();
         context_.run();
+        shutdown_.join();
         calls_.stop();
         control_.stop();
     }
@@ -84,6 +101,22 @@
         return ports;
     }
 
+    /// Keeps serving until the other nodes have learned of the drain and the
+    /// calls in progress have ended, with a bounded wait.
+    void shut_down()
+    {
+        const auto started = time_.now();
+        control_.drain();
+        calls_.drain(started + drain_limit);
+        if (upstream_.current())
+        {
+            std::this_thread::sleep_until(started + drain_notice);
+        }
+        calls_.close_listeners();
+        calls_.drain(started + drain_limit);
+        context_.stop();
+    }
+
     node_settings settings_;
     real_clock time_;
     prometheus_metrics metrics_;
@@ -99,6 +132,7 @@
     admin_context admin_;
     json_server admin_server_;
     asio::signal_set signals_;
+    std::thread shutdown_;
 };
 
 node::node(node_settings settings)
