dissemination: make subtrees ranges on a ring and test the decisions

With a fan-out of one, two nodes sent a push back and forth without end: a child's range included its own position, so that its child sent it back. A range now begins after the position of the node that serves it and may wrap around, so that the origin is left out as well. Lists of members instead of ranges were ruled out, because members that only the child knows would be missed.

--- a/adapters/node/push_agent.cpp
+++ b/adapters/node/push_agent.cpp
@@ -11,13 +11,6 @@
 
 constexpr std::size_t remembered_pushes = 256;
 
-bool covers(const push_duty& held, const push_duty& asked)
-{
-    return held.seed_ == asked.seed_ && held.scope_ <= asked.scope_ &&
-           held.range_.first_ <= asked.range_.first_ &&
-           held.range_.last_ >= asked.range_.last_;
-}
-
 } // namespace
 
 push_agent::push_agent(control_context& context, contact_tracker& contacts)
@@ -73,7 +66,7 @@
     push_message message;
     message.sender_ = context_.self_;
     message.origin_ = context_.self_.vm_;
-    message.duty_ = {push_scope::domain, context_.random_(), {1, 0}};
+    message.duty_ = {push_scope::domain, context_.random_(), {}};
     message.records_ = std::move(records);
     context_.network_.push(
         peer, message,
--- a/adapters/node/repair_agent.cpp
+++ b/adapters/node/repair_agent.cpp
@@ -96,7 +96,9 @@
     {
         return;
     }
-    const auto& domain = domains.at(context_.random_() % domains.size());
+    const auto domain =
+        std::exchange(retried_domain_, std::nullopt)
+            .value_or(domains.at(context_.random_() % domains.size()));
     if (const auto vm =
             choose_peer(peers_in(context_, domain), context_.random_()))
     {
@@ -149,8 +151,11 @@
                 return;
             }
             // A failure is soon confirmed or refuted by another contact.
-            if (member && contacts_.is_reachable(member->failure_domain_))
+            if (member &&
+                member->failure_domain_ != context_.self_.failure_domain_ &&
+                contacts_.is_reachable(member->failure_domain_))
             {
+                retried_domain_ = member->failure_domain_;
                 schedule_.next_cross_ = std::min(
                     schedule_.next_cross_,
                     context_.time_.now() + contact_retry);
--- a/adapters/node/repair_agent.hpp
+++ b/adapters/node/repair_agent.hpp
@@ -74,6 +74,8 @@
     snapshot_limiter limiter_;
     repair_schedule schedule_;
     revision highest_seen_;
+    /// Failure domain of which the last contact failed.
+    std::optional<failure_domain_id> retried_domain_;
     bool fetching_ = false;
     bool fetch_planned_ = false;
     steady_time next_exchange_;
--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -47,9 +47,9 @@
   origin @2 :Text;
   # Orders the members of the tree.
   seed @3 :UInt64;
-  # Positions that the receiver serves.
+  # Positions that the receiver serves, on a ring.
   firstPosition @4 :UInt64;
-  lastPosition @5 :UInt64;
+  positionCount @5 :UInt64;
   # Highest revision of the deltas, or the one that is offered without them.
   revision @6 :UInt64;
   # zstd JSON; empty if there are none.
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -723,7 +723,7 @@
 
   inline  ::uint64_t getFirstPosition() const;
 
-  inline  ::uint64_t getLastPosition() const;
+  inline  ::uint64_t getPositionCount() const;
 
   inline  ::uint64_t getRevision() const;
 
@@ -784,8 +784,8 @@
   inline  ::uint64_t getFirstPosition();
   inline void setFirstPosition( ::uint64_t value);
 
-  inline  ::uint64_t getLastPosition();
-  inline void setLastPosition( ::uint64_t value);
+  inline  ::uint64_t getPositionCount();
+  inline void setPositionCount( ::uint64_t value);
 
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
@@ -2492,16 +2492,16 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Push::Reader::getLastPosition() const {
+inline  ::uint64_t Push::Reader::getPositionCount() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Push::Builder::getLastPosition() {
+inline  ::uint64_t Push::Builder::getPositionCount() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Push::Builder::setLastPosition( ::uint64_t value) {
+inline void Push::Builder::setPositionCount( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
--- a/adapters/rpc/message_codec.cpp
+++ b/adapters/rpc/message_codec.cpp
@@ -139,7 +139,7 @@
     wire.setScope(static_cast<wire::Scope>(message.duty_.scope_));
     wire.setSeed(message.duty_.seed_);
     wire.setFirstPosition(message.duty_.range_.first_);
-    wire.setLastPosition(message.duty_.range_.last_);
+    wire.setPositionCount(message.duty_.range_.size_);
     wire.setRevision(message.revision_.value());
     wire.setDeltas(to_data(message.deltas_));
     write(
@@ -158,7 +158,7 @@
     message.duty_ = {
         static_cast<push_scope>(wire.getScope()),
         wire.getSeed(),
-        {wire.getFirstPosition(), wire.getLastPosition()}};
+        {wire.getFirstPosition(), wire.getPositionCount()}};
     message.revision_ = revision{wire.getRevision()};
     message.deltas_ = from_data(wire.getDeltas());
     message.records_ = read(wire.getRecords());
--- a/include/hemlockshelf/dissemination/push_plan.hpp
+++ b/include/hemlockshelf/dissemination/push_plan.hpp
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <limits>
 #include <vector>
 
 #include "hemlockshelf/core/ids.hpp"
@@ -21,11 +20,16 @@
     domain,
 };
 
-/// Inclusive range of positions, empty if `first_` is above `last_`.
+/// Range of positions on a ring of 2^64; it may wrap around.
 struct position_range
 {
     std::uint64_t first_ = 0;
-    std::uint64_t last_ = std::numeric_limits<std::uint64_t>::max();
+    std::uint64_t size_ = 0;
+
+    [[nodiscard]] bool contains(std::uint64_t position) const noexcept
+    {
+        return position - first_ < size_;
+    }
 
     friend bool
     operator==(const position_range&, const position_range&) = default;
@@ -39,9 +43,14 @@
     push_scope scope_ = push_scope::global;
     /// Orders the members; differs from push to push to spread the load.
     std::uint64_t seed_ = 0;
+    /// Part of the own failure domain to serve. Of no meaning in the other
+    /// scopes, where it is everything but the own position.
     position_range range_;
 };
 
+/// Tells whether passing on `held` includes all of `asked`.
+bool covers(const push_duty& held, const push_duty& asked);
+
 /// A member as the plan sees it.
 struct tree_member
 {
@@ -54,6 +63,7 @@
 struct push_leg
 {
     push_scope scope_ = push_scope::domain;
+    /// Positions to serve; within another failure domain, all of them.
     position_range range_;
     failure_domain_id failure_domain_;
     region_id region_;
@@ -64,9 +74,9 @@
 /// Returns the position of a member in the order of a push.
 std::uint64_t position_of(const vm_id& vm, std::uint64_t seed);
 
-/// Returns what the candidate has to pass on. In a tree within a failure
-/// domain this excludes the candidates before it, which did not answer, so
-/// that it takes over their children.
+/// Returns what the candidate has to pass on: the positions after its own.
+/// Within a subtree these exclude the candidates before it, which did not
+/// answer, so that it takes over their children.
 push_duty
 duty_of(const push_leg& leg, std::size_t candidate, std::uint64_t seed);
 
--- a/src/dissemination/push_plan.cpp
+++ b/src/dissemination/push_plan.cpp
@@ -1,6 +1,7 @@
 #include "hemlockshelf/dissemination/push_plan.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -19,16 +20,12 @@
     operator<=>(const placed_member&, const placed_member&) = default;
 };
 
-constexpr position_range empty_range{1, 0};
+constexpr auto whole_ring = std::numeric_limits<std::uint64_t>::max();
 
-bool contains(const position_range& range, std::uint64_t position)
+/// Returns every position but the given one.
+position_range all_after(std::uint64_t position)
 {
-    return range.first_ <= position && position <= range.last_;
-}
-
-position_range range_after(std::uint64_t position, std::uint64_t last)
-{
-    return position >= last ? empty_range : position_range{position + 1, last};
+    return {position + 1, whole_ring};
 }
 
 std::vector<vm_id> ordered_vms(std::vector<placed_member> members)
@@ -43,37 +40,57 @@
     return vms;
 }
 
-/// Splits the own failure domain's part of the push into one range for each
-/// child.
-void plan_own_domain(
-    const push_duty& duty,
+/// Returns the members of the own failure domain that lie in the range, in its
+/// order, with their distances from its start.
+std::vector<placed_member> members_in_range(
+    const position_range& range,
+    std::uint64_t seed,
     const tree_member& self,
-    const std::vector<tree_member>& view,
-    std::size_t fanout,
-    std::vector<push_leg>& legs)
+    const std::vector<tree_member>& view)
 {
     std::vector<placed_member> members;
     for (const auto& member : view)
     {
-        const auto position = position_of(member.vm_, duty.seed_);
-        if (member.failure_domain_ == self.failure_domain_ &&
-            member.vm_ != self.vm_ && contains(duty.range_, position))
+        if (member.failure_domain_ != self.failure_domain_ ||
+            member.vm_ == self.vm_)
+        {
+            continue;
+        }
+        const auto position = position_of(member.vm_, seed);
+        if (range.contains(position))
         {
-            members.push_back({position, member.vm_});
+            members.push_back({position - range.first_, member.vm_});
         }
     }
     std::ranges::sort(members);
+    return members;
+}
+
+/// Splits the own failure domain's part of the push into one range for each
+/// child. A range reaches up to the next child, so that it includes members
+/// which only the child knows.
+void plan_own_domain(
+    const push_duty& duty,
+    const tree_member& self,
+    const std::vector<tree_member>& view,
+    std::size_t fanout,
+    std::vector<push_leg>& legs)
+{
+    const auto range = duty.scope_ == push_scope::domain
+                           ? duty.range_
+                           : all_after(position_of(self.vm_, duty.seed_));
+    const auto members = members_in_range(range, duty.seed_, self, view);
     const auto children = std::min(members.size(), fanout);
-    auto first = duty.range_.first_;
     for (std::size_t child = 0; child < children; ++child)
     {
         const auto begin = members.size() * child / children;
         const auto end = members.size() * (child + 1) / children;
-        const auto last = end == members.size() ? duty.range_.last_
-                                                : members[end - 1].position_;
+        const auto first = members[begin].position_;
+        const auto after =
+            end == members.size() ? range.size_ : members[end].position_;
         push_leg leg{
             push_scope::domain,
-            {first, last},
+            {range.first_ + first, after - first},
             self.failure_domain_,
             self.region_,
             {}};
@@ -82,7 +99,6 @@
             leg.candidates_.push_back(members[index].vm_);
         }
         legs.push_back(std::move(leg));
-        first = last + 1;
     }
 }
 
@@ -119,7 +135,7 @@
     {
         legs.push_back(
             {push_scope::domain,
-             {},
+             {0, whole_ring},
              domain,
              self.region_,
              ordered_vms(std::move(members))});
@@ -156,20 +172,31 @@
     return hash_text(vm.value(), seed);
 }
 
+bool covers(const push_duty& held, const push_duty& asked)
+{
+    if (held.seed_ != asked.seed_ || held.scope_ > asked.scope_)
+    {
+        return false;
+    }
+    if (held.scope_ != push_scope::domain)
+    {
+        return true;
+    }
+    const auto offset = asked.range_.first_ - held.range_.first_;
+    return asked.range_.size_ <= held.range_.size_ &&
+           offset <= held.range_.size_ - asked.range_.size_;
+}
+
 push_duty
 duty_of(const push_leg& leg, std::size_t candidate, std::uint64_t seed)
 {
-    if (leg.scope_ == push_scope::region)
+    const auto position = position_of(leg.candidates_.at(candidate), seed);
+    if (leg.range_.size_ == whole_ring || leg.scope_ != push_scope::domain)
     {
-        return {leg.scope_, seed, {}};
+        return {leg.scope_, seed, all_after(position)};
     }
-    const auto position = position_of(leg.candidates_.at(candidate), seed);
-    // Members before the first candidate are unknown to this node, but may be
-    // known to the candidate. Those between failed candidates are left to
-    // repair.
-    return {
-        leg.scope_, seed,
-        candidate == 0 ? leg.range_ : range_after(position, leg.range_.last_)};
+    const auto passed = position - leg.range_.first_ + 1;
+    return {leg.scope_, seed, {position + 1, leg.range_.size_ - passed}};
 }
 
 std::vector<push_leg> plan_push(
--- /dev/null
+++ b/test/dissemination/test_readers.cpp
@@ -0,0 +1,63 @@
+#include "hemlockshelf/dissemination/readers.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+
+namespace {
+
+const failure_domain_id domain{"colombo-a"};
+
+std::vector<vm_id> make_members(int count)
+{
+    std::vector<vm_id> members;
+    members.reserve(static_cast<std::size_t>(count));
+    for (int index = 0; index < count; ++index)
+    {
+        members.emplace_back(fmt::format("vm-{}", index));
+    }
+    return members;
+}
+
+} // namespace
+
+// Guards against nodes that choose other readers from the same members, and
+// against a number of readers that grows with the fleet.
+Test(readers, the_choice_does_not_depend_on_the_order)
+{
+    cr_assert(rc::check(
+        []
+        {
+            auto members = make_members(*rc::gen::inRange(0, 50));
+            const auto count = *rc::gen::inRange<std::size_t>(0, 4);
+            const auto readers = choose_readers(domain, members, count);
+            RC_ASSERT(readers.size() == std::min(count, members.size()));
+            std::ranges::reverse(members);
+            RC_ASSERT(choose_readers(domain, members, count) == readers);
+        }));
+}
+
+// Guards against a change of every reader when one member leaves.
+Test(readers, a_departure_replaces_at_most_one_reader)
+{
+    cr_assert(rc::check(
+        []
+        {
+            auto members = make_members(*rc::gen::inRange(4, 50));
+            const auto before = choose_readers(domain, members, 2);
+            const auto leaving = *rc::gen::elementOf(members);
+            std::erase(members, leaving);
+            const auto after = choose_readers(domain, members, 2);
+            const std::set<vm_id> kept(after.begin(), after.end());
+            for (const auto& vm : before)
+            {
+                RC_ASSERT(vm == leaving || kept.contains(vm));
+            }
+        }));
+}
--- /dev/null
+++ b/test/dissemination/test_repair_schedule.cpp
@@ -0,0 +1,39 @@
+#include "hemlockshelf/dissemination/repair_schedule.hpp"
+
+#include <chrono>
+
+#include <rapidcheck.h>
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace std::chrono_literals;
+
+// Guards against nodes that act in step, and against a repair that never
+// comes.
+Test(repair_schedule, jitter_stays_near_the_interval)
+{
+    cr_assert(rc::check(
+        [](std::uint64_t random)
+        {
+            const steady_time now{1000s};
+            const auto next = jittered(now, 1000ms, random);
+            RC_ASSERT(next >= now + 750ms);
+            RC_ASSERT(next < now + 1250ms);
+        }));
+}
+
+// Guards against a repair that is due twice or is forgotten.
+Test(repair_schedule, each_kind_is_due_once_per_interval)
+{
+    const dissemination_settings settings;
+    repair_schedule schedule;
+    steady_time now{1000s};
+    const auto first = take_due(schedule, now, settings, 1);
+    cr_assert(first.local_ && first.cross_);
+    const auto again = take_due(schedule, now, settings, 2);
+    cr_assert(!again.local_ && !again.cross_);
+    now += 2 * settings.cross_domain_interval_;
+    const auto later = take_due(schedule, now, settings, 3);
+    cr_assert(later.local_ && later.cross_);
+}
