http: read whether a connection stays open from the parser

The fields say nothing after the connection headers have been removed, so that no connection to an upstream was reused and the pace of new connections limited the gate to 100 calls/s (measured: 9.9 ms added at p50). The parser keeps the flags.

--- a/adapters/http/peer_exchange.cpp
+++ b/adapters/http/peer_exchange.cpp
@@ -282,8 +282,7 @@
 
 bool peer_exchange::reusable() const
 {
-    return answer_ && answer_whole_ && request_sent_ &&
-           answer_->get().keep_alive() && !answer_->get().need_eof() &&
+    return answer_ && answer_whole_ && request_sent_ && answer_->keep_alive() &&
            peer_.connection().buffer().size() == 0;
 }
 
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -224,7 +224,7 @@
 
 bool relay_session::can_keep(const request_parser& request) const
 {
-    return request.is_done() && request.get().keep_alive() &&
+    return request.is_done() && request.keep_alive() &&
            request.get().version() >= 11 && !group_.draining();
 }
 
