http: test the call path against peers that misbehave

Small scripted gates and upstreams go silent, cut, repeat, forge or delay their answers; the tests count executions at the upstream to check each not-run claim. Timeouts in them only bound a failure: no result depends on the speed of the machine.

--- a/adapters/http/relay_listener.cpp
+++ b/adapters/http/relay_listener.cpp
@@ -35,6 +35,11 @@
     asio::co_spawn(threads_.first(), accept_loop(), asio::detached);
 }
 
+std::uint16_t relay_listener::port() const
+{
+    return acceptor_.local_endpoint().port();
+}
+
 void relay_listener::close()
 {
     asio::post(
--- a/adapters/http/relay_listener.hpp
+++ b/adapters/http/relay_listener.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_RELAY_LISTENER_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_RELAY_LISTENER_HPP
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -25,6 +26,9 @@
     relay_listener(
         call_threads& threads, const endpoint& where, session_factory make);
 
+    /// Returns the port on which it listens.
+    [[nodiscard]] std::uint16_t port() const;
+
     /// Accepts no further connections. May be called from any thread.
     void close();
 
--- /dev/null
+++ b/test/http/call_fixture.hpp
@@ -0,0 +1,158 @@
+#ifndef HEMLOCKSHELF_TEST_HTTP_CALL_FIXTURE_HPP
+#define HEMLOCKSHELF_TEST_HTTP_CALL_FIXTURE_HPP
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "adapters/http/call_quota.hpp"
+#include "adapters/http/call_threads.hpp"
+#include "adapters/http/connection_pool.hpp"
+#include "adapters/http/entry_session.hpp"
+#include "adapters/http/gate_session.hpp"
+#include "adapters/http/relay_listener.hpp"
+#include "adapters/http/upstream_gate.hpp"
+#include "hemlockshelf/core/real_clock.hpp"
+#include "hemlockshelf/retry/retry_budget_table.hpp"
+#include "scripted_server.hpp"
+
+namespace hemlockshelf::test {
+
+/// Discards everything.
+class null_metrics final : public metric_sink
+{
+public:
+    void add(metric_id, std::string_view, double) override {}
+    void set(metric_id, std::string_view, double) override {}
+    void observe(metric_id, std::string_view, double) override {}
+};
+
+/// Offers gates in a fixed order.
+class fixed_router final : public call_router
+{
+public:
+    explicit fixed_router(std::vector<endpoint> gates);
+
+    void call_started(const resolved_route& route, steady_time now) override;
+    result<gate_choice> choose(
+        const resolved_route& route,
+        std::span<const vm_id> tried,
+        steady_time now) override;
+    void finish(
+        const resolved_route& route,
+        const vm_id& vm,
+        const call_report& report,
+        steady_time now) override;
+    retry_decision decide_retry(
+        const resolved_route& route,
+        const failed_attempt& attempt,
+        steady_time now) override;
+
+private:
+    std::vector<endpoint> gates_;
+    retry_budget_table budgets_{retry_settings{}};
+    std::mutex mutex_;
+    random_source random_{1};
+};
+
+/// Limits for tests: long enough for a busy machine, short enough to wait for.
+call_settings test_settings();
+
+/// An entry in front of given gates. Its account `regie` has a route for host
+/// `catalogue.regie`.
+class entry_under_test
+{
+public:
+    explicit entry_under_test(
+        std::vector<endpoint> gates,
+        std::chrono::milliseconds timeout = std::chrono::seconds{20},
+        std::uint32_t max_concurrent_calls = 200);
+    ~entry_under_test();
+
+    entry_under_test(const entry_under_test&) = delete;
+    entry_under_test& operator=(const entry_under_test&) = delete;
+
+    [[nodiscard]] endpoint where() const;
+
+    /// Sends one request on a new connection and reads the answer.
+    [[nodiscard]] std::string call(const std::string& request) const;
+
+    [[nodiscard]] session_group& group()
+    {
+        return group_;
+    }
+
+private:
+    call_settings settings_ = test_settings();
+    retry_settings retry_;
+    real_clock time_;
+    null_metrics metrics_;
+    snapshot_store snapshots_;
+    session_group group_;
+    fixed_router router_;
+    call_quota quota_;
+    connection_pool gates_;
+    entry_environment environment_;
+    call_threads threads_;
+    relay_listener listener_;
+};
+
+/// A gate in front of a given upstream.
+class gate_under_test
+{
+public:
+    gate_under_test(
+        const endpoint& upstream,
+        std::uint32_t slots = 4,
+        std::uint32_t connections = 8);
+    ~gate_under_test();
+
+    gate_under_test(const gate_under_test&) = delete;
+    gate_under_test& operator=(const gate_under_test&) = delete;
+
+    [[nodiscard]] endpoint where() const;
+
+    [[nodiscard]] upstream_gate& gate()
+    {
+        return gate_;
+    }
+
+    std::atomic<bool> shed_is_not_run_ = false;
+
+private:
+    call_settings settings_ = test_settings();
+    real_clock time_;
+    null_metrics metrics_;
+    upstream_announcement announced_;
+    session_group group_;
+    upstream_gate gate_;
+    gate_environment environment_;
+    call_threads threads_;
+    relay_listener listener_;
+};
+
+/// Returns a caller's request.
+std::string caller_request(
+    const std::string& method,
+    const std::string& body = {},
+    const std::string& fields = {});
+
+/// Returns an entry's request to a gate without handshake.
+std::string gate_request_text(
+    const std::string& method,
+    const std::string& fields = {},
+    unsigned deadline_ms = 20'000);
+
+/// Returns a value of a head, or an empty text.
+std::string header_of(const std::string& message, const std::string& name);
+
+inline bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace hemlockshelf::test
+
+#endif
--- /dev/null
+++ b/test/http/test_entry.cpp
@@ -0,0 +1,282 @@
+#include <atomic>
+#include <string>
+
+#include "call_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace hemlockshelf::test;
+
+namespace {
+
+const std::string continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::string answer_to(const std::string& request, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nHemlockshelf-Request-Id: " +
+           header_of(request, "Hemlockshelf-Request-Id") +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+/// Serves requests as a gate does and counts those that it runs.
+scripted_server::script honest_gate(std::atomic<int>& executions)
+{
+    return [&executions](raw_connection& entry)
+    {
+        while (true)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            if (head.empty())
+            {
+                return;
+            }
+            if (contains(head, "100-continue"))
+            {
+                entry.send(continue_answer);
+                entry.read_until("0\r\n\r\n");
+            }
+            ++executions;
+            entry.send(answer_to(head, "served"));
+        }
+    };
+}
+
+} // namespace
+
+// Guards against a silent connection that costs the call although the request
+// can't have run, and against a second execution.
+Test(entry, gate_silent_before_100_is_replaced)
+{
+    std::atomic<int> executions = 0;
+    scripted_server silent(
+        [](raw_connection& entry)
+        {
+            entry.read_all();
+        });
+    scripted_server honest(honest_gate(executions));
+    entry_under_test entry({silent.where(), honest.where()});
+    const auto answer = entry.call(caller_request("POST", "order"));
+    cr_assert(contains(answer, "served"));
+    cr_assert_eq(executions.load(), 1);
+    cr_assert_eq(silent.connections(), 1);
+}
+
+// Guards against a refusal that doesn't say that the request was not run.
+Test(entry, gate_lost_before_100_is_a_true_not_run)
+{
+    std::atomic<int> body_bytes = 0;
+    scripted_server closing(
+        [&](raw_connection& entry)
+        {
+            const auto text = entry.read_until("\r\n\r\n");
+            body_bytes += contains(text, "order") ? 1 : 0;
+        });
+    entry_under_test entry({closing.where()});
+    const auto answer = entry.call(caller_request("POST", "order"));
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "gate_unreachable");
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(body_bytes.load(), 0);
+}
+
+// Guards against a second execution of an order whose answer is missing, and
+// against a claim that it was not run.
+Test(entry, gate_silent_after_the_body_leaves_the_outcome_unknown)
+{
+    std::atomic<int> executions = 0;
+    std::atomic<int> second = 0;
+    scripted_server silent(
+        [&](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+            entry.send(continue_answer);
+            entry.read_until("0\r\n\r\n");
+            ++executions;
+            entry.read_all();
+        });
+    scripted_server honest(honest_gate(second));
+    entry_under_test entry({silent.where(), honest.where()});
+    const auto answer = entry.call(caller_request("POST", "order"));
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "outcome_unknown");
+    cr_assert(!contains(answer, "Not-Run"));
+    cr_assert_eq(executions.load() + second.load(), 1);
+}
+
+// Guards against a cut answer that the caller takes for a whole one.
+Test(entry, answer_cut_in_the_middle_is_cut_for_the_caller)
+{
+    scripted_server cutting(
+        [](raw_connection& entry)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            const auto whole = answer_to(head, std::string(100'000, 'x'));
+            entry.send(whole.substr(0, 50'000));
+        });
+    entry_under_test entry({cutting.where()});
+    raw_connection caller(entry.where());
+    caller.send(caller_request("GET"));
+    const auto answer = caller.read_all();
+    cr_assert_lt(answer.size(), 100'000);
+    const auto status = answer.substr(0, 12);
+    cr_assert(status != "HTTP/1.1 200" || answer.size() < 60'000);
+}
+
+// Guards against an answer to an earlier request that reaches this caller.
+Test(entry, answer_to_another_request_is_dropped)
+{
+    scripted_server crossed(
+        [](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+            entry.send(answer_to(
+                "\r\nHemlockshelf-Request-Id: other\r\n", "for another"));
+            entry.read_all();
+        });
+    entry_under_test entry({crossed.where()});
+    const auto answer = entry.call(caller_request("GET"));
+    cr_assert(!contains(answer, "for another"));
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "outcome_unknown");
+}
+
+// Guards against a connection that is reused although its peer has answered
+// twice.
+Test(entry, second_answer_is_never_taken_for_the_next_one)
+{
+    std::atomic<int> requests = 0;
+    scripted_server twice(
+        [&](raw_connection& entry)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            const auto body = "answer " + std::to_string(++requests);
+            const auto answer = answer_to(head, body);
+            entry.send(answer + answer);
+            entry.read_all();
+        });
+    entry_under_test entry({twice.where()});
+    raw_connection caller(entry.where());
+    for (const auto* expected : {"answer 1", "answer 2"})
+    {
+        caller.send(caller_request("GET"));
+        cr_assert(contains(caller.read_message(), expected));
+    }
+    cr_assert_eq(twice.connections(), 2);
+}
+
+// Guards against headers of the system that a caller forges.
+Test(entry, internal_headers_of_callers_are_removed)
+{
+    std::string seen;
+    scripted_server gate(
+        [&](raw_connection& entry)
+        {
+            seen = entry.read_until("\r\n\r\n");
+            entry.send(answer_to(seen, "served"));
+            entry.read_all();
+        });
+    entry_under_test entry({gate.where()});
+    const auto answer = entry.call(caller_request(
+        "GET", {},
+        "hemlockshelf-not-run: true\r\nHemlockshelf-Pool: guild/ledger\r\n"
+        "Hemlockshelf-Entry-Vm: forged\r\n"));
+    cr_assert(contains(answer, "served"));
+    cr_assert(!contains(seen, "not-run") && !contains(seen, "forged"));
+    cr_assert_eq(header_of(seen, "Hemlockshelf-Pool"), "regie/catalogue");
+}
+
+// Guards against a second attempt that sends only the rest of a body.
+Test(entry, retry_sends_the_whole_held_body)
+{
+    std::string received;
+    scripted_server refusing(
+        [](raw_connection& entry)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            entry.send(continue_answer);
+            entry.read_until("0\r\n\r\n");
+            entry.send(
+                "HTTP/1.1 503 Busy\r\nHemlockshelf-Error: overloaded\r\n"
+                "Hemlockshelf-Not-Run: true\r\nContent-Length: 0\r\n"
+                "Hemlockshelf-Request-Id: " +
+                header_of(head, "Hemlockshelf-Request-Id") + "\r\n\r\n");
+            entry.read_all();
+        });
+    scripted_server gate(
+        [&](raw_connection& entry)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            entry.send(continue_answer);
+            received = entry.read_until("0\r\n\r\n");
+            entry.send(answer_to(head, "served"));
+            entry.read_all();
+        });
+    entry_under_test entry({refusing.where(), gate.where()});
+    const std::string body = "first " + std::string(3000, 'x') + " last";
+    const auto answer = entry.call(caller_request("POST", body));
+    cr_assert(contains(answer, "served"));
+    cr_assert(contains(received, body));
+}
+
+// Guards against one account that takes every slot of a pool.
+Test(entry, calls_beyond_the_limit_are_refused)
+{
+    scripted_server slow(
+        [](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+            entry.read_all();
+        });
+    entry_under_test entry({slow.where()}, std::chrono::seconds{20}, 1);
+    raw_connection first(entry.where());
+    first.send(caller_request("GET"));
+    while (slow.connections() == 0)
+    {
+        std::this_thread::yield();
+    }
+    const auto answer = entry.call(caller_request("GET"));
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "quota_exceeded");
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+}
+
+// Guards against work that goes on for a caller that has gone.
+Test(entry, caller_that_leaves_ends_the_gate_connection)
+{
+    std::atomic<bool> ended = false;
+    scripted_server slow(
+        [&](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+            entry.read_all();
+            ended = true;
+        });
+    entry_under_test entry({slow.where()});
+    {
+        raw_connection caller(entry.where());
+        caller.send(caller_request("GET"));
+        while (slow.connections() == 0)
+        {
+            std::this_thread::yield();
+        }
+    }
+    while (!ended)
+    {
+        std::this_thread::yield();
+    }
+    cr_assert(entry.group().wait_for_calls(
+        std::chrono::steady_clock::now() + std::chrono::seconds{20}));
+}
+
+// Guards against a drain that leaves keep-alive connections open.
+Test(entry, draining_closes_the_connection_after_the_answer)
+{
+    std::atomic<int> executions = 0;
+    scripted_server gate(honest_gate(executions));
+    entry_under_test entry({gate.where()});
+    raw_connection caller(entry.where());
+    caller.send(caller_request("GET"));
+    cr_assert(!contains(caller.read_message(), "Connection: close"));
+    entry.group().drain();
+    caller.send(caller_request("GET"));
+    cr_assert(contains(caller.read_message(), "Connection: close"));
+    cr_assert_eq(caller.read_all(), "");
+}
--- /dev/null
+++ b/test/http/test_gate.cpp
@@ -0,0 +1,278 @@
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "call_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace hemlockshelf::test;
+
+namespace {
+
+const std::string ok_answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved";
+const std::string handshake_fields =
+    "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n";
+
+scripted_server::script honest_upstream(std::atomic<int>& executions)
+{
+    return [&executions](raw_connection& gate)
+    {
+        while (!gate.read_message().empty())
+        {
+            ++executions;
+            gate.send(ok_answer);
+        }
+    };
+}
+
+/// Sends a request to a gate and returns the answer, without interim ones.
+std::string call(const gate_under_test& gate, const std::string& request)
+{
+    raw_connection entry(gate.where());
+    entry.send(request);
+    auto answer = entry.read_message();
+    while (contains(answer, "102 Processing"))
+    {
+        answer = entry.read_message();
+    }
+    return answer;
+}
+
+} // namespace
+
+// Guards against a dispatch before the entry has released the body: an entry
+// that never sends it counts the request as not run.
+Test(gate, nothing_runs_before_the_first_body_byte)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(honest_upstream(executions));
+    gate_under_test gate(upstream.where());
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("POST", handshake_fields));
+    cr_assert(contains(entry.read_until("\r\n\r\n"), "100 Continue"));
+    const auto answer = entry.read_message();
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(executions.load(), 0);
+    cr_assert_eq(upstream.connections(), 0);
+}
+
+// Guards against an empty body that is taken for a missing one.
+Test(gate, last_chunk_releases_an_empty_body)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(honest_upstream(executions));
+    gate_under_test gate(upstream.where());
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("POST", handshake_fields));
+    entry.read_until("\r\n\r\n");
+    entry.send("0\r\n\r\n");
+    cr_assert(contains(entry.read_message(), "served"));
+    cr_assert_eq(executions.load(), 1);
+}
+
+// Guards against an upstream's own word that a request was not run, in headers
+// and in trailers.
+Test(gate, forged_headers_of_upstreams_are_removed)
+{
+    scripted_server upstream(
+        [](raw_connection& gate)
+        {
+            gate.read_message();
+            gate.send("HTTP/1.1 503 Busy\r\nHemlockshelf-Not-Run: true\r\n"
+                      "Hemlockshelf-Error: overloaded\r\n"
+                      "Trailer: Hemlockshelf-Not-Run\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n"
+                      "0\r\nHemlockshelf-Not-Run: true\r\n\r\n");
+            gate.read_all();
+        });
+    gate_under_test gate(upstream.where());
+    const auto answer = call(gate, gate_request_text("GET"));
+    cr_assert(contains(answer, "503 Busy"));
+    cr_assert(!contains(answer, "Not-Run"));
+    cr_assert(!contains(answer, "Hemlockshelf-Error"));
+    cr_assert(contains(answer, "0\r\n\r\n"));
+}
+
+// Guards against a shed request that counts as run where the pool's row says
+// otherwise.
+Test(gate, shedding_is_proof_only_where_the_pool_says_so)
+{
+    scripted_server upstream(
+        [](raw_connection& gate)
+        {
+            gate.read_message();
+            gate.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        });
+    gate_under_test gate(upstream.where());
+    cr_assert_eq(
+        header_of(call(gate, gate_request_text("GET")), "Hemlockshelf-Not-Run"),
+        "");
+    gate.shed_is_not_run_ = true;
+    cr_assert_eq(
+        header_of(call(gate, gate_request_text("GET")), "Hemlockshelf-Not-Run"),
+        "true");
+}
+
+// Guards against a claim of not run after the upstream has got the request.
+Test(gate, upstream_that_closes_without_answer_may_have_run)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            gate.read_message();
+            ++executions;
+        });
+    gate_under_test gate(upstream.where());
+    const auto answer = call(gate, gate_request_text("GET"));
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "upstream_failed");
+    cr_assert(!contains(answer, "Not-Run"));
+    cr_assert_eq(executions.load(), 1);
+}
+
+// Guards against an upstream that works on after the deadline, and against a
+// late answer that is passed on.
+Test(gate, late_answer_is_dropped_and_the_upstream_is_cancelled)
+{
+    std::atomic<bool> cancelled = false;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            gate.read_message();
+            gate.read_all();
+            cancelled = true;
+            gate.send(ok_answer);
+        });
+    gate_under_test gate(upstream.where());
+    const auto answer = call(gate, gate_request_text("GET", {}, 300));
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "outcome_unknown");
+    cr_assert(!contains(answer, "Not-Run"));
+    while (!cancelled)
+    {
+        std::this_thread::yield();
+    }
+}
+
+// Guards against a second answer that is given to the next request.
+Test(gate, upstream_that_answers_twice_is_not_reused)
+{
+    std::atomic<int> requests = 0;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            gate.read_message();
+            const auto body = "answer" + std::to_string(++requests);
+            const auto answer =
+                "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" + body;
+            gate.send(answer + answer);
+            gate.read_all();
+        });
+    gate_under_test gate(upstream.where());
+    cr_assert(contains(call(gate, gate_request_text("GET")), "answer1"));
+    cr_assert(contains(call(gate, gate_request_text("GET")), "answer2"));
+}
+
+// Guards against a cut answer that reads as a whole one.
+Test(gate, cut_answer_ends_the_entry_connection)
+{
+    scripted_server upstream(
+        [](raw_connection& gate)
+        {
+            gate.read_message();
+            gate.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "4\r\npart\r\n");
+        });
+    gate_under_test gate(upstream.where());
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("GET"));
+    cr_assert(!contains(entry.read_all(), "0\r\n\r\n"));
+}
+
+// Guards against more requests or connections at the upstream than it allows.
+Test(gate, slots_and_connections_are_never_exceeded)
+{
+    std::atomic<int> running = 0;
+    std::atomic<int> most = 0;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            while (!gate.read_message().empty())
+            {
+                const int now_running = ++running;
+                int seen = most;
+                while (seen < now_running &&
+                       !most.compare_exchange_weak(seen, now_running))
+                {}
+                std::this_thread::yield();
+                --running;
+                gate.send(ok_answer);
+            }
+        });
+    gate_under_test gate(upstream.where(), 2, 2);
+    std::vector<std::thread> entries;
+    for (int index = 0; index < 8; ++index)
+    {
+        entries.emplace_back(
+            [&]
+            {
+                for (int count = 0; count < 20; ++count)
+                {
+                    call(gate, gate_request_text("GET"));
+                }
+            });
+    }
+    for (auto& entry : entries)
+    {
+        entry.join();
+    }
+    cr_assert_leq(most.load(), 2);
+    cr_assert_leq(gate.gate().open_connections(), 2);
+}
+
+// Guards against a request that runs twice under one key.
+Test(gate, an_idempotency_key_runs_once)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(honest_upstream(executions));
+    gate_under_test gate(upstream.where());
+    const auto request =
+        gate_request_text("PUT", "Idempotency-Key: order-1\r\n");
+    cr_assert(contains(call(gate, request), "served"));
+    cr_assert_eq(
+        header_of(call(gate, request), "Hemlockshelf-Error"),
+        "duplicate_request");
+    cr_assert_eq(executions.load(), 1);
+}
+
+// Guards against new work for a node that leaves, and against a refusal that
+// doesn't say that the request was not run.
+Test(gate, leaving_gate_refuses_at_once)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(honest_upstream(executions));
+    gate_under_test gate(upstream.where());
+    gate.gate().leave();
+    const auto answer = call(gate, gate_request_text("GET"));
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "draining");
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(executions.load(), 0);
+}
+
+// Guards against an entry that takes a slow upstream for a silent gate.
+Test(gate, slow_upstream_is_reported_as_progress)
+{
+    scripted_server upstream(
+        [](raw_connection& gate)
+        {
+            gate.read_message();
+            gate.read_all();
+        });
+    gate_under_test gate(upstream.where());
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("GET"));
+    cr_assert(contains(entry.read_until("\r\n\r\n"), "102 Processing"));
+}
