--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -7,10 +7,14 @@
 
 #include "adapters/http/call_settings.hpp"
 #include "adapters/http/endpoint.hpp"
+#include "adapters/settings/settings_section.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/dissemination/dissemination_settings.hpp"
+#include "hemlockshelf/editing/editing_settings.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/membership/membership_settings.hpp"
 #include "hemlockshelf/retry/retry_settings.hpp"
 #include "hemlockshelf/routing/routing_settings.hpp"
 
@@ -38,18 +42,24 @@
     std::vector<endpoint> peers_;
     /// SHA-256 of each account's operator token, in hexadecimal.
     std::map<client_account_id, std::string> token_hashes_;
+    log_format log_format_ = log_format::text;
+    std::string log_level_ = "info";
+    membership_settings membership_;
+    dissemination_settings dissemination_;
+    editing_settings editing_;
     call_settings call_path_;
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
-    log_format log_format_ = log_format::text;
-    std::string log_level_ = "info";
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
 /// the file, the line, what was given and what was expected.
 result<node_settings> load_node_settings(const std::string& path);
 
+/// Returns a description of every setting, in the order of the file.
+std::vector<setting_info> describe_node_settings();
+
 } // namespace hemlockshelf
 
 #endif
--- /dev/null
+++ b/experiment/address_block.hpp
@@ -0,0 +1,38 @@
+#ifndef HEMLOCKSHELF_EXPERIMENT_ADDRESS_BLOCK_HPP
+#define HEMLOCKSHELF_EXPERIMENT_ADDRESS_BLOCK_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "adapters/http/endpoint.hpp"
+
+namespace hemlockshelf {
+
+/// A block 127.<block>.0.0/16 of loopback addresses that no other run uses. A
+/// listening socket holds it until the object is destroyed.
+class address_block
+{
+public:
+    /// Throws `std::runtime_error` if every block is in use.
+    address_block();
+
+    /// Returns 127.<block>.<third>.<fourth>.
+    [[nodiscard]] std::string
+    address(std::size_t third, std::size_t fourth) const;
+
+    [[nodiscard]] endpoint
+    at(std::size_t third, std::size_t fourth, std::uint16_t port) const;
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor lock_;
+    int block_ = 0;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/experiment/trial.hpp
@@ -0,0 +1,57 @@
+#ifndef HEMLOCKSHELF_EXPERIMENT_TRIAL_HPP
+#define HEMLOCKSHELF_EXPERIMENT_TRIAL_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "experiment/cluster_options.hpp"
+
+namespace hemlockshelf {
+
+/// One run of a mesh under load, with operators and disturbances.
+struct trial_options
+{
+    cluster_options cluster_;
+    std::uint64_t seed_ = 1;
+    /// Names of the disturbances; they overlap.
+    std::vector<std::string> disturbances_;
+    /// Calls per second.
+    double rate_ = 60;
+    /// Time that the upstream works on a call.
+    std::chrono::milliseconds work_{2};
+    /// Services that are called; empty means all.
+    std::vector<std::string> services_;
+    std::size_t operators_ = 3;
+    /// How long a disturbance lasts; longer than the detection of a failure.
+    std::chrono::milliseconds hold_{3500};
+    /// Whether every call has to get a definite answer, since nothing breaks.
+    bool every_outcome_known_ = false;
+    /// Share of the calls that has to be served.
+    double min_served_share_ = 0;
+};
+
+/// What a trial showed.
+struct trial_result
+{
+    /// Violated rules and unmet conditions, in words.
+    std::vector<std::string> problems_;
+    /// Counts of calls by outcome and of edits by result.
+    std::map<std::string, std::size_t> counts_;
+    /// Where the files of a failed trial are.
+    std::string folder_;
+};
+
+/// Runs a trial; every wait is bounded. Has to be called from the thread that
+/// outlives the trial.
+trial_result run_trial(const trial_options& options);
+
+/// Returns a short text of a trial's counts and problems.
+std::string to_text(const trial_result& result);
+
+} // namespace hemlockshelf
+
+#endif
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -16,6 +16,8 @@
 #include "adapters/http/call_server.hpp"
 #include "adapters/http/http_client.hpp"
 #include "adapters/http/json_server.hpp"
+#include "standins/upstream/answer.hpp"
+#include "standins/upstream/execution_log.hpp"
 
 DEFINE_string(listen, "127.0.0.1:7005", "address and port to listen on");
 DEFINE_string(node, "127.0.0.1:7004", "admin address of the node");
@@ -23,6 +25,7 @@
 DEFINE_string(client_account, "regie", "client account of the service");
 DEFINE_uint32(slots, 20, "requests that can run at once");
 DEFINE_uint32(connections, 110, "connections that are accepted");
+DEFINE_string(execution_log, "", "file that gets a line per executed request");
 
 namespace {
 
@@ -52,13 +55,19 @@
 }
 
 asio::awaitable<hemlockshelf::http_response>
-serve(hemlockshelf::http_request request)
+serve(hemlockshelf::execution_log& log, hemlockshelf::http_request request)
 {
-    const nlohmann::json body{
-        {"service", FLAGS_service},
-        {"upstream", FLAGS_listen},
-        {"target", std::string(request.target())},
-        {"body_bytes", request.body().size()}};
+    log.record(hemlockshelf::request_id_of(request), FLAGS_listen);
+    const auto work = hemlockshelf::work_of(request);
+    if (work.count() > 0)
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor, work);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    auto body = hemlockshelf::answer_fields(request);
+    body["service"] = FLAGS_service;
+    body["upstream"] = FLAGS_listen;
+    body["target"] = std::string(request.target());
     co_return hemlockshelf::json_response(200, body);
 }
 
@@ -75,7 +84,13 @@
         return 2;
     }
     asio::io_context context;
-    hemlockshelf::call_server server(context, *where, serve);
+    hemlockshelf::execution_log log(FLAGS_execution_log);
+    hemlockshelf::call_server server(
+        context, *where,
+        [&log](hemlockshelf::http_request request)
+        {
+            return serve(log, std::move(request));
+        });
     asio::co_spawn(context, announce(*node), asio::detached);
     asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait(
