--- /dev/null
+++ b/experiment/measured_edits.cpp
@@ -0,0 +1,110 @@
+#include "experiment/measured_edits.hpp"
+
+#include <algorithm>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "experiment/operators.hpp"
+#include "experiment/wait.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+nlohmann::json small_edit(const deployment& mesh, std::size_t round)
+{
+    return nlohmann::json::array(
+        {{{"table", "pools"},
+          {"key", mesh.account_ + "/measured"},
+          {"row",
+           {{"service", mesh.services_.front()},
+            {"max_concurrent_calls", 100 + round}}}}});
+}
+
+std::size_t node_for(const cluster& mesh, std::size_t round)
+{
+    // A prime step visits every failure domain and node in turn.
+    constexpr std::size_t step = 7;
+    auto index = round * step % mesh.size();
+    while (!mesh.node_is_up(index))
+    {
+        index = (index + 1) % mesh.size();
+    }
+    return index;
+}
+
+std::optional<event_time>
+last_reached(const cluster& mesh, revision_watcher& watcher, revision number)
+{
+    event_time last{};
+    for (std::size_t index = 0; index < mesh.size(); ++index)
+    {
+        if (!mesh.node_is_up(index))
+        {
+            continue;
+        }
+        const auto at =
+            watcher.reached_at(vm_id{mesh.place(index).vm_}, number);
+        if (!at)
+        {
+            return std::nullopt;
+        }
+        last = std::max(last, *at);
+    }
+    return last;
+}
+
+} // namespace
+
+std::vector<edit_record> submit_series(
+    const cluster& mesh,
+    const std::string& name,
+    std::size_t count,
+    std::chrono::milliseconds gap)
+{
+    std::vector<edit_record> accepted;
+    auto next = std::chrono::steady_clock::now();
+    for (std::size_t round = 0; round < count; ++round)
+    {
+        std::this_thread::sleep_until(next);
+        next += gap;
+        auto record = submit_edit(
+            mesh, node_for(mesh, round), fmt::format("{}-{}", name, round),
+            small_edit(mesh.options().deployment_, round));
+        if (record.result_ == edit_result::accepted)
+        {
+            accepted.push_back(std::move(record));
+        }
+    }
+    return accepted;
+}
+
+std::vector<double> convergence_times(
+    const cluster& mesh,
+    revision_watcher& watcher,
+    const std::vector<edit_record>& edits,
+    std::chrono::milliseconds timeout)
+{
+    std::vector<double> times;
+    for (const auto& edit : edits)
+    {
+        std::optional<event_time> reached;
+        wait_until(
+            timeout,
+            [&]
+            {
+                reached = last_reached(mesh, watcher, edit.revision_);
+                return reached.has_value();
+            });
+        if (reached)
+        {
+            const std::chrono::duration<double, std::milli> elapsed =
+                *reached - edit.invoked_at_;
+            times.push_back(elapsed.count());
+        }
+    }
+    return times;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/experiment/soak.hpp
@@ -0,0 +1,25 @@
+#ifndef HEMLOCKSHELF_EXPERIMENT_SOAK_HPP
+#define HEMLOCKSHELF_EXPERIMENT_SOAK_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace hemlockshelf {
+
+/// What a soak runs.
+struct soak_options
+{
+    std::string bin_folder_;
+    std::string examples_folder_;
+    std::chrono::minutes duration_{10};
+    std::uint64_t seed_ = 1;
+};
+
+/// Runs trials with random meshes and disturbances until the time is over, and
+/// prints each. Returns the number of trials with a problem.
+int run_soak(const soak_options& options);
+
+} // namespace hemlockshelf
+
+#endif
--- a/test/system/scenarios.cpp
+++ b/test/system/scenarios.cpp
@@ -21,12 +21,24 @@
         {"silence_open", "regie", {"silence_open"}},
         {"cut_domain", "guild", {"cut_domain"}},
         {"silence_domain", "regie", {"silence_domain"}},
+        // Guard against a platform whose faults stop the mesh or lose edits.
+        {"platform_down", "regie", {"platform_down"}},
+        {"platform_slow", "guild", {"platform_slow"}},
+        {"platform_lost_answers", "regie", {"platform_lost_answers"}},
+        // Guard against planned stops that cut requests in progress.
+        {"drain_upstream", "regie", {"drain_upstream"}, true},
+        {"terminate_node", "guild", {"terminate_node"}, true},
         // Guard against pairs of faults whose repairs hinder each other.
         {"pair_kill_and_cut", "regie", {"kill_quarter", "cut_regions"}},
         {"pair_pause_and_silence", "guild", {"pause_node", "silence_domain"}},
         {"pair_push_and_silence",
          "regie",
          {"silence_regions", "kill_during_push"}},
+        {"pair_platform_and_kill", "regie", {"platform_down", "kill_quarter"}},
+        {"pair_lost_answers_and_terminate",
+         "guild",
+         {"platform_lost_answers", "terminate_node"},
+         true},
     };
     return scenarios;
 }
