--- a/adapters/node/config_keeper.cpp
+++ b/adapters/node/config_keeper.cpp
@@ -41,7 +41,7 @@
     metric_sink& metrics,
     std::size_t kept_deltas)
     : snapshots_(snapshots), time_(time), metrics_(metrics),
-      kept_deltas_(kept_deltas), started_at_(time.wall_now())
+      kept_deltas_(kept_deltas), started_at_(time.wall_now()), log_(kept_deltas)
 {}
 
 result<void> config_keeper::apply(
@@ -82,10 +82,11 @@
     }
     metrics_.observe(
         metric_id::config_apply_duration, {}, seconds(time_.now() - begin));
-    recent_.push_back(delta);
-    if (recent_.size() > kept_deltas_)
+    log_.append(delta.delta_);
+    accepted_at_[delta.delta_.to_] = delta.accepted_at_;
+    if (accepted_at_.size() > kept_deltas_)
     {
-        recent_.pop_front();
+        accepted_at_.erase(accepted_at_.begin());
     }
     report(source, delta.accepted_at_);
     return {};
@@ -95,12 +96,14 @@
     std::shared_ptr<const config_snapshot> snapshot, apply_source source)
 {
     const std::lock_guard lock(mutex_);
+    const auto number = snapshot->number();
     auto advanced = snapshots_.advance(std::move(snapshot));
     if (!advanced)
     {
         return advanced;
     }
-    recent_.clear();
+    log_.restart(number);
+    accepted_at_.clear();
     report(source, std::nullopt);
     return {};
 }
@@ -119,24 +122,18 @@
 config_keeper::deltas_after(revision from) const
 {
     const std::lock_guard lock(mutex_);
-    const auto now = snapshots_.current()->number();
-    if (from >= now)
-    {
-        return std::vector<accepted_delta>{};
-    }
-    const bool covered = !recent_.empty() &&
-                         recent_.front().delta_.to_.value() <= from.value() + 1;
-    if (!covered)
+    const auto kept = log_.after(from, kept_deltas_);
+    if (!kept)
     {
         return std::nullopt;
     }
     std::vector<accepted_delta> deltas;
-    for (const auto& delta : recent_)
+    for (const auto& delta : *kept)
     {
-        if (delta.delta_.to_ > from)
-        {
-            deltas.push_back(delta);
-        }
+        const auto found = accepted_at_.find(delta->to_);
+        deltas.push_back(
+            {*delta,
+             found == accepted_at_.end() ? wall_time{} : found->second});
     }
     return deltas;
 }
--- a/adapters/node/config_keeper.hpp
+++ b/adapters/node/config_keeper.hpp
@@ -2,7 +2,7 @@
 #define HEMLOCKSHELF_ADAPTERS_NODE_CONFIG_KEEPER_HPP
 
 #include <cstddef>
-#include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -13,6 +13,7 @@
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/core/clock.hpp"
 #include "hemlockshelf/core/metric_sink.hpp"
+#include "hemlockshelf/editing/change_log.hpp"
 
 namespace hemlockshelf {
 
@@ -68,7 +69,9 @@
     std::size_t kept_deltas_;
     wall_time started_at_;
     mutable std::mutex mutex_;
-    std::deque<accepted_delta> recent_;
+    change_log log_;
+    /// When the edits of the log's deltas were accepted.
+    std::map<revision, wall_time> accepted_at_;
 };
 
 } // namespace hemlockshelf
--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -56,6 +56,7 @@
         const node_settings& settings,
         const clock& time,
         table_service& tables,
+        object_store& objects,
         snapshot_store& snapshots,
         member_table& members,
         const own_upstream& upstream,
@@ -84,6 +85,7 @@
               }),
           poller_(
               tables,
+              objects,
               keeper_,
               settings.dissemination_.poll_interval_,
               [this](poll_report report)
@@ -480,12 +482,20 @@
     const node_settings& settings,
     const clock& time,
     table_service& tables,
+    object_store& objects,
     snapshot_store& snapshots,
     member_table& members,
     const own_upstream& upstream,
     metric_sink& metrics)
     : parts_(std::make_unique<parts>(
-          settings, time, tables, snapshots, members, upstream, metrics))
+          settings,
+          time,
+          tables,
+          objects,
+          snapshots,
+          members,
+          upstream,
+          metrics))
 {}
 
 control_plane::~control_plane() = default;
--- a/adapters/node/control_plane.hpp
+++ b/adapters/node/control_plane.hpp
@@ -9,6 +9,7 @@
 #include "hemlockshelf/core/clock.hpp"
 #include "hemlockshelf/core/metric_sink.hpp"
 #include "hemlockshelf/editing/change_record.hpp"
+#include "hemlockshelf/editing/object_store.hpp"
 #include "hemlockshelf/editing/table_service.hpp"
 #include "hemlockshelf/membership/member_table.hpp"
 #include "hemlockshelf/membership/node_lifecycle.hpp"
@@ -27,6 +28,7 @@
         const node_settings& settings,
         const clock& time,
         table_service& tables,
+        object_store& objects,
         snapshot_store& snapshots,
         member_table& members,
         const own_upstream& upstream,
--- a/adapters/node/platform_poller.cpp
+++ b/adapters/node/platform_poller.cpp
@@ -7,6 +7,7 @@
 #include <spdlog/spdlog.h>
 
 #include "hemlockshelf/editing/config_reader.hpp"
+#include "hemlockshelf/editing/snapshot_blob.hpp"
 
 namespace hemlockshelf {
 
@@ -18,10 +19,11 @@
 
 platform_poller::platform_poller(
     table_service& tables,
+    object_store& objects,
     config_keeper& keeper,
     std::chrono::milliseconds interval,
     report_handler on_report)
-    : tables_(tables), keeper_(keeper), interval_(interval),
+    : tables_(tables), objects_(objects), keeper_(keeper), interval_(interval),
       on_report_(std::move(on_report))
 {}
 
@@ -138,8 +140,20 @@
     on_report_(std::move(report));
 }
 
+// A node that is far behind takes the newest blob instead of every change row.
+bool platform_poller::take_blob(revision head)
+{
+    const auto snapshot = catch_up(tables_, objects_, keeper_.current(), head);
+    return snapshot && keeper_.adopt(*snapshot, apply_source::poll);
+}
+
 void platform_poller::read_deltas(poll_report& report)
 {
+    if (report.head_.value() > keeper_.held().value() + changes_per_read &&
+        take_blob(report.head_))
+    {
+        return;
+    }
     while (keeper_.held() < report.head_)
     {
         const auto before = keeper_.held();
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -44,13 +44,13 @@
     std::map<client_account_id, std::string> token_hashes_;
     log_format log_format_ = log_format::text;
     std::string log_level_ = "info";
+    membership_settings membership_;
+    dissemination_settings dissemination_;
     editing_settings editing_;
     call_settings call_path_;
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
-    membership_settings membership_;
-    dissemination_settings dissemination_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
