experiment: let callers use a replaced node once it answers

Cause: system.terminate_node and system.drain_upstream counted a call as without a definite answer although the caller had used a connection that the ended process had closed long before, or a node that was not yet listening.

--- a/experiment/disturbance.cpp
+++ b/experiment/disturbance.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "experiment/operators.hpp"
+#include "experiment/wait.hpp"
 
 namespace hemlockshelf {
 
@@ -15,6 +16,8 @@
 
 /// Upper limit of a node's graceful shutdown.
 constexpr std::chrono::seconds stop_timeout{30};
+/// Upper limit of a node's start.
+constexpr std::chrono::seconds start_timeout{30};
 
 bool is_affected(const trial_context& context, std::size_t index)
 {
@@ -56,6 +59,24 @@
     return domains[context.random_() % domains.size()].name_;
 }
 
+/// Callers use a replaced node only once it answers.
+void start_and_include(trial_context& context, std::size_t index)
+{
+    context.mesh_->start_node(index);
+    const bool answers = wait_until(
+        start_timeout,
+        [&context, index]
+        {
+            return context.mesh_->node_revision(index).has_value();
+        });
+    if (!answers)
+    {
+        context.problems_.push_back(
+            context.mesh_->place(index).vm_ + ": did not start again");
+    }
+    context.load_->include(index);
+}
+
 void set_link(trial_context& context, const nlohmann::json& fault)
 {
     if (!context.mesh_->set_link_fault(fault))
@@ -245,8 +266,7 @@
     {
         context.load_->exclude(index);
         context.mesh_->terminate_node(index, stop_timeout);
-        context.mesh_->start_node(index);
-        context.load_->include(index);
+        start_and_include(context, index);
     }
 }
 
@@ -270,8 +290,7 @@
 {
     for (const auto index : take_nodes(context, "terminate_node"))
     {
-        context.mesh_->start_node(index);
-        context.load_->include(index);
+        start_and_include(context, index);
     }
 }
 
--- a/experiment/load_generator.cpp
+++ b/experiment/load_generator.cpp
@@ -1,6 +1,7 @@
 #include "experiment/load_generator.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +15,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include "adapters/http/headers.hpp"
 #include "experiment/call_answer.hpp"
@@ -37,6 +39,16 @@
     return body;
 }
 
+/// Tells whether the server has kept an idle connection open. A caller that
+/// did not look would lose a request to a connection that ended long ago.
+bool is_open(beast::tcp_stream& stream)
+{
+    char byte = 0;
+    const auto got = ::recv(
+        stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace
 
 load_generator::load_generator(load_options options)
@@ -174,11 +186,14 @@
 asio::awaitable<load_generator::stream_ptr>
 load_generator::connect(target& where)
 {
-    if (!where.idle_.empty())
+    while (!where.idle_.empty())
     {
         auto stream = std::move(where.idle_.back());
         where.idle_.pop_back();
-        co_return stream;
+        if (is_open(*stream))
+        {
+            co_return stream;
+        }
     }
     auto stream = std::make_unique<beast::tcp_stream>(context_);
     stream->expires_after(options_.timeout_);
