json_server: run handlers on the workers' threads

Cause: awaiting a post to the pool resumed the coroutine on its own executor, so that every handler blocked the one thread of the context. A slow platform then stalled each request to the admin interface, the announcements among them, and the platform's stand-in served one request at a time.

--- a/adapters/http/json_server.cpp
+++ b/adapters/http/json_server.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -120,7 +121,10 @@
         }
         const auto request = parser.release();
         stream.expires_never();
-        co_await asio::post(workers_, asio::use_awaitable);
+        // Without the bound executor, the coroutine would resume on its own
+        // executor and handlers would block the thread of the context.
+        co_await asio::post(
+            asio::bind_executor(workers_.get_executor(), asio::use_awaitable));
         http_response response;
         std::optional<std::chrono::milliseconds> withheld;
         try
