--- a/test/system/main.cpp
+++ b/test/system/main.cpp
@@ -19,6 +19,19 @@
 
 namespace {
 
+/// Calls one service at twice what its upstreams' slots can serve. Half of the
+/// capacity has to be served, also while a quarter of the nodes is away.
+void overload(hemlockshelf::trial_options& options)
+{
+    const auto& mesh = options.cluster_.deployment_;
+    const auto slots = mesh.domains_.size() * mesh.slots_;
+    options.work_ = std::chrono::milliseconds{100};
+    options.services_ = {mesh.services_.front()};
+    const std::chrono::duration<double> work = options.work_;
+    options.rate_ = 2 * static_cast<double>(slots) / work.count();
+    options.min_served_share_ = 0.25;
+}
+
 hemlockshelf::trial_options
 options_for(const hemlockshelf::scenario& chosen, std::uint64_t seed)
 {
@@ -30,6 +43,10 @@
     options.seed_ = seed;
     options.disturbances_ = chosen.disturbances_;
     options.every_outcome_known_ = chosen.every_outcome_known_;
+    if (chosen.overload_)
+    {
+        overload(options);
+    }
     return options;
 }
 
--- a/test/system/scenarios.cpp
+++ b/test/system/scenarios.cpp
@@ -28,6 +28,9 @@
         // Guard against planned stops that cut requests in progress.
         {"drain_upstream", "regie", {"drain_upstream"}, true},
         {"terminate_node", "guild", {"terminate_node"}, true},
+        // Guard against a mesh that serves little once it is overloaded, or
+        // whose refusals are untrue then.
+        {"overload", "guild", {}, false, true},
         // Guard against pairs of faults whose repairs hinder each other.
         {"pair_kill_and_cut", "regie", {"kill_quarter", "cut_regions"}},
         {"pair_pause_and_silence", "guild", {"pause_node", "silence_domain"}},
@@ -39,6 +42,7 @@
          "guild",
          {"platform_lost_answers", "terminate_node"},
          true},
+        {"pair_overload_and_kill", "guild", {"kill_quarter"}, false, true},
     };
     return scenarios;
 }
--- a/test/system/scenarios.hpp
+++ b/test/system/scenarios.hpp
@@ -16,6 +16,8 @@
     std::vector<std::string> disturbances_;
     /// Whether every call has to get a definite answer.
     bool every_outcome_known_ = false;
+    /// Whether one service is called at twice its capacity.
+    bool overload_ = false;
 };
 
 /// Returns every scenario.
