experiment: measure control bytes of a settled mesh

Cause: the idle window held the spread of a new mesh's members, so that the traffic per edit came out negative (-434,282 bytes within failure domains at 128 nodes). Calls of different rates also shared idempotency keys, and 400 of 4,000 calls were refused as duplicates.

--- a/experiment/child_process.cpp
+++ b/experiment/child_process.cpp
@@ -44,6 +44,7 @@
 {
     std::vector<std::string> copy = command;
     std::vector<char*> arguments;
+    arguments.reserve(copy.size() + 1);
     for (auto& argument : copy)
     {
         arguments.push_back(argument.data());
--- a/experiment/final_checks.cpp
+++ b/experiment/final_checks.cpp
@@ -68,7 +68,7 @@
         for (const auto& service : services)
         {
             const single_call call{
-                place.calls_, account, service + "." + account,
+                place.calls_, account, fmt::format("{}.{}", service, account),
                 fmt::format("final-{}-{}", place.domain_, service)};
             const auto left =
                 std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/experiment/measure_calls.cpp
+++ b/experiment/measure_calls.cpp
@@ -1,3 +1,4 @@
+#include <map>
 #include <thread>
 
 #include <fmt/format.h>
@@ -27,6 +28,25 @@
     return latencies;
 }
 
+/// Returns how many calls ended with each error, as text.
+std::string errors_of(const std::vector<request_record>& records)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto& record : records)
+    {
+        if (record.result_ != request_result::served)
+        {
+            ++counts[record.error_];
+        }
+    }
+    std::string text;
+    for (const auto& [kind, count] : counts)
+    {
+        text += fmt::format(", {} {}", count, kind);
+    }
+    return text;
+}
+
 load_options small_calls(const cluster& mesh, const std::string& service)
 {
     const auto& account = mesh.options().deployment_.account_;
@@ -44,7 +64,9 @@
     const auto latencies = served_latencies(records);
     return {
         name, "ms", summarize(latencies),
-        fmt::format("{} of {} calls served", latencies.size(), records.size())};
+        fmt::format(
+            "{} of {} calls served{}", latencies.size(), records.size(),
+            errors_of(records))};
 }
 
 void measure_rate(const cluster& mesh, double rate, measurements& found)
@@ -53,9 +75,10 @@
     constexpr std::size_t entry = 4;
     auto through = small_calls(mesh, mesh.place(0).service_);
     through.rate_ = rate;
-    through.id_prefix_ = "proxied";
+    // Request ids are idempotency keys, so the rates must not share them.
+    through.id_prefix_ = fmt::format("proxied-{}", rate);
     auto direct = through;
-    direct.id_prefix_ = "direct";
+    direct.id_prefix_ = fmt::format("direct-{}", rate);
     through.targets_ = {mesh.place(entry).calls_};
     direct.targets_ = {mesh.place(0).upstream_};
     load_generator proxied(through);
--- a/experiment/measure_control_bytes.cpp
+++ b/experiment/measure_control_bytes.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::seconds window{10};
+constexpr std::chrono::seconds settle_time{15};
 constexpr std::size_t measured_edits = 20;
 
 /// Bytes of control traffic by scope.
@@ -84,21 +85,10 @@
 void measure_size(cluster& mesh, measurements& found)
 {
     const auto nodes = static_cast<double>(mesh.size());
+    // The members of a new mesh are still spreading and warming up.
+    std::this_thread::sleep_for(settle_time);
     const auto idle = measure_rate(mesh, [](std::size_t) {});
     add(found, mesh, "idle", idle, "bytes/s per node", nodes);
-    const auto churn = measure_rate(
-        mesh,
-        [&mesh](std::size_t second)
-        {
-            const auto index = second / 2 * 3 % mesh.size();
-            if (second % 2 == 0)
-            {
-                mesh.kill_upstream(index);
-                return;
-            }
-            mesh.start_upstream(index);
-        });
-    add(found, mesh, "churn of one upstream", churn, "bytes/s per node", nodes);
     const auto before = read_bytes(mesh);
     const auto start = std::chrono::steady_clock::now();
     const auto accepted = submit_series(
@@ -113,6 +103,19 @@
     }
     add(found, mesh, "per edit, idle traffic subtracted", bytes, "bytes",
         static_cast<double>(std::max<std::size_t>(1, accepted.size())));
+    const auto churn = measure_rate(
+        mesh,
+        [&mesh](std::size_t second)
+        {
+            const auto index = second / 2 * 3 % mesh.size();
+            if (second % 2 == 0)
+            {
+                mesh.kill_upstream(index);
+                return;
+            }
+            mesh.start_upstream(index);
+        });
+    add(found, mesh, "churn of one upstream", churn, "bytes/s per node", nodes);
 }
 
 } // namespace
