config: index and check only the accounts that a delta touches

Cause: each delta rebuilt the route index of all 7,500 rows and checked every reference.

Conclusion: a delta now costs the copy of the row maps and the accounts that it touches. The property test compares each incremental index with one built whole; it fails when the guests of a changed pool are left out.

--- a/include/hemlockshelf/config/config_snapshot.hpp
+++ b/include/hemlockshelf/config/config_snapshot.hpp
@@ -2,28 +2,17 @@
 #define HEMLOCKSHELF_CONFIG_CONFIG_SNAPSHOT_HPP
 
 #include <memory>
-#include <optional>
-#include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "hemlockshelf/config/config_delta.hpp"
 #include "hemlockshelf/config/config_tables.hpp"
+#include "hemlockshelf/config/route_index.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
 
 namespace hemlockshelf {
 
-/// A route together with the pool that it resolves to.
-struct resolved_route
-{
-    row_key key_;
-    std::shared_ptr<const route_row> route_;
-    row_key pool_key_;
-    std::shared_ptr<const pool_row> pool_;
-};
-
 /// An immutable, checked version of the configuration with an index for
 /// requests. Every route in it has its pool.
 class config_snapshot
@@ -34,6 +23,14 @@
     static result<std::shared_ptr<const config_snapshot>>
     build(revision number, config_tables tables);
 
+    /// Like `build`, for tables that follow from `base` by `changes`. Checks
+    /// and indexes only the accounts that the changes touch.
+    static result<std::shared_ptr<const config_snapshot>> build_next(
+        const config_snapshot& base,
+        revision number,
+        config_tables tables,
+        const std::vector<row_change>& changes);
+
     /// Returns the snapshot of revision 0, without rows.
     static std::shared_ptr<const config_snapshot> empty();
 
@@ -58,14 +55,11 @@
     [[nodiscard]] bool has_account(const client_account_id& account) const;
 
 private:
-    config_snapshot(revision number, config_tables tables);
-
-    void build_index();
+    config_snapshot(revision number, config_tables tables, route_index index);
 
     revision number_;
     config_tables tables_;
-    /// Routes by `<client_account>\n<host>`, longest prefix first.
-    std::unordered_map<std::string, std::vector<resolved_route>> index_;
+    route_index index_;
 };
 
 /// Checks that a delta to `next` follows `held`. The errors are
--- a/include/hemlockshelf/config/config_tables.hpp
+++ b/include/hemlockshelf/config/config_tables.hpp
@@ -3,6 +3,8 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "hemlockshelf/config/row_change.hpp"
@@ -28,6 +30,23 @@
 /// The error is `invalid_row` and names the route and the pool.
 result<void> check_references(const config_tables& tables);
 
+/// Like `check_references`, for the routes of `accounts` only.
+result<void> check_references(
+    const config_tables& tables, const std::set<client_account_id>& accounts);
+
+/// Returns the range of an account's rows, whose keys start with its name and
+/// a slash.
+template <class Row>
+auto rows_of(
+    const std::map<row_key, Row>& rows, const client_account_id& account)
+{
+    // The character after the slash ends the range.
+    return std::pair{
+        rows.lower_bound(row_key{account.value() + "/"}),
+        rows.lower_bound(
+            row_key{account.value() + static_cast<char>('/' + 1)})};
+}
+
 /// Checks the hash of the tables. The error is `hash_mismatch`.
 result<void>
 check_hash(const config_tables& tables, const content_hash& expected);
--- a/src/config/config_snapshot.cpp
+++ b/src/config/config_snapshot.cpp
@@ -1,6 +1,5 @@
 #include "hemlockshelf/config/config_snapshot.hpp"
 
-#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -9,20 +8,9 @@
 
 namespace hemlockshelf {
 
-namespace {
-
-std::string index_key(const client_account_id& account, std::string_view host)
-{
-    std::string key;
-    key.reserve(account.value().size() + host.size() + 1);
-    key.append(account.value()).append(1, '\n').append(host);
-    return key;
-}
-
-} // namespace
-
-config_snapshot::config_snapshot(revision number, config_tables tables)
-    : number_(number), tables_(std::move(tables))
+config_snapshot::config_snapshot(
+    revision number, config_tables tables, route_index index)
+    : number_(number), tables_(std::move(tables)), index_(std::move(index))
 {}
 
 result<std::shared_ptr<const config_snapshot>>
@@ -33,37 +21,32 @@
     {
         return tl::unexpected<error>(checked.error());
     }
-    auto* raw = new config_snapshot(number, std::move(tables));
-    std::shared_ptr<config_snapshot> snapshot(raw);
-    snapshot->build_index();
-    return std::shared_ptr<const config_snapshot>(std::move(snapshot));
+    auto index = route_index::build(tables);
+    return std::shared_ptr<const config_snapshot>(
+        new config_snapshot(number, std::move(tables), std::move(index)));
 }
 
-std::shared_ptr<const config_snapshot> config_snapshot::empty()
+result<std::shared_ptr<const config_snapshot>> config_snapshot::build_next(
+    const config_snapshot& base,
+    revision number,
+    config_tables tables,
+    const std::vector<row_change>& changes)
 {
+    const auto accounts = affected_accounts(base.tables_, tables, changes);
+    const auto checked = check_references(tables, accounts);
+    if (!checked)
+    {
+        return tl::unexpected<error>(checked.error());
+    }
+    auto index = base.index_.with_accounts(tables, accounts);
     return std::shared_ptr<const config_snapshot>(
-        new config_snapshot(revision{0}, {}));
+        new config_snapshot(number, std::move(tables), std::move(index)));
 }
 
-void config_snapshot::build_index()
+std::shared_ptr<const config_snapshot> config_snapshot::empty()
 {
-    for (const auto& [key, route] : tables_.routes_)
-    {
-        index_[index_key(account_of(key), route->host_)].push_back(
-            {key, route, route->pool_, tables_.pools_.at(route->pool_)});
-    }
-    const auto longer_prefix_first =
-        [](const resolved_route& left, const resolved_route& right)
-    {
-        const auto left_size = left.route_->path_prefix_.size();
-        const auto right_size = right.route_->path_prefix_.size();
-        return left_size != right_size ? left_size > right_size
-                                       : left.key_ < right.key_;
-    };
-    for (auto& entry : index_)
-    {
-        std::ranges::sort(entry.second, longer_prefix_first);
-    }
+    return std::shared_ptr<const config_snapshot>(
+        new config_snapshot(revision{0}, {}, {}));
 }
 
 const resolved_route* config_snapshot::find_route(
@@ -71,19 +54,7 @@
     std::string_view host,
     std::string_view path) const
 {
-    const auto found = index_.find(index_key(account, host));
-    if (found == index_.end())
-    {
-        return nullptr;
-    }
-    for (const auto& candidate : found->second)
-    {
-        if (path.starts_with(candidate.route_->path_prefix_))
-        {
-            return &candidate;
-        }
-    }
-    return nullptr;
+    return index_.find(account, host, path);
 }
 
 bool config_snapshot::has_account(const client_account_id& account) const
@@ -136,7 +107,8 @@
     {
         return tl::unexpected<error>(checked.error());
     }
-    return config_snapshot::build(delta.to_, std::move(tables));
+    return config_snapshot::build_next(
+        base, delta.to_, std::move(tables), delta.changes_);
 }
 
 result<std::shared_ptr<const config_snapshot>> build_from_rows(
--- a/src/config/config_tables.cpp
+++ b/src/config/config_tables.cpp
@@ -33,6 +33,32 @@
     rows.emplace(change.key_, std::make_shared<const Row>(*row));
 }
 
+result<void> check_reference(
+    const config_tables& tables, const row_key& key, const route_row& route)
+{
+    const auto pool = tables.pools_.find(route.pool_);
+    if (pool == tables.pools_.end())
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "route \"{}\": its pool \"{}\" does not exist", key.value(),
+                route.pool_.value()));
+    }
+    const auto account = account_of(key);
+    if (account != account_of(route.pool_) &&
+        !pool->second->shared_with_.contains(account))
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "route \"{}\": its pool \"{}\" is not shared with the "
+                "account \"{}\"",
+                key.value(), route.pool_.value(), account.value()));
+    }
+    return {};
+}
+
 } // namespace
 
 void apply_change(config_tables& tables, const row_change& change)
@@ -49,25 +75,28 @@
 {
     for (const auto& [key, route] : tables.routes_)
     {
-        const auto pool = tables.pools_.find(route->pool_);
-        if (pool == tables.pools_.end())
+        auto checked = check_reference(tables, key, *route);
+        if (!checked)
         {
-            return make_error(
-                error_kind::invalid_row,
-                fmt::format(
-                    "route \"{}\": its pool \"{}\" does not exist", key.value(),
-                    route->pool_.value()));
+            return checked;
         }
-        const auto account = account_of(key);
-        if (account != account_of(route->pool_) &&
-            !pool->second->shared_with_.contains(account))
+    }
+    return {};
+}
+
+result<void> check_references(
+    const config_tables& tables, const std::set<client_account_id>& accounts)
+{
+    for (const auto& account : accounts)
+    {
+        const auto [first, last] = rows_of(tables.routes_, account);
+        for (auto row = first; row != last; ++row)
         {
-            return make_error(
-                error_kind::invalid_row,
-                fmt::format(
-                    "route \"{}\": its pool \"{}\" is not shared with the "
-                    "account \"{}\"",
-                    key.value(), route->pool_.value(), account.value()));
+            auto checked = check_reference(tables, row->first, *row->second);
+            if (!checked)
+            {
+                return checked;
+            }
         }
     }
     return {};
--- a/src/config/revision_applier.cpp
+++ b/src/config/revision_applier.cpp
@@ -109,8 +109,7 @@
         {
             return follows;
         }
-        return build(
-            delta.to_, base->tables(), delta.changes_, delta.result_hash_);
+        return build(*base, delta.to_, delta.changes_, delta.result_hash_);
     }
 
     result<void> apply(const whole_revision& whole)
@@ -121,7 +120,8 @@
         {
             return newer;
         }
-        return build(whole.number_, {}, whole.rows_, whole.hash_);
+        return build(
+            *config_snapshot::empty(), whole.number_, whole.rows_, whole.hash_);
     }
 
     result<void> apply(std::shared_ptr<const config_snapshot> snapshot)
@@ -153,21 +153,22 @@
     }
 
     result<void> build(
+        const config_snapshot& base,
         revision number,
-        config_tables base,
         const std::vector<row_change>& changes,
         const content_hash& expected)
     {
         const auto started = time_.now();
         states_.process_event(offered{});
-        auto tables = with_changes(std::move(base), changes);
+        auto tables = with_changes(base.tables(), changes);
         states_.process_event(built{});
         const auto checked = check_hash(tables, expected);
         if (!checked)
         {
             return reject(checked.error());
         }
-        auto snapshot = config_snapshot::build(number, std::move(tables));
+        auto snapshot = config_snapshot::build_next(
+            base, number, std::move(tables), changes);
         if (!snapshot)
         {
             return reject(snapshot.error());
--- a/test/config/test_config_snapshot.cpp
+++ b/test/config/test_config_snapshot.cpp
@@ -1,5 +1,10 @@
 #include "hemlockshelf/config/config_snapshot.hpp"
 
+#include <rapidcheck.h>
+
+#include "hemlockshelf/config/row_codec.hpp"
+#include "test/config/row_generators.hpp"
+
 #include <criterion/criterion.h>
 
 using namespace hemlockshelf;
@@ -106,3 +111,42 @@
     cr_assert(
         apply_delta(*base, delta).error().kind_ == error_kind::stale_revision);
 }
+
+// Guards against an index that, after a delta, still resolves a route to a
+// pool that has changed, or keeps a route that is gone.
+Test(config_snapshot, an_index_after_deltas_equals_one_built_whole)
+{
+    cr_assert(rc::check(
+        []
+        {
+            const auto chain = make_chain(
+                *rc::gen::container<std::vector<row_change>>(any_change()));
+            const auto& last = *chain.snapshots_.back();
+            const auto whole =
+                *config_snapshot::build(last.number(), last.tables());
+            for (const auto& [key, route] : last.tables().routes_)
+            {
+                const auto account = account_of(key);
+                const auto* found =
+                    last.find_route(account, route->host_, route->path_prefix_);
+                const auto* expected = whole->find_route(
+                    account, route->host_, route->path_prefix_);
+                RC_ASSERT(found != nullptr);
+                RC_ASSERT(found->key_ == expected->key_);
+                RC_ASSERT(found->route_ == expected->route_);
+                RC_ASSERT(found->pool_ == expected->pool_);
+            }
+            for (const auto& snapshot : chain.snapshots_)
+            {
+                for (const auto& [key, route] : snapshot->tables().routes_)
+                {
+                    const auto account = account_of(key);
+                    const auto* found = last.find_route(
+                        account, route->host_, route->path_prefix_);
+                    const auto* expected = whole->find_route(
+                        account, route->host_, route->path_prefix_);
+                    RC_ASSERT((found == nullptr) == (expected == nullptr));
+                }
+            }
+        }));
+}
