dissemination: contact other failure domains in turn

The failure domain of the periodic contact was drawn at random, so that a node could leave one out for minutes: 50 s after a failure domain of three stopped, not all of 8 nodes had marked it unreachable. Nodes now go through the domains in turn, from a random one on, and every 5 s instead of 10 s. Spreading the finding was ruled out: it holds for the node that made it only.

--- a/adapters/node/repair_agent.cpp
+++ b/adapters/node/repair_agent.cpp
@@ -36,7 +36,8 @@
     record_keeper& records,
     contact_tracker& contacts)
     : context_(context), pushes_(pushes), records_(records),
-      contacts_(contacts), limiter_(context.settings_.dissemination_)
+      contacts_(contacts), limiter_(context.settings_.dissemination_),
+      next_domain_(context.random_())
 {
     take_due(
         schedule_, context_.time_.now(), context_.settings_.dissemination_,
@@ -98,7 +99,7 @@
     }
     const auto domain =
         std::exchange(retried_domain_, std::nullopt)
-            .value_or(domains.at(context_.random_() % domains.size()));
+            .value_or(domains.at(next_domain_++ % domains.size()));
     if (const auto vm =
             choose_peer(peers_in(context_, domain), context_.random_()))
     {
--- a/adapters/node/repair_agent.hpp
+++ b/adapters/node/repair_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_NODE_REPAIR_AGENT_HPP
 #define HEMLOCKSHELF_ADAPTERS_NODE_REPAIR_AGENT_HPP
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -73,6 +74,9 @@
     contact_tracker& contacts_;
     snapshot_limiter limiter_;
     repair_schedule schedule_;
+    /// Other failure domains are contacted in turn, from a random one on, so
+    /// that none is left out by chance.
+    std::uint64_t next_domain_;
     revision highest_seen_;
     /// Failure domain of which the last contact failed.
     std::optional<failure_domain_id> retried_domain_;
--- a/include/hemlockshelf/dissemination/dissemination_settings.hpp
+++ b/include/hemlockshelf/dissemination/dissemination_settings.hpp
@@ -31,7 +31,7 @@
     /// one. Neighbours compare what they hold with each heartbeat, so that
     /// these only have to find what the neighbours miss as well.
     std::chrono::milliseconds repair_interval_{10'000};
-    std::chrono::milliseconds cross_domain_interval_{10'000};
+    std::chrono::milliseconds cross_domain_interval_{5'000};
     /// A difference that lasts this long is not a push on its way.
     std::chrono::milliseconds repair_grace_{250};
     /// Member records wait this long for others, to be sent in one message.
