upstream_standin: stream bodies, shed, drain, cancel and log executions

Tests of the call path need an upstream that misbehaves in known ways and a record of what has run.

Commands are dispatched to the server's thread: json_server runs its handlers on the io_context's threads, and not on its own workers as it says, because the coroutine resumes on its own executor after the post to the workers. A handler that waits for the context then waits for itself.

--- /dev/null
+++ b/standins/upstream/announcer.hpp
@@ -0,0 +1,32 @@
+#ifndef HEMLOCKSHELF_STANDINS_UPSTREAM_ANNOUNCER_HPP
+#define HEMLOCKSHELF_STANDINS_UPSTREAM_ANNOUNCER_HPP
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "standins/upstream/upstream_state.hpp"
+
+namespace hemlockshelf {
+
+/// Announces the stand-in to its node each second, and at once when its state
+/// changes.
+class announcer
+{
+public:
+    announcer(boost::asio::io_context& context, const upstream_state& state);
+
+    /// Announces now instead of at the next second.
+    void announce_now();
+
+private:
+    boost::asio::awaitable<void> run();
+
+    const upstream_state& state_;
+    boost::asio::steady_timer timer_;
+    bool again_ = false;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/standins/upstream/execution_log.cpp
@@ -0,0 +1,66 @@
+#include "standins/upstream/execution_log.hpp"
+
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+
+namespace hemlockshelf {
+
+namespace {
+
+std::int64_t to_microseconds(wall_time time)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               time.time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+execution_log::execution_log(const std::string& path, bool log_starts)
+    : log_starts_(log_starts)
+{
+    if (!path.empty())
+    {
+        file_.exceptions(std::ios::failbit | std::ios::badbit);
+        file_.open(path, std::ios::app);
+    }
+}
+
+void execution_log::write_start(const execution& run)
+{
+    if (log_starts_)
+    {
+        write(run, "started");
+    }
+}
+
+void execution_log::write_end(const execution& run)
+{
+    write(run, run.completed_ ? "completed" : "cancelled");
+}
+
+void execution_log::write(const execution& run, std::string_view outcome)
+{
+    if (!file_.is_open())
+    {
+        return;
+    }
+    const nlohmann::json line{
+        {"request_id", run.request_id_},
+        {"method", run.method_},
+        {"target", run.target_},
+        {"upstream", run.upstream_},
+        {"start_us", to_microseconds(run.started_at_)},
+        {"end_us", to_microseconds(run.ended_at_)},
+        {"body_xxh3", run.body_hash_},
+        {"body_bytes", run.body_bytes_},
+        {"outcome", outcome},
+        {"answered", run.answered_}};
+    // Callers choose the id and the target, which may hold invalid UTF-8.
+    file_ << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+          << '\n'
+          << std::flush;
+}
+
+} // namespace hemlockshelf
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -1,88 +1,162 @@
 // Stand-in for an upstream: announces itself to its node and serves requests.
 
 #include <chrono>
+#include <exception>
+#include <future>
 #include <iostream>
+#include <memory>
+#include <optional>
+#include <stdexcept>
 #include <string>
-#include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <gflags/gflags.h>
 
-#include "adapters/http/call_server.hpp"
-#include "adapters/http/http_client.hpp"
 #include "adapters/http/json_server.hpp"
+#include "standins/upstream/command_handler.hpp"
 
 DEFINE_string(listen, "127.0.0.1:7005", "address and port to listen on");
 DEFINE_string(node, "127.0.0.1:7004", "admin address of the node");
+DEFINE_string(commands, "", "address and port for commands; empty opens none");
 DEFINE_string(service, "catalogue", "service to announce");
 DEFINE_string(client_account, "regie", "client account of the service");
 DEFINE_uint32(slots, 20, "requests that can run at once");
 DEFINE_uint32(connections, 110, "connections that are accepted");
+DEFINE_uint32(service_ms, 0, "time that a request takes");
+DEFINE_uint32(jitter_ms, 0, "most time that is added at random");
+DEFINE_uint32(cold_start_ms, 0, "time after the start with slow answers");
+DEFINE_double(cold_factor, 5, "factor of the service time in a cold start");
+DEFINE_uint32(drain_linger_ms, 1500, "least time from drain to end");
+DEFINE_uint32(drain_limit_ms, 30'000, "longest wait for running requests");
+DEFINE_string(
+    health, "truthful", "health answer: truthful, always_ok, always_failing");
+DEFINE_string(log, "", "file for the log of executions");
+DEFINE_bool(log_starts, false, "log the start of each execution too");
 
 namespace {
 
-namespace asio = boost::asio;
-namespace http = boost::beast::http;
+using namespace hemlockshelf;
 
-constexpr std::chrono::seconds announce_interval{1};
+constexpr std::chrono::seconds command_timeout{2};
 
-asio::awaitable<void> announce(const hemlockshelf::endpoint& node)
+std::optional<health_mode> read_health_mode(const std::string& text)
 {
-    const nlohmann::json body{{"service", FLAGS_service},
-                              {"client_account", FLAGS_client_account},
-                              {"address", FLAGS_listen},
-                              {"slots", FLAGS_slots},
-                              {"connections", FLAGS_connections},
-                              {"state", "ready"}};
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    while (true)
+    if (text == "truthful")
     {
-        const hemlockshelf::http_target target{node, {}, announce_interval};
-        auto request = hemlockshelf::make_request(
-            http::verb::post, "/v1/announce", body.dump());
-        co_await hemlockshelf::async_exchange(target, std::move(request));
-        timer.expires_after(announce_interval);
-        co_await timer.async_wait(asio::use_awaitable);
+        return health_mode::truthful;
     }
+    if (text == "always_ok")
+    {
+        return health_mode::always_ok;
+    }
+    return text == "always_failing" ? std::optional(health_mode::always_failing)
+                                    : std::nullopt;
 }
 
-asio::awaitable<hemlockshelf::http_response>
-serve(hemlockshelf::http_request request)
+endpoint read_endpoint(const char* flag, const std::string& text)
 {
-    const nlohmann::json body{
-        {"service", FLAGS_service},
-        {"upstream", FLAGS_listen},
-        {"target", std::string(request.target())},
-        {"body_bytes", request.body().size()}};
-    co_return hemlockshelf::json_response(200, body);
+    const auto parsed = parse_endpoint(text);
+    if (!parsed)
+    {
+        throw std::invalid_argument(
+            std::string("--") + flag + ": " + parsed.error().message_);
+    }
+    return *parsed;
 }
 
-} // namespace
+upstream_settings read_flags()
+{
+    using std::chrono::milliseconds;
+    const auto health = read_health_mode(FLAGS_health);
+    if (!health)
+    {
+        throw std::invalid_argument(
+            "--health: expected truthful, always_ok or always_failing, given " +
+            FLAGS_health);
+    }
+    upstream_settings settings;
+    settings.listen_ = read_endpoint("listen", FLAGS_listen);
+    settings.node_ = read_endpoint("node", FLAGS_node);
+    settings.service_ = FLAGS_service;
+    settings.client_account_ = FLAGS_client_account;
+    settings.slots_ = FLAGS_slots;
+    settings.connections_ = FLAGS_connections;
+    settings.service_time_ = milliseconds(FLAGS_service_ms);
+    settings.service_jitter_ = milliseconds(FLAGS_jitter_ms);
+    settings.cold_start_ = milliseconds(FLAGS_cold_start_ms);
+    settings.cold_factor_ = FLAGS_cold_factor;
+    settings.drain_linger_ = milliseconds(FLAGS_drain_linger_ms);
+    settings.drain_limit_ = milliseconds(FLAGS_drain_limit_ms);
+    settings.health_ = *health;
+    settings.log_file_ = FLAGS_log;
+    settings.log_starts_ = FLAGS_log_starts;
+    return settings;
+}
 
-int main(int argc, char** argv)
+// Commands arrive on any thread and run on the server's, which no longer
+// answers once it has stopped.
+http_response run_command(
+    boost::asio::io_context& context,
+    upstream_server& server,
+    const http_request& request)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto where = hemlockshelf::parse_endpoint(FLAGS_listen);
-    const auto node = hemlockshelf::parse_endpoint(FLAGS_node);
-    if (!where || !node)
+    auto task = std::make_shared<std::packaged_task<http_response()>>(
+        [&server, request]
+        {
+            return handle_upstream_command(server, request);
+        });
+    auto answer = task->get_future();
+    boost::asio::dispatch(
+        context,
+        [task]
+        {
+            (*task)();
+        });
+    if (answer.wait_for(command_timeout) != std::future_status::ready)
     {
-        std::cerr << "--listen and --node: expected <IPv4 address>:<port>\n";
-        return 2;
+        return error_response({error_kind::busy, "the stand-in has stopped"});
     }
-    asio::io_context context;
-    hemlockshelf::call_server server(context, *where, serve);
-    asio::co_spawn(context, announce(*node), asio::detached);
-    asio::signal_set signals(context, SIGINT, SIGTERM);
+    return answer.get();
+}
+
+void run()
+{
+    boost::asio::io_context context(1);
+    upstream_server server(context, read_flags());
+    std::optional<json_server> commands;
+    if (!FLAGS_commands.empty())
+    {
+        commands.emplace(
+            context, read_endpoint("commands", FLAGS_commands), 1,
+            [&](const http_request& request, const std::string&)
+            {
+                return run_command(context, server, request);
+            });
+    }
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait(
-        [&context](const auto&, int)
+        [&server](const auto&, int)
         {
-            context.stop();
+            server.drain(true);
         });
     context.run();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try
+    {
+        run();
+    }
+    catch (const std::exception& failure)
+    {
+        std::cerr << failure.what() << "\n";
+        return 2;
+    }
     return 0;
 }
--- /dev/null
+++ b/standins/upstream/upstream_server.hpp
@@ -0,0 +1,50 @@
+#ifndef HEMLOCKSHELF_STANDINS_UPSTREAM_UPSTREAM_SERVER_HPP
+#define HEMLOCKSHELF_STANDINS_UPSTREAM_UPSTREAM_SERVER_HPP
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "standins/upstream/announcer.hpp"
+#include "standins/upstream/execution_log.hpp"
+#include "standins/upstream/upstream_state.hpp"
+
+namespace hemlockshelf {
+
+/// The stand-in: listener, announcements, log and drain. It runs on a context
+/// with one thread.
+class upstream_server
+{
+public:
+    /// Listens at once. Throws `boost::system::system_error` if the address
+    /// can't be bound, and `std::ios_base::failure` for the log file.
+    upstream_server(
+        boost::asio::io_context& context, const upstream_settings& settings);
+
+    /// Announces that the upstream drains; requests that still arrive are
+    /// served. With `stop`, the context is stopped when nothing runs any more.
+    void drain(bool stop);
+
+    /// Announces that the upstream is ready again.
+    void resume();
+
+    [[nodiscard]] const upstream_state& state() const
+    {
+        return state_;
+    }
+
+private:
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> stop_when_idle();
+
+    boost::asio::io_context& context_;
+    upstream_state state_;
+    execution_log log_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    announcer announcer_;
+};
+
+} // namespace hemlockshelf
+
+#endif
