--- a/adapters/node/admin_handler.hpp
+++ b/adapters/node/admin_handler.hpp
@@ -4,11 +4,14 @@
 #include <string>
 
 #include "adapters/http/http_message.hpp"
+#include "adapters/node/call_plane.hpp"
+#include "adapters/node/control_plane.hpp"
 #include "adapters/node/own_upstream.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/editing/editor.hpp"
+#include "hemlockshelf/membership/member_table.hpp"
 
 namespace hemlockshelf {
 
@@ -20,7 +23,10 @@
     table_service* tables_ = nullptr;
     editor* editor_ = nullptr;
     own_upstream* upstream_ = nullptr;
+    call_plane* calls_ = nullptr;
     const prometheus_metrics* metrics_ = nullptr;
+    const member_table* members_ = nullptr;
+    const control_plane* control_ = nullptr;
 };
 
 /// Returns the account whose token a request carries. The error is
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -5,13 +5,16 @@
 #include <string>
 #include <vector>
 
+#include "adapters/http/call_settings.hpp"
 #include "adapters/http/endpoint.hpp"
 #include "adapters/settings/settings_section.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/dissemination/dissemination_settings.hpp"
 #include "hemlockshelf/editing/editing_settings.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
+#include "hemlockshelf/membership/membership_settings.hpp"
 #include "hemlockshelf/retry/retry_settings.hpp"
 #include "hemlockshelf/routing/routing_settings.hpp"
 
@@ -41,7 +44,10 @@
     std::map<client_account_id, std::string> token_hashes_;
     log_format log_format_ = log_format::text;
     std::string log_level_ = "info";
+    membership_settings membership_;
+    dissemination_settings dissemination_;
     editing_settings editing_;
+    call_settings call_path_;
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
--- a/standins/upstream/answer_pattern.cpp
+++ b/standins/upstream/answer_pattern.cpp
@@ -1,5 +1,6 @@
 #include "standins/upstream/answer_pattern.hpp"
 
+#include <algorithm>
 #include <new>
 
 #include <fmt/format.h>
@@ -34,10 +35,19 @@
 std::string
 answer_pattern(std::string_view request_id, std::string_view body_hash)
 {
-    return fmt::format("{} {}\n", request_id, body_hash);
+    auto pattern = fmt::format("{} {} ", request_id, body_hash);
+    std::ranges::replace_if(
+        pattern,
+        [](char letter)
+        {
+            return letter < ' ' || letter > '~' || letter == '"' ||
+                   letter == '\\';
+        },
+        '_');
+    return pattern;
 }
 
-void fill_answer(
+void fill_part(
     std::string_view pattern, std::uint64_t offset, std::span<char> part)
 {
     auto position = static_cast<std::size_t>(offset % pattern.size());
--- a/standins/upstream/answer_pattern.hpp
+++ b/standins/upstream/answer_pattern.hpp
@@ -28,14 +28,14 @@
     XXH3_state_s* state_;
 };
 
-/// Returns the text of which the stand-in's answers are made, again and again:
+/// Returns the text of which the filling of an answer is made, again and again:
 /// the request's id and the hash of its body. A checker can tell from any part
-/// of an answer whose it is.
+/// of a filling whose it is. Characters that JSON escapes become `_`.
 std::string
 answer_pattern(std::string_view request_id, std::string_view body_hash);
 
-/// Fills `part` with the bytes of an answer from `offset` on.
-void fill_answer(
+/// Fills `part` with the bytes of a filling from `offset` on.
+void fill_part(
     std::string_view pattern, std::uint64_t offset, std::span<char> part);
 
 } // namespace hemlockshelf
--- a/standins/upstream/answer_writer.cpp
+++ b/standins/upstream/answer_writer.cpp
@@ -2,17 +2,18 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <string>
-#include <string_view>
+#include <span>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <nlohmann/json.hpp>
 
+#include "adapters/http/headers.hpp"
 #include "standins/upstream/answer_pattern.hpp"
+#include "standins/upstream/target_query.hpp"
 
 namespace hemlockshelf {
 
@@ -25,84 +26,97 @@
 namespace {
 
 constexpr std::size_t part_bytes = 16'384;
-constexpr std::string_view size_parameter = "size=";
 
-// Returns the number after `size=` in the query, or the fallback.
-std::uint64_t read_size(std::string_view target, std::uint64_t fallback)
+std::uint64_t total_bytes(const answer_parts& parts)
 {
-    const auto query = target.find('?');
-    if (query == std::string_view::npos)
-    {
-        return fallback;
-    }
-    const auto found = target.find(size_parameter, query + 1);
-    if (found == std::string_view::npos ||
-        (target[found - 1] != '?' && target[found - 1] != '&'))
-    {
-        return fallback;
-    }
-    const auto number = target.substr(found + size_parameter.size());
-    std::uint64_t size = fallback;
-    std::from_chars(number.data(), number.data() + number.size(), size);
-    return size;
+    return parts.before_.size() + parts.filling_bytes_ + parts.after_.size();
 }
 
-answer_message make_message(const answer_head& head, const execution& run)
+answer_message make_message(
+    const answer_parts& parts,
+    const answer_form& form,
+    const std::string& request_id)
 {
     answer_message answer{http::status::ok, 11};
-    answer.set(http::field::content_type, "text/plain");
-    answer.set("Upstream-Request-Id", run.request_id_);
-    answer.set("Upstream-Body-Xxh3", run.body_hash_);
-    answer.set("Upstream-Body-Bytes", std::to_string(run.body_bytes_));
-    answer.set("Upstream-Address", run.upstream_);
-    answer.keep_alive(head.keep_alive_);
-    answer.content_length(head.bytes_);
+    answer.set(http::field::content_type, "application/json");
+    answer.set(headers::request_id, request_id);
+    answer.keep_alive(form.keep_alive_);
+    answer.content_length(total_bytes(parts));
     return answer;
 }
 
+// Writes one part of the body; `more` says whether another one follows.
+asio::awaitable<bool> write_part(
+    boost::beast::tcp_stream& stream,
+    answer_message& answer,
+    answer_serializer& serializer,
+    std::span<char> part,
+    bool more)
+{
+    answer.body().data = part.data();
+    answer.body().size = part.size();
+    answer.body().more = more;
+    error_code failure;
+    co_await http::async_write(
+        stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure || failure == http::error::need_buffer;
+}
+
 } // namespace
 
-answer_head
-make_answer_head(const http::request_header<>& request, const execution& run)
+answer_parts make_answer_parts(const execution& run, const std::string& service)
 {
-    const auto pattern = answer_pattern(run.request_id_, run.body_hash_);
-    const auto connection = request[http::field::connection];
-    answer_head head;
-    head.bytes_ = read_size(run.target_, pattern.size());
-    head.keep_alive_ =
-        request.version() >= 11 && !boost::beast::iequals(connection, "close");
-    head.has_body_ = request.method() != http::verb::head;
-    return head;
+    const nlohmann::json fields{
+        {"request_id", run.request_id_},
+        {"body_id", run.body_id_},
+        {"body_bytes", run.body_bytes_},
+        {"body_xxh3", run.body_hash_},
+        {"service", service},
+        {"upstream", run.upstream_},
+        {"target", run.target_}};
+    answer_parts parts;
+    parts.before_ =
+        fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    parts.before_.back() = ',';
+    parts.before_ += "\"filling\":\"";
+    parts.pattern_ = answer_pattern(run.request_id_, run.body_hash_);
+    parts.filling_bytes_ = number_parameter(run.target_, "answer_bytes");
+    parts.after_ = "\"}\n";
+    return parts;
 }
 
 asio::awaitable<bool> write_answer(
     boost::beast::tcp_stream& stream,
-    const answer_head& head,
-    const execution& run)
+    const answer_parts& parts,
+    const answer_form& form,
+    const std::string& request_id)
 {
-    auto answer = make_message(head, run);
+    auto answer = make_message(parts, form, request_id);
     answer_serializer serializer(answer);
     error_code failure;
     co_await http::async_write_header(
         stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
-    const auto pattern = answer_pattern(run.request_id_, run.body_hash_);
+    if (failure || !form.has_body_)
+    {
+        co_return !failure;
+    }
+    auto before = parts.before_;
+    auto after = parts.after_;
+    bool connected =
+        co_await write_part(stream, answer, serializer, before, true);
     std::array<char, part_bytes> part{};
-    std::uint64_t sent = head.has_body_ ? 0 : head.bytes_;
-    while (!failure && sent < head.bytes_)
+    for (std::uint64_t sent = 0; connected && sent < parts.filling_bytes_;)
     {
         const auto size = static_cast<std::size_t>(
-            std::min<std::uint64_t>(part.size(), head.bytes_ - sent));
-        fill_answer(pattern, sent, {part.data(), size});
+            std::min<std::uint64_t>(part.size(), parts.filling_bytes_ - sent));
+        fill_part(parts.pattern_, sent, {part.data(), size});
         sent += size;
-        answer.body().data = part.data();
-        answer.body().size = size;
-        answer.body().more = sent < head.bytes_;
-        co_await http::async_write(
-            stream, serializer,
-            asio::redirect_error(asio::use_awaitable, failure));
-        failure = failure == http::error::need_buffer ? error_code() : failure;
+        connected = co_await write_part(
+            stream, answer, serializer, {part.data(), size}, true);
     }
-    co_return !failure;
+    connected = connected &&
+                co_await write_part(stream, answer, serializer, after, false);
+    co_return connected;
 }
 
 } // namespace hemlockshelf
--- a/standins/upstream/answer_writer.hpp
+++ b/standins/upstream/answer_writer.hpp
@@ -2,36 +2,46 @@
 #define HEMLOCKSHELF_STANDINS_UPSTREAM_ANSWER_WRITER_HPP
 
 #include <cstdint>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/message.hpp>
 
-#include "standins/upstream/execution_log.hpp"
+#include "standins/upstream/outcome_log.hpp"
 
 namespace hemlockshelf {
 
-/// Size and form of an answer.
-struct answer_head
+/// The body of an answer: a JSON object, of which only the filling is large.
+struct answer_parts
+{
+    std::string before_;
+    std::string pattern_;
+    std::uint64_t filling_bytes_ = 0;
+    std::string after_;
+};
+
+/// How an answer is sent.
+struct answer_form
 {
-    std::uint64_t bytes_ = 0;
     bool keep_alive_ = true;
     /// False for HEAD.
     bool has_body_ = true;
 };
 
-/// Reads the answer's size from the query parameter `size`; without it the
-/// pattern is sent once.
-answer_head make_answer_head(
-    const boost::beast::http::request_header<>& request, const execution& run);
+/// Makes the answer of an execution. Its fields are `request_id`, `body_id`
+/// (the first word of the body), `body_bytes`, `body_xxh3`, `service`,
+/// `upstream` and `target`, and `filling` with as many bytes as the query
+/// parameter `answer_bytes` asks for.
+answer_parts
+make_answer_parts(const execution& run, const std::string& service);
 
-/// Streams the answer. Its headers name the request, the hash and the size of
-/// the body that has arrived, and the upstream. Returns false if the
-/// connection broke.
+/// Streams an answer, whose header repeats the request's id. Returns false if
+/// the connection broke.
 boost::asio::awaitable<bool> write_answer(
     boost::beast::tcp_stream& stream,
-    const answer_head& head,
-    const execution& run);
+    const answer_parts& parts,
+    const answer_form& form,
+    const std::string& request_id);
 
 } // namespace hemlockshelf
 
--- a/standins/upstream/execution_log.cpp
+++ b/standins/upstream/execution_log.cpp
@@ -1,66 +1,50 @@
 #include "standins/upstream/execution_log.hpp"
 
 #include <chrono>
+#include <iostream>
 
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace hemlockshelf {
 
-namespace {
-
-std::int64_t to_microseconds(wall_time time)
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(
-               time.time_since_epoch())
-        .count();
-}
-
-} // namespace
-
-execution_log::execution_log(const std::string& path, bool log_starts)
-    : log_starts_(log_starts)
+execution_log::execution_log(const std::string& path)
 {
     if (!path.empty())
     {
-        file_.exceptions(std::ios::failbit | std::ios::badbit);
-        file_.open(path, std::ios::app);
+        file_ = ::open(
+            path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     }
 }
 
-void execution_log::write_start(const execution& run)
+execution_log::~execution_log()
 {
-    if (log_starts_)
+    if (file_ >= 0)
     {
-        write(run, "started");
+        ::close(file_);
     }
 }
 
-void execution_log::write_end(const execution& run)
+void execution_log::record(
+    const std::string& request_id, const std::string& upstream)
 {
-    write(run, run.completed_ ? "completed" : "cancelled");
-}
-
-void execution_log::write(const execution& run, std::string_view outcome)
-{
-    if (!file_.is_open())
+    if (file_ < 0)
     {
         return;
     }
-    const nlohmann::json line{
-        {"request_id", run.request_id_},
-        {"method", run.method_},
-        {"target", run.target_},
-        {"upstream", run.upstream_},
-        {"start_us", to_microseconds(run.started_at_)},
-        {"end_us", to_microseconds(run.ended_at_)},
-        {"body_xxh3", run.body_hash_},
-        {"body_bytes", run.body_bytes_},
-        {"outcome", outcome},
-        {"answered", run.answered_}};
-    // Callers choose the id and the target, which may hold invalid UTF-8.
-    file_ << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
-          << '\n'
-          << std::flush;
+    const auto at = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const nlohmann::json entry{
+        {"request_id", request_id},
+        {"upstream", upstream},
+        {"at_us", at.count()}};
+    const auto line = entry.dump() + "\n";
+    if (::write(file_, line.data(), line.size()) !=
+        static_cast<ssize_t>(line.size()))
+    {
+        std::cerr << "an execution could not be recorded\n";
+    }
 }
 
 } // namespace hemlockshelf
--- a/standins/upstream/execution_log.hpp
+++ b/standins/upstream/execution_log.hpp
@@ -1,49 +1,27 @@
 #ifndef HEMLOCKSHELF_STANDINS_UPSTREAM_EXECUTION_LOG_HPP
 #define HEMLOCKSHELF_STANDINS_UPSTREAM_EXECUTION_LOG_HPP
 
-#include <cstdint>
-#include <fstream>
 #include <string>
-#include <string_view>
-
-#include "hemlockshelf/core/clock.hpp"
 
 namespace hemlockshelf {
 
-/// One run of a request.
-struct execution
-{
-    std::string request_id_;
-    std::string method_;
-    std::string target_;
-    std::string upstream_;
-    wall_time started_at_{};
-    wall_time ended_at_{};
-    /// XXH3-64 of the part of the body that has arrived.
-    std::string body_hash_;
-    std::uint64_t body_bytes_ = 0;
-    bool completed_ = false;
-    /// Whether the whole answer has been handed to the connection.
-    bool answered_ = false;
-};
-
-/// Log of executions, one JSON object per line. A line is flushed when it is
-/// written, so that a kill loses none.
+/// Appends one line per executed request to a file. A line is written at once,
+/// so that it outlives the process.
 class execution_log
 {
 public:
-    /// Appends to the file; an empty path writes nothing. Throws
-    /// `std::ios_base::failure` if the file can't be opened.
-    execution_log(const std::string& path, bool log_starts);
+    /// Opens the file for appending; an empty path records nothing.
+    explicit execution_log(const std::string& path);
+    ~execution_log();
 
-    void write_start(const execution& run);
-    void write_end(const execution& run);
+    execution_log(const execution_log&) = delete;
+    execution_log& operator=(const execution_log&) = delete;
 
-private:
-    void write(const execution& run, std::string_view outcome);
+    /// Records that `request_id` ran at `upstream`.
+    void record(const std::string& request_id, const std::string& upstream);
 
-    std::ofstream file_;
-    bool log_starts_;
+private:
+    int file_ = -1;
 };
 
 } // namespace hemlockshelf
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -32,8 +32,8 @@
 DEFINE_uint32(drain_limit_ms, 30'000, "longest wait for running requests");
 DEFINE_string(
     health, "truthful", "health answer: truthful, always_ok, always_failing");
-DEFINE_string(log, "", "file for the log of executions");
-DEFINE_bool(log_starts, false, "log the start of each execution too");
+DEFINE_string(execution_log, "", "file that gets a line per executed request");
+DEFINE_string(outcome_log, "", "file that gets a line per outcome");
 
 namespace {
 
@@ -90,8 +90,8 @@
     settings.drain_linger_ = milliseconds(FLAGS_drain_linger_ms);
     settings.drain_limit_ = milliseconds(FLAGS_drain_limit_ms);
     settings.health_ = *health;
-    settings.log_file_ = FLAGS_log;
-    settings.log_starts_ = FLAGS_log_starts;
+    settings.execution_log_ = FLAGS_execution_log;
+    settings.outcome_log_ = FLAGS_outcome_log;
     return settings;
 }
 
--- a/standins/upstream/upstream_connection.cpp
+++ b/standins/upstream/upstream_connection.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -21,6 +22,7 @@
 
 #include "adapters/http/headers.hpp"
 #include "standins/upstream/answer_writer.hpp"
+#include "standins/upstream/target_query.hpp"
 
 namespace hemlockshelf {
 
@@ -37,6 +39,13 @@
     return {text.data(), text.size()};
 }
 
+// Returns the first word of a body whose first part is given.
+std::string first_word(std::string_view part)
+{
+    constexpr std::size_t max_word = 128;
+    return std::string(part.substr(0, std::min(part.find(' '), max_word)));
+}
+
 // Returns the time that the caller leaves, if it says so.
 std::optional<std::chrono::milliseconds>
 deadline_of(const http::request_header<>& request)
@@ -56,8 +65,8 @@
 } // namespace
 
 upstream_connection::upstream_connection(
-    asio::ip::tcp::socket socket, upstream_state& state, execution_log& log)
-    : stream_(std::move(socket)), state_(state), log_(log)
+    asio::ip::tcp::socket socket, upstream_state& state, upstream_logs& logs)
+    : stream_(std::move(socket)), state_(state), logs_(logs)
 {}
 
 asio::awaitable<void> upstream_connection::run()
@@ -118,11 +127,11 @@
     run.target_ = to_text(request.target());
     run.upstream_ = to_string(state_.settings_.listen_);
     run.started_at_ = std::chrono::system_clock::now();
-    log_.write_start(run);
+    logs_.starts_.record(run.request_id_, run.upstream_);
     const bool more = co_await run_request(parser, run);
     ++(run.completed_ ? state_.counters_.completed_
                       : state_.counters_.cancelled_);
-    log_.write_end(run);
+    logs_.outcomes_.write(run);
     co_return more;
 }
 
@@ -131,7 +140,9 @@
 {
     const auto now = std::chrono::steady_clock::now();
     const auto deadline = deadline_of(parser.get());
-    const auto time = draw_service_time(state_, now);
+    const auto time =
+        draw_service_time(state_, now) +
+        std::chrono::milliseconds(number_parameter(run.target_, "work_ms"));
     const bool in_time = !deadline || time <= *deadline;
     body_hash hash;
     bool connected = co_await send_continue(parser);
@@ -185,6 +196,10 @@
         }
         const auto read = part.size() - body.size;
         hash.add({part.data(), read});
+        if (run.body_bytes_ == 0)
+        {
+            run.body_id_ = first_word({part.data(), read});
+        }
         run.body_bytes_ += read;
     }
     co_return true;
@@ -225,8 +240,11 @@
 asio::awaitable<bool> upstream_connection::send_answer(
     const request_parser& parser, const execution& run)
 {
-    const answer_head head = make_answer_head(parser.get(), run);
-    co_return co_await write_answer(stream_, head, run);
+    const answer_parts parts =
+        make_answer_parts(run, state_.settings_.service_);
+    const answer_form form{
+        parser.keep_alive(), parser.get().method() != http::verb::head};
+    co_return co_await write_answer(stream_, parts, form, run.request_id_);
 }
 
 asio::awaitable<bool>
--- a/standins/upstream/upstream_connection.hpp
+++ b/standins/upstream/upstream_connection.hpp
@@ -9,7 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include "standins/upstream/answer_pattern.hpp"
-#include "standins/upstream/execution_log.hpp"
+#include "standins/upstream/upstream_logs.hpp"
 #include "standins/upstream/upstream_state.hpp"
 
 namespace hemlockshelf {
@@ -22,7 +22,7 @@
     upstream_connection(
         boost::asio::ip::tcp::socket socket,
         upstream_state& state,
-        execution_log& log);
+        upstream_logs& logs);
 
     /// Serves requests until the connection ends.
     boost::asio::awaitable<void> run();
@@ -47,7 +47,7 @@
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
     upstream_state& state_;
-    execution_log& log_;
+    upstream_logs& logs_;
 };
 
 } // namespace hemlockshelf
--- a/standins/upstream/upstream_server.cpp
+++ b/standins/upstream/upstream_server.cpp
@@ -35,7 +35,9 @@
 upstream_server::upstream_server(
     asio::io_context& context, const upstream_settings& settings)
     : context_(context), state_(make_state(settings)),
-      log_(settings.log_file_, settings.log_starts_),
+      logs_{
+          execution_log(settings.execution_log_),
+          outcome_log(settings.outcome_log_)},
       acceptor_(
           context,
           tcp::endpoint(
@@ -79,7 +81,7 @@
 
 asio::awaitable<void> upstream_server::serve(tcp::socket socket)
 {
-    upstream_connection connection(std::move(socket), state_, log_);
+    upstream_connection connection(std::move(socket), state_, logs_);
     co_await connection.run();
 }
 
--- a/standins/upstream/upstream_server.hpp
+++ b/standins/upstream/upstream_server.hpp
@@ -6,7 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "standins/upstream/announcer.hpp"
-#include "standins/upstream/execution_log.hpp"
+#include "standins/upstream/upstream_logs.hpp"
 #include "standins/upstream/upstream_state.hpp"
 
 namespace hemlockshelf {
@@ -17,7 +17,7 @@
 {
 public:
     /// Listens at once. Throws `boost::system::system_error` if the address
-    /// can't be bound, and `std::ios_base::failure` for the log file.
+    /// can't be bound, and `std::ios_base::failure` for a log file.
     upstream_server(
         boost::asio::io_context& context, const upstream_settings& settings);
 
@@ -40,7 +40,7 @@
 
     boost::asio::io_context& context_;
     upstream_state state_;
-    execution_log log_;
+    upstream_logs logs_;
     boost::asio::ip::tcp::acceptor acceptor_;
     announcer announcer_;
 };
--- a/standins/upstream/upstream_settings.hpp
+++ b/standins/upstream/upstream_settings.hpp
@@ -42,11 +42,10 @@
     /// Longest time that a drain waits for running requests.
     std::chrono::milliseconds drain_limit_{30'000};
     health_mode health_ = health_mode::truthful;
-    /// File of the execution log; empty writes none.
-    std::string log_file_;
-    /// Whether the log gets a line at the start of each execution too, which
-    /// tells of executions that a kill has ended.
-    bool log_starts_ = false;
+    /// File that gets a line at the start of each execution; empty for none.
+    std::string execution_log_;
+    /// File that gets a line at the end of each execution; empty for none.
+    std::string outcome_log_;
 };
 
 } // namespace hemlockshelf
