--- /dev/null
+++ b/standins/upstream/answer_writer.hpp
@@ -0,0 +1,48 @@
+#ifndef HEMLOCKSHELF_STANDINS_UPSTREAM_ANSWER_WRITER_HPP
+#define HEMLOCKSHELF_STANDINS_UPSTREAM_ANSWER_WRITER_HPP
+
+#include <cstdint>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "standins/upstream/outcome_log.hpp"
+
+namespace hemlockshelf {
+
+/// The body of an answer: a JSON object, of which only the filling is large.
+struct answer_parts
+{
+    std::string before_;
+    std::string pattern_;
+    std::uint64_t filling_bytes_ = 0;
+    std::string after_;
+};
+
+/// How an answer is sent.
+struct answer_form
+{
+    bool keep_alive_ = true;
+    /// False for HEAD.
+    bool has_body_ = true;
+};
+
+/// Makes the answer of an execution. Its fields are `request_id`, `body_id`
+/// (the first word of the body), `body_bytes`, `body_xxh3`, `service`,
+/// `upstream` and `target`, and `filling` with as many bytes as the query
+/// parameter `answer_bytes` asks for.
+answer_parts
+make_answer_parts(const execution& run, const std::string& service);
+
+/// Streams an answer, whose header repeats the request's id. Returns false if
+/// the connection broke.
+boost::asio::awaitable<bool> write_answer(
+    boost::beast::tcp_stream& stream,
+    const answer_parts& parts,
+    const answer_form& form,
+    const std::string& request_id);
+
+} // namespace hemlockshelf
+
+#endif
