http: answer a body that is bad from the start at once

When the first piece of a body could not be parsed, nothing was sent to the peer, but the relay still waited for an answer until the silence timeout and then called the outcome unknown. Found by reading; bad_input_gets_a_clear_answer now covers it.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
@@ -242,8 +243,14 @@
         !state.call_.idempotent_ || state.call_.framing_.chunked_;
     limit_silence(state, settings().silence_timeout_);
     end.not_run_ = false;
-    // After a failed write the gate may still have answered.
+    // After a failed write the gate may still have answered, but not if the
+    // request's body is bad from the start, when nothing was sent.
     co_await exchange.send(std::move(head), chunked);
+    if (exchange.client_failure())
+    {
+        lose_gate(state, exchange, "nothing was sent", end);
+        co_return false;
+    }
     if (state.body_.received())
     {
         watch_client();
@@ -346,9 +353,10 @@
         end.failure_.kind_ =
             late ? error_kind::deadline_exceeded : error_kind::gate_unreachable;
     }
-    if (exchange.client_failure() && stopped() == stop_reason::none)
+    const auto client_failure = exchange.client_failure();
+    if (client_failure && client_failure != asio::error::operation_aborted)
     {
-        end.failure_ = body_error(exchange.client_failure());
+        end.failure_ = body_error(client_failure);
         end.report_.outcome_ = call_outcome::cancelled;
     }
     decide(state, end);
--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -302,8 +302,17 @@
     limit(state.request_.call_.deadline_);
     auto head =
         upstream_head(state.request_, state.request_.call_.deadline_ - now());
-    // After a failed write the upstream may still have answered.
+    // After a failed write the upstream may still have answered, but not if
+    // the body is bad from the start, when nothing was sent.
     co_await exchange.send(std::move(head), state.request_.framing_.chunked_);
+    if (exchange.client_failure())
+    {
+        end.failed_ = call_failure{
+            {error_kind::bad_request,
+             "gate: body: " + exchange.client_failure().message()}};
+        end.not_run_ = true;
+        co_return;
+    }
     if (state.body_.received())
     {
         watch_client();
--- a/test/http/scripted_server.cpp
+++ b/test/http/scripted_server.cpp
@@ -1,8 +1,10 @@
 #include "scripted_server.hpp"
 
 #include <array>
+#include <cerrno>
 #include <cstdlib>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -53,9 +55,12 @@
 {
     limit_reads(descriptor_);
     const auto address = to_sockaddr(server);
-    ::connect(
-        descriptor_, reinterpret_cast<const sockaddr*>(&address),
-        sizeof address);
+    if (::connect(
+            descriptor_, reinterpret_cast<const sockaddr*>(&address),
+            sizeof address) != 0)
+    {
+        close();
+    }
 }
 
 raw_connection::~raw_connection()
@@ -130,9 +135,12 @@
     auto address = to_sockaddr(where_);
     auto* generic = reinterpret_cast<sockaddr*>(&address);
     socklen_t size = sizeof address;
-    ::bind(descriptor_, generic, size);
-    ::listen(descriptor_, SOMAXCONN);
-    ::getsockname(descriptor_, generic, &size);
+    if (::bind(descriptor_, generic, size) != 0 ||
+        ::listen(descriptor_, SOMAXCONN) != 0 ||
+        ::getsockname(descriptor_, generic, &size) != 0)
+    {
+        throw std::system_error(errno, std::system_category());
+    }
     where_.port_ = ntohs(address.sin_port);
     acceptor_ = std::thread(
         [this]
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -262,6 +262,7 @@
     {
         std::this_thread::yield();
     }
+    entry.group().drain();
     cr_assert(entry.group().wait_for_calls(
         std::chrono::steady_clock::now() + std::chrono::seconds{20}));
 }
--- a/test/http/test_gate.cpp
+++ b/test/http/test_gate.cpp
@@ -213,8 +213,10 @@
             }
         });
     gate_under_test gate(upstream.where(), 2, 2);
+    constexpr int entry_count = 8;
     std::vector<std::thread> entries;
-    for (int index = 0; index < 8; ++index)
+    entries.reserve(entry_count);
+    for (int index = 0; index < entry_count; ++index)
     {
         entries.emplace_back(
             [&]
--- a/test/http/test_listener.cpp
+++ b/test/http/test_listener.cpp
@@ -60,6 +60,12 @@
     expect_answer(
         entry, caller_request("GET", {}, "Hemlockshelf-Deadline-Ms: -1\r\n"),
         "400 ");
+    expect_answer(
+        entry,
+        "PUT /silk HTTP/1.1\r\nHost: catalogue.regie\r\n"
+        "Hemlockshelf-Account: regie\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "size\r\n",
+        "400 ");
     expect_answer(
         entry, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "unknown_account");
     expect_answer(entry, caller_request("GET"), "served");
