--- /dev/null
+++ b/standins/upstream/answer_writer.cpp
@@ -0,0 +1,122 @@
+#include "standins/upstream/answer_writer.hpp"
+
+#include <algorithm>
+#include <array>
+#include <span>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include "adapters/http/headers.hpp"
+#include "standins/upstream/answer_pattern.hpp"
+#include "standins/upstream/target_query.hpp"
+
+namespace hemlockshelf {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using answer_message = http::response<http::buffer_body>;
+using answer_serializer = http::response_serializer<http::buffer_body>;
+
+namespace {
+
+constexpr std::size_t part_bytes = 16'384;
+
+std::uint64_t total_bytes(const answer_parts& parts)
+{
+    return parts.before_.size() + parts.filling_bytes_ + parts.after_.size();
+}
+
+answer_message make_message(
+    const answer_parts& parts,
+    const answer_form& form,
+    const std::string& request_id)
+{
+    answer_message answer{http::status::ok, 11};
+    answer.set(http::field::content_type, "application/json");
+    answer.set(headers::request_id, request_id);
+    answer.keep_alive(form.keep_alive_);
+    answer.content_length(total_bytes(parts));
+    return answer;
+}
+
+// Writes one part of the body; `more` says whether another one follows.
+asio::awaitable<bool> write_part(
+    boost::beast::tcp_stream& stream,
+    answer_message& answer,
+    answer_serializer& serializer,
+    std::span<char> part,
+    bool more)
+{
+    answer.body().data = part.data();
+    answer.body().size = part.size();
+    answer.body().more = more;
+    error_code failure;
+    co_await http::async_write(
+        stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure || failure == http::error::need_buffer;
+}
+
+} // namespace
+
+answer_parts make_answer_parts(const execution& run, const std::string& service)
+{
+    const nlohmann::json fields{
+        {"request_id", run.request_id_},
+        {"body_id", run.body_id_},
+        {"body_bytes", run.body_bytes_},
+        {"body_xxh3", run.body_hash_},
+        {"service", service},
+        {"upstream", run.upstream_},
+        {"target", run.target_}};
+    answer_parts parts;
+    parts.before_ =
+        fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    parts.before_.back() = ',';
+    parts.before_ += "\"filling\":\"";
+    parts.pattern_ = answer_pattern(run.request_id_, run.body_hash_);
+    parts.filling_bytes_ = number_parameter(run.target_, "answer_bytes");
+    parts.after_ = "\"}\n";
+    return parts;
+}
+
+asio::awaitable<bool> write_answer(
+    boost::beast::tcp_stream& stream,
+    const answer_parts& parts,
+    const answer_form& form,
+    const std::string& request_id)
+{
+    auto answer = make_message(parts, form, request_id);
+    answer_serializer serializer(answer);
+    error_code failure;
+    co_await http::async_write_header(
+        stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure || !form.has_body_)
+    {
+        co_return !failure;
+    }
+    auto before = parts.before_;
+    auto after = parts.after_;
+    bool connected =
+        co_await write_part(stream, answer, serializer, before, true);
+    std::array<char, part_bytes> part{};
+    for (std::uint64_t sent = 0; connected && sent < parts.filling_bytes_;)
+    {
+        const auto size = static_cast<std::size_t>(
+            std::min<std::uint64_t>(part.size(), parts.filling_bytes_ - sent));
+        fill_part(parts.pattern_, sent, {part.data(), size});
+        sent += size;
+        connected = co_await write_part(
+            stream, answer, serializer, {part.data(), size}, true);
+    }
+    connected = connected &&
+                co_await write_part(stream, answer, serializer, after, false);
+    co_return connected;
+}
+
+} // namespace hemlockshelf
