node: refuse calls until the node has joined, and after a pause

Cause: an entry routed by whatever it held. A node resumed after a pause routed by old records until its next tick.

The entry now refuses with not_ready, not run, until the control plane has joined and while its clock shows a pause. A node that resumes and reaches nobody goes on with what it ran after the joining patience, because a node that is cut off has to serve what it can. Ruled out: holding calls back until the join, which takes up to seconds.

The trials now object to unknown_account and no_route; a unit test covers the refusal. Member records carry the admin address, so that status can ask every node: it printed 'its admin address is not known' for each.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -43,6 +43,13 @@
 
 asio::awaitable<bool> entry_session::serve(request_parser& request)
 {
+    if (!environment_.ready_())
+    {
+        error failure{
+            error_kind::not_ready,
+            "the node looks for the current configuration"};
+        co_return co_await fail(request, std::move(failure), true);
+    }
     auto call = resolve_call(
         environment_.snapshots_.current(), request, environment_.vm_, now());
     if (!call)
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_ENTRY_SESSION_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_ENTRY_SESSION_HPP
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -33,6 +34,8 @@
     session_group& group_;
     vm_id vm_;
     std::string source_address_;
+    /// Whether the node has joined; until then every call is refused.
+    std::function<bool()> ready_;
 };
 
 /// A caller's connection. Passes each request to a gate.
--- a/adapters/node/admin_handler.cpp
+++ b/adapters/node/admin_handler.cpp
@@ -52,6 +52,7 @@
         {"region", record.region_.value()},
         {"gate", record.gate_address_},
         {"control", record.control_address_},
+        {"admin_address", record.admin_address_},
         {"incarnation", record.incarnation_.value()},
         {"sequence", record.sequence_.value()},
         {"state", to_string(record.state_)},
--- a/adapters/node/call_plane.cpp
+++ b/adapters/node/call_plane.cpp
@@ -51,7 +51,8 @@
         const snapshot_store& snapshots,
         const member_table& members,
         const own_upstream& upstream,
-        metric_sink& metrics)
+        metric_sink& metrics,
+        std::function<bool()> ready)
         : time_(time), snapshots_(snapshots),
           router_(
               members,
@@ -79,7 +80,8 @@
               metrics,
               group_,
               settings.vm_,
-              settings.source_address_},
+              settings.source_address_,
+              std::move(ready)},
           gate_{
               settings.call_path_,
               time,
@@ -216,9 +218,16 @@
     const snapshot_store& snapshots,
     const member_table& members,
     const own_upstream& upstream,
-    metric_sink& metrics)
+    metric_sink& metrics,
+    std::function<bool()> ready)
     : parts_(std::make_unique<parts>(
-          settings, time, snapshots, members, upstream, metrics))
+          settings,
+          time,
+          snapshots,
+          members,
+          upstream,
+          metrics,
+          std::move(ready)))
 {}
 
 call_plane::~call_plane() = default;
--- a/adapters/node/call_plane.hpp
+++ b/adapters/node/call_plane.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_NODE_CALL_PLANE_HPP
 #define HEMLOCKSHELF_ADAPTERS_NODE_CALL_PLANE_HPP
 
+#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -21,7 +22,8 @@
 class call_plane
 {
 public:
-    /// Binds both listeners. Throws `boost::system::system_error` if an
+    /// Binds both listeners. `ready` tells whether the entry may route calls;
+    /// it is called for each call. Throws `boost::system::system_error` if an
     /// address can't be bound.
     call_plane(
         const node_settings& settings,
@@ -29,7 +31,8 @@
         const snapshot_store& snapshots,
         const member_table& members,
         const own_upstream& upstream,
-        metric_sink& metrics);
+        metric_sink& metrics,
+        std::function<bool()> ready);
     ~call_plane();
 
     call_plane(const call_plane&) = delete;
--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -191,6 +191,15 @@
         return state_;
     }
 
+    [[nodiscard]] bool may_route() const
+    {
+        const node_state now = state_;
+        const bool joined =
+            now == node_state::serving || now == node_state::draining;
+        return joined && time_.now() - last_tick_.load() <=
+                             settings_.membership_.pause_threshold_;
+    }
+
     [[nodiscard]] revision highest_known_revision() const
     {
         return std::max(revision{highest_known_}, keeper_.held());
@@ -283,7 +292,7 @@
     void tick()
     {
         const auto now = time_.now();
-        const auto pause = now - std::exchange(last_tick_, now);
+        const auto pause = now - last_tick_.load();
         if (pause > settings_.membership_.pause_threshold_)
         {
             on_paused(pause);
@@ -295,6 +304,9 @@
             finish_join();
         }
         highest_known_ = repairs_.highest_seen().value();
+        // Last, so that calls wait until a pause has been dealt with.
+        publish_state();
+        last_tick_ = now;
     }
 
     void on_paused(std::chrono::nanoseconds pause)
@@ -471,7 +483,8 @@
     node_lifecycle lifecycle_;
     std::atomic<node_state> state_ = node_state::starting;
     std::atomic<std::uint64_t> highest_known_ = 0;
-    steady_time last_tick_;
+    /// Written by the control thread, read by call threads as well.
+    std::atomic<steady_time> last_tick_;
     steady_time next_directory_;
     steady_time join_grace_until_;
     revision last_pushed_;
@@ -520,6 +533,11 @@
     parts_->accept(record);
 }
 
+bool control_plane::may_route() const
+{
+    return parts_->may_route();
+}
+
 node_state control_plane::state() const
 {
     return parts_->state();
--- a/adapters/node/control_plane.hpp
+++ b/adapters/node/control_plane.hpp
@@ -52,6 +52,10 @@
 
     [[nodiscard]] node_state state() const;
 
+    /// Tells whether the node has joined and has not been paused since it last
+    /// looked at its clock. Thread-safe and cheap enough for each call.
+    [[nodiscard]] bool may_route() const;
+
     /// Returns the highest revision that the platform or a peer was seen to
     /// hold.
     [[nodiscard]] revision highest_known_revision() const;
--- a/adapters/node/join_agent.cpp
+++ b/adapters/node/join_agent.cpp
@@ -31,6 +31,7 @@
     directory_asked_ = false;
     platform_answered_ = false;
     started_at_ = context_.time_.now();
+    has_run_ = context_.keeper_.held() > revision{0};
     next_round_ = started_at_;
     contacts_ = context_.settings_.peers_;
     for (const auto& vm : peers_in(context_, context_.self_.failure_domain_))
@@ -160,6 +161,12 @@
     const bool peers_done = followed_up_ && held >= answers_.front().revision_;
     const bool platform_done = platform_answered_ && held >= platform_head_;
     const bool no_peers = contacts_.empty() && directory_empty_;
+    // After a pause, a node that is cut off from everyone goes on with the
+    // revision that it ran before.
+    if (has_run_ && answers_.empty() && !platform_answered_)
+    {
+        return patience_over;
+    }
     if (peers_done)
     {
         return platform_done || (!platform_answered_ && patience_over);
--- a/adapters/node/join_agent.hpp
+++ b/adapters/node/join_agent.hpp
@@ -62,6 +62,8 @@
     bool directory_asked_ = false;
     bool directory_empty_ = false;
     bool platform_answered_ = false;
+    /// Whether the node ran a revision before it joined again.
+    bool has_run_ = false;
     bool followed_up_ = false;
     revision platform_head_;
 };
--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -48,7 +48,17 @@
                                 members_,
                                 upstream_,
                                 metrics_),
-          calls_(settings_, time_, snapshots_, members_, upstream_, metrics_),
+          calls_(
+              settings_,
+              time_,
+              snapshots_,
+              members_,
+              upstream_,
+              metrics_,
+              [this]
+              {
+                  return control_.may_route();
+              }),
           editor_(make_editor_ports(), settings_.vm_, settings_.editing_),
           admin_{&settings_, &snapshots_, &platform_, &editor_, &upstream_,
                  &calls_,    &metrics_,   &members_,  &control_},
--- a/adapters/node/record_keeper.cpp
+++ b/adapters/node/record_keeper.cpp
@@ -28,6 +28,7 @@
     record.region_ = settings.region_;
     record.gate_address_ = to_string(settings.advertised_gate_);
     record.control_address_ = to_string(settings.advertised_control_);
+    record.admin_address_ = to_string(settings.advertised_admin_);
     record.incarnation_ = make_incarnation(context.time_);
     return record;
 }
--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -24,6 +24,7 @@
   service @10 :Text;
   slots @11 :UInt32;
   connections @12 :UInt32;
+  adminAddress @13 :Text;
 }
 
 struct Heartbeat {
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -80,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7166dbce51ecbb7, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f7166dbce51ecbb7, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -466,6 +466,9 @@
 
   inline  ::uint32_t getConnections() const;
 
+  inline bool hasAdminAddress() const;
+  inline  ::capnp::Text::Reader getAdminAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -561,6 +564,13 @@
   inline  ::uint32_t getConnections();
   inline void setConnections( ::uint32_t value);
 
+  inline bool hasAdminAddress();
+  inline  ::capnp::Text::Builder getAdminAddress();
+  inline void setAdminAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdminAddress(unsigned int size);
+  inline void adoptAdminAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdminAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2268,6 +2278,40 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MemberRecord::Reader::hasAdminAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasAdminAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getAdminAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getAdminAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setAdminAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initAdminAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptAdminAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownAdminAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool Heartbeat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/adapters/rpc/message_codec.cpp
+++ b/adapters/rpc/message_codec.cpp
@@ -58,6 +58,7 @@
     wire.setRegion(record.region_.value().c_str());
     wire.setGateAddress(record.gate_address_.c_str());
     wire.setControlAddress(record.control_address_.c_str());
+    wire.setAdminAddress(record.admin_address_.c_str());
     wire.setIncarnation(record.incarnation_.value());
     wire.setSequence(record.sequence_.value());
     wire.setState(static_cast<std::uint8_t>(record.state_));
@@ -78,6 +79,7 @@
     record.region_ = region_id{required_text(wire.getRegion())};
     record.gate_address_ = text_of(wire.getGateAddress());
     record.control_address_ = text_of(wire.getControlAddress());
+    record.admin_address_ = text_of(wire.getAdminAddress());
     record.incarnation_ = incarnation{wire.getIncarnation()};
     record.sequence_ = sequence{wire.getSequence()};
     KJ_REQUIRE(
--- a/adapters/settings/node_settings.cpp
+++ b/adapters/settings/node_settings.cpp
@@ -58,6 +58,9 @@
         {"advertised_control",
          "Address at which other nodes reach the control listener."},
         settings.control_);
+    settings.advertised_admin_ = root.optional_endpoint(
+        {"advertised_admin", "Address at which operators reach the node."},
+        settings.admin_);
     settings.peers_ = root.endpoints(
         {"peers", "Control addresses of nodes for the first contact."});
     settings.source_address_ = root.text(
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -35,6 +35,7 @@
     /// traffic passes a relay.
     endpoint advertised_gate_;
     endpoint advertised_control_;
+    endpoint advertised_admin_;
     /// Local address of outgoing connections; empty lets the system choose.
     std::string source_address_;
     endpoint platform_;
--- a/benchmark/target_size/target_fleet.cpp
+++ b/benchmark/target_size/target_fleet.cpp
@@ -49,6 +49,7 @@
         fmt::format("10.{}.{}.{}", domain, index / 250 % 250, index % 250 + 1);
     record.gate_address_ = address + ":7002";
     record.control_address_ = address + ":7003";
+    record.admin_address_ = address + ":7004";
     record.incarnation_ = incarnation{1'700'000'000'000'000 + index};
     record.sequence_ = sequence{1};
     record.state_ = upstream_state::ready;
--- a/experiment/trial.cpp
+++ b/experiment/trial.cpp
@@ -126,6 +126,7 @@
         append(history_.requests_, load_.stop());
         append(history_.edits_, context_.edits_);
         check_shares();
+        check_accounts_known();
         check_recovery(mesh_, history_, context_.problems_);
         append(history_.revisions_, watcher_.stop());
         collect(mesh_, history_, context_.problems_);
@@ -165,6 +166,23 @@
         }
     }
 
+    /// The tables are in force before the load starts, so that a node which
+    /// does not know a caller's account or route serves from older ones.
+    void check_accounts_known()
+    {
+        for (const auto& request : history_.requests_)
+        {
+            if (request.error_ == "unknown_account" ||
+                request.error_ == "no_route")
+            {
+                context_.problems_.push_back(fmt::format(
+                    "call {} ended with {} although the tables were in force",
+                    request.id_.value(), request.error_));
+                return;
+            }
+        }
+    }
+
     std::map<std::string, std::size_t> counts() const
     {
         std::map<std::string, std::size_t> counted;
--- a/include/hemlockshelf/membership/member_record.hpp
+++ b/include/hemlockshelf/membership/member_record.hpp
@@ -43,6 +43,8 @@
     std::string gate_address_;
     /// `address:port` of the node's control listener, as peers reach it.
     std::string control_address_;
+    /// `address:port` of the node's admin listener, as operators reach it.
+    std::string admin_address_;
     incarnation incarnation_;
     sequence sequence_;
     upstream_state state_ = upstream_state::absent;
--- a/test/http/call_fixture.cpp
+++ b/test/http/call_fixture.cpp
@@ -101,11 +101,23 @@
     std::vector<endpoint> gates,
     std::chrono::milliseconds timeout,
     std::uint32_t max_concurrent_calls)
-    : router_(std::move(gates)),
-      gates_(settings_), environment_{settings_,      retry_,   time_,
-                                      snapshots_,     router_,  gates_,
-                                      quota_,         metrics_, group_,
-                                      vm_id{"entry"}, {}},
+    : router_(std::move(gates)), gates_(settings_),
+      environment_{
+          settings_,
+          retry_,
+          time_,
+          snapshots_,
+          router_,
+          gates_,
+          quota_,
+          metrics_,
+          group_,
+          vm_id{"entry"},
+          {},
+          [this]
+          {
+              return ready_.load();
+          }},
       threads_(2), listener_(
                        threads_,
                        {loopback, 0},
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -84,7 +84,14 @@
         return group_;
     }
 
+    /// Sets whether the node has joined.
+    void set_ready(bool ready)
+    {
+        ready_ = ready;
+    }
+
 private:
+    std::atomic<bool> ready_ = true;
     call_settings settings_ = test_settings();
     retry_settings retry_;
     real_clock time_;
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -63,6 +63,22 @@
     cr_assert_eq(silent.connections(), 1);
 }
 
+// Guards against a node that routes by the empty tables of its start and tells
+// callers that their account is unknown.
+Test(entry, calls_before_the_node_has_joined_are_refused_as_not_run)
+{
+    std::atomic<int> executions = 0;
+    scripted_server honest(honest_gate(executions));
+    entry_under_test entry({honest.where()});
+    entry.set_ready(false);
+    const auto refused = entry.call(caller_request("GET", ""));
+    cr_assert_eq(header_of(refused, "Hemlockshelf-Error"), "not_ready");
+    cr_assert_eq(header_of(refused, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(executions.load(), 0);
+    entry.set_ready(true);
+    cr_assert(contains(entry.call(caller_request("GET", "")), "served"));
+}
+
 // Guards against a refusal that doesn't say that the request was not run.
 Test(entry, gate_lost_before_100_is_a_true_not_run)
 {
