node: keep deltas that overtake each other until the gap is filled

Cause: the tree of each push is different, and the next edit may be accepted by a node nearer to the receiver, so that revision N+1 can arrive before N. The receiver dropped it as a revision_gap and got it 250 to 750 ms later by repair. Seen in the metrics of 16 nodes: 0 gaps in 25 edits at up to 1 a second, 49 gaps and 29 repairs in 50 edits at 5 a second. Ruled out: lost pushes (none at 1 a second) and conflicts between editors (the series has one operator).

--- a/adapters/node/config_keeper.cpp
+++ b/adapters/node/config_keeper.cpp
@@ -1,6 +1,7 @@
 #include "adapters/node/config_keeper.hpp"
 
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
@@ -50,16 +51,54 @@
     const std::lock_guard lock(mutex_);
     for (const auto& delta : deltas)
     {
-        if (delta.delta_.to_ <= snapshots_.current()->number())
+        keep_waiting(delta);
+    }
+    auto applied = apply_waiting(source);
+    if (!applied)
+    {
+        metrics_.add(
+            metric_id::config_rejections,
+            answer_for(applied.error().kind_).name_);
+    }
+    return applied;
+}
+
+void config_keeper::keep_waiting(const accepted_delta& delta)
+{
+    if (delta.delta_.to_ <= held())
+    {
+        return;
+    }
+    waiting_.insert_or_assign(delta.delta_.to_, delta);
+    if (waiting_.size() > kept_deltas_)
+    {
+        waiting_.erase(std::prev(waiting_.end()));
+    }
+}
+
+result<void> config_keeper::apply_waiting(apply_source source)
+{
+    while (!waiting_.empty())
+    {
+        const auto first = waiting_.begin();
+        if (first->first.value() > held().value() + 1)
+        {
+            return make_error(
+                error_kind::revision_gap,
+                fmt::format(
+                    "delta to revision {}: expected one that follows revision "
+                    "{}",
+                    first->first.value(), held().value()));
+        }
+        const auto delta = std::move(first->second);
+        waiting_.erase(first);
+        if (delta.delta_.to_ <= held())
         {
             continue;
         }
         auto applied = apply_one(delta, source);
         if (!applied)
         {
-            metrics_.add(
-                metric_id::config_rejections,
-                answer_for(applied.error().kind_).name_);
             return applied;
         }
     }
@@ -105,6 +144,8 @@
     log_.restart(number);
     accepted_at_.clear();
     report(source, std::nullopt);
+    // A gap that is still open is no failure of the snapshot.
+    static_cast<void>(apply_waiting(source));
     return {};
 }
 
--- a/adapters/node/config_keeper.hpp
+++ b/adapters/node/config_keeper.hpp
@@ -40,9 +40,10 @@
         std::size_t kept_deltas);
 
     /// Applies the deltas that follow the revision in force, in order, and
-    /// skips older ones. `revision_gap` if one is missing before them; the
-    /// errors of `apply_delta` otherwise. What came before the error stays in
-    /// force.
+    /// skips older ones. Deltas beyond a gap wait, bounded in number, until the
+    /// gap is filled: two edits from different nodes can overtake each other on
+    /// the way. `revision_gap` if any waits; the errors of `apply_delta`
+    /// otherwise. What came before the error stays in force.
     result<void>
     apply(const std::vector<accepted_delta>& deltas, apply_source source);
 
@@ -59,6 +60,8 @@
     deltas_after(revision from) const;
 
 private:
+    void keep_waiting(const accepted_delta& delta);
+    result<void> apply_waiting(apply_source source);
     result<void> apply_one(const accepted_delta& delta, apply_source source);
     void
     report(apply_source source, std::optional<wall_time> accepted_at) const;
@@ -70,6 +73,8 @@
     wall_time started_at_;
     mutable std::mutex mutex_;
     change_log log_;
+    /// Deltas beyond the revision in force.
+    std::map<revision, accepted_delta> waiting_;
     /// When the edits of the log's deltas were accepted.
     std::map<revision, wall_time> accepted_at_;
 };
