--- a/adapters/cli/admin_client.cpp
+++ b/adapters/cli/admin_client.cpp
@@ -93,20 +93,4 @@
     return parse_json(response->body());
 }
 
-std::string escape_query(const std::string& text)
-{
-    std::string escaped;
-    for (const char character : text)
-    {
-        const auto byte = static_cast<unsigned char>(character);
-        const bool plain = (byte >= '0' && byte <= '9') ||
-                           (byte >= 'A' && byte <= 'Z') ||
-                           (byte >= 'a' && byte <= 'z') || byte == '-' ||
-                           byte == '.' || byte == '_';
-        escaped += plain ? std::string(1, character)
-                         : fmt::format("%{:02X}", unsigned{byte});
-    }
-    return escaped;
-}
-
 } // namespace hemlockshelf
--- a/adapters/cli/admin_client.hpp
+++ b/adapters/cli/admin_client.hpp
@@ -37,9 +37,6 @@
     const cli_options& options_;
 };
 
-/// Escapes a query parameter.
-std::string escape_query(const std::string& text);
-
 } // namespace hemlockshelf
 
 #endif
--- a/adapters/cli/edit_commands.cpp
+++ b/adapters/cli/edit_commands.cpp
@@ -8,6 +8,7 @@
 #include "adapters/cli/commands.hpp"
 #include "adapters/cli/rows_file.hpp"
 #include "adapters/cli/text_table.hpp"
+#include "adapters/http/query_encoding.hpp"
 
 namespace hemlockshelf {
 
@@ -130,7 +131,7 @@
 result<void> run_outcome(const cli_options& options, const cli_arguments& given)
 {
     const auto answer = admin_client(options).get(
-        "/v1/edits?change_id=" + escape_query(given.front()));
+        "/v1/edits?change_id=" + encode_query(given.front()));
     if (!answer)
     {
         return tl::unexpected<error>(answer.error());
--- a/adapters/cli/read_commands.cpp
+++ b/adapters/cli/read_commands.cpp
@@ -7,6 +7,7 @@
 #include "adapters/cli/admin_client.hpp"
 #include "adapters/cli/commands.hpp"
 #include "adapters/cli/text_table.hpp"
+#include "adapters/http/query_encoding.hpp"
 
 namespace hemlockshelf {
 
@@ -58,7 +59,7 @@
 result<void> run_get(const cli_options& options, const cli_arguments& given)
 {
     const auto answer =
-        admin_client(options).get("/v1/rows?table=" + escape_query(given[0]));
+        admin_client(options).get("/v1/rows?table=" + encode_query(given[0]));
     if (!answer)
     {
         return tl::unexpected<error>(answer.error());
@@ -86,10 +87,10 @@
 result<void>
 run_versions(const cli_options& options, const cli_arguments& given)
 {
-    auto path = "/v1/versions?table=" + escape_query(given[0]);
+    auto path = "/v1/versions?table=" + encode_query(given[0]);
     if (given.size() > 1)
     {
-        path += "&key=" + escape_query(given[1]);
+        path += "&key=" + encode_query(given[1]);
     }
     const auto answer = admin_client(options).get(path);
     if (!answer)
@@ -117,7 +118,7 @@
 {
     const auto after = given.empty() ? std::string("0") : given.front();
     const auto answer = admin_client(options).get(
-        "/v1/audit?after_revision=" + escape_query(after));
+        "/v1/audit?after_revision=" + encode_query(after));
     if (!answer)
     {
         return tl::unexpected<error>(answer.error());
@@ -136,8 +137,8 @@
 {
     const auto answer = admin_client(options).get(fmt::format(
         "/v1/explain?account={}&host={}&path={}&method={}",
-        escape_query(given[0]), escape_query(given[1]), escape_query(given[2]),
-        escape_query(given.size() > 3 ? given[3] : "GET")));
+        encode_query(given[0]), encode_query(given[1]), encode_query(given[2]),
+        encode_query(given.size() > 3 ? given[3] : "GET")));
     if (!answer)
     {
         return tl::unexpected<error>(answer.error());
--- a/adapters/http/json_server.cpp
+++ b/adapters/http/json_server.cpp
@@ -21,6 +21,7 @@
 #include <fmt/format.h>
 
 #include "adapters/http/headers.hpp"
+#include "adapters/http/query_encoding.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 
 namespace hemlockshelf {
@@ -41,25 +42,6 @@
     return {asio::ip::make_address_v4(where.address_), where.port_};
 }
 
-std::string decode_percent(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t at = 0; at < text.size(); ++at)
-    {
-        unsigned value = 0;
-        if (text[at] == '%' && at + 2 < text.size() &&
-            std::from_chars(&text[at + 1], &text[at + 1] + 2, value, 16).ptr ==
-                &text[at + 1] + 2)
-        {
-            decoded.push_back(static_cast<char>(value));
-            at += 2;
-            continue;
-        }
-        decoded.push_back(text[at] == '+' ? ' ' : text[at]);
-    }
-    return decoded;
-}
-
 } // namespace
 
 json_server::json_server(
@@ -195,7 +177,7 @@
         {
             return equals == std::string_view::npos
                        ? std::string{}
-                       : decode_percent(item.substr(equals + 1));
+                       : decode_query(item.substr(equals + 1));
         }
         at = next;
     }
--- a/adapters/platform/platform_client.cpp
+++ b/adapters/platform/platform_client.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "adapters/http/json_server.hpp"
+#include "adapters/http/query_encoding.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 #include "hemlockshelf/core/ids.hpp"
 
@@ -30,22 +31,6 @@
     return tl::unexpected<error>(std::move(failure));
 }
 
-std::string encode_query(const std::string& text)
-{
-    std::string encoded;
-    for (const char character : text)
-    {
-        const auto byte = static_cast<unsigned char>(character);
-        const bool plain = (byte >= '0' && byte <= '9') ||
-                           (byte >= 'A' && byte <= 'Z') ||
-                           (byte >= 'a' && byte <= 'z') || byte == '-' ||
-                           byte == '.' || byte == '_';
-        encoded += plain ? std::string(1, character)
-                         : fmt::format("%{:02X}", unsigned{byte});
-    }
-    return encoded;
-}
-
 nlohmann::json to_json(const transaction& writes)
 {
     auto checks = nlohmann::json::array();
