--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -36,7 +36,7 @@
 // A joining node leaves it to peers for this long to send what it misses.
 constexpr std::chrono::milliseconds join_grace{1000};
 // Time for the last record to reach the first nodes of its tree.
-constexpr std::chrono::milliseconds farewell_time{250};
+constexpr std::chrono::milliseconds leave_notice_time{250};
 
 rpc_settings make_rpc_settings(const node_settings& settings)
 {
@@ -157,13 +157,13 @@
                 records_.leave();
                 publish_state();
                 network_.after(
-                    farewell_time,
+                    leave_notice_time,
                     [sent]
                     {
                         sent->set_value();
                     });
             });
-        sent->get_future().wait_for(2 * farewell_time);
+        sent->get_future().wait_for(2 * leave_notice_time);
         network_.stop();
     }
 
--- a/adapters/node/join_agent.cpp
+++ b/adapters/node/join_agent.cpp
@@ -156,8 +156,8 @@
 bool join_agent::is_complete() const
 {
     const auto held = context_.keeper_.held();
-    const bool patience_over = context_.time_.now() - started_at_ >=
-                               context_.settings_.membership_.join_patience_;
+    const bool timed_out = context_.time_.now() - started_at_ >=
+                               context_.settings_.membership_.join_timeout_;
     const bool peers_done = followed_up_ && held >= answers_.front().revision_;
     const bool platform_done = platform_answered_ && held >= platform_head_;
     const bool no_peers = contacts_.empty() && directory_empty_;
@@ -165,13 +165,13 @@
     // revision that it ran before.
     if (has_run_ && answers_.empty() && !platform_answered_)
     {
-        return patience_over;
+        return timed_out;
     }
     if (peers_done)
     {
-        return platform_done || (!platform_answered_ && patience_over);
+        return platform_done || (!platform_answered_ && timed_out);
     }
-    return platform_done && answers_.empty() && (no_peers || patience_over);
+    return platform_done && answers_.empty() && (no_peers || timed_out);
 }
 
 } // namespace hemlockshelf
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -468,9 +468,9 @@
         settings.join_peers_, 1, 16);
     read_duration(
         section,
-        {"join_patience", "Longest wait of a joining node for peers once the "
+        {"join_timeout", "Longest wait of a joining node for peers once the "
                           "platform has answered."},
-        settings.join_patience_);
+        settings.join_timeout_);
     section.reject_unknown_keys();
 }
 
--- a/include/hemlockshelf/membership/membership_settings.hpp
+++ b/include/hemlockshelf/membership/membership_settings.hpp
@@ -43,7 +43,7 @@
     std::size_t join_peers_ = 3;
     /// A joining node that has the platform's answer waits no longer for
     /// peers.
-    std::chrono::milliseconds join_patience_{2000};
+    std::chrono::milliseconds join_timeout_{2000};
 };
 
 } // namespace hemlockshelf
--- a/include/hemlockshelf/retry/retry_settings.hpp
+++ b/include/hemlockshelf/retry/retry_settings.hpp
@@ -11,8 +11,8 @@
 {
     /// Retries that each request earns for its service.
     double budget_ratio_ = 0.1;
-    /// Most retries that requests can save up, so that a long quiet time does
-    /// not pay for a storm.
+    /// Most retries that requests can save up. It bounds the burst of retries
+    /// that may follow a long idle period.
     double budget_burst_ = 20;
     /// Retries per second that a service with few requests gets at least.
     double floor_per_second_ = 1;
