--- a/adapters/node/join_agent.cpp
+++ b/adapters/node/join_agent.cpp
@@ -157,7 +157,7 @@
 {
     const auto held = context_.keeper_.held();
     const bool timed_out = context_.time_.now() - started_at_ >=
-                               context_.settings_.membership_.join_timeout_;
+                           context_.settings_.membership_.join_timeout_;
     const bool peers_done = followed_up_ && held >= answers_.front().revision_;
     const bool platform_done = platform_answered_ && held >= platform_head_;
     const bool no_peers = contacts_.empty() && directory_empty_;
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -469,7 +469,7 @@
     read_duration(
         section,
         {"join_timeout", "Longest wait of a joining node for peers once the "
-                          "platform has answered."},
+                         "platform has answered."},
         settings.join_timeout_);
     section.reject_unknown_keys();
 }
