node: apply revisions through the one applier

The node's config_keeper repeated what revision_applier does (apply a delta, advance the store, count and time it), so that the tested state machine was not the code that ran. The keeper now calls it. Rejections are still counted once: by the applier, and gaps by the keeper, which the applier never sees.

--- a/adapters/node/config_keeper.cpp
+++ b/adapters/node/config_keeper.cpp
@@ -42,7 +42,8 @@
     metric_sink& metrics,
     std::size_t kept_deltas)
     : snapshots_(snapshots), time_(time), metrics_(metrics),
-      kept_deltas_(kept_deltas), started_at_(time.wall_now()), log_(kept_deltas)
+      kept_deltas_(kept_deltas), started_at_(time.wall_now()),
+      applier_(snapshots, time, &metrics), log_(kept_deltas)
 {}
 
 result<void> config_keeper::apply(
@@ -54,7 +55,8 @@
         keep_waiting(delta);
     }
     auto applied = apply_waiting(source);
-    if (!applied)
+    // The applier counts what it rejects; it never sees a gap.
+    if (!applied && applied.error().kind_ == error_kind::revision_gap)
     {
         metrics_.add(
             metric_id::config_rejections,
@@ -108,19 +110,11 @@
 result<void>
 config_keeper::apply_one(const accepted_delta& delta, apply_source source)
 {
-    const auto begin = time_.now();
-    const auto next = apply_delta(*snapshots_.current(), delta.delta_);
-    if (!next)
-    {
-        return tl::unexpected<error>(next.error());
-    }
-    auto advanced = snapshots_.advance(*next);
-    if (!advanced)
+    auto applied = applier_.apply(delta.delta_);
+    if (!applied)
     {
-        return advanced;
+        return applied;
     }
-    metrics_.observe(
-        metric_id::config_apply_duration, {}, seconds(time_.now() - begin));
     log_.append(delta.delta_);
     accepted_at_[delta.delta_.to_] = delta.accepted_at_;
     if (accepted_at_.size() > kept_deltas_)
@@ -136,10 +130,10 @@
 {
     const std::lock_guard lock(mutex_);
     const auto number = snapshot->number();
-    auto advanced = snapshots_.advance(std::move(snapshot));
-    if (!advanced)
+    auto applied = applier_.apply(std::move(snapshot));
+    if (!applied)
     {
-        return advanced;
+        return applied;
     }
     log_.restart(number);
     accepted_at_.clear();
@@ -184,7 +178,6 @@
 {
     const auto now_held = snapshots_.current()->number().value();
     metrics_.add(metric_id::config_applies, to_string(source));
-    metrics_.set(metric_id::config_revision, {}, static_cast<double>(now_held));
     // A node that has just started catches up with edits of the past.
     if (accepted_at && *accepted_at >= started_at_)
     {
--- a/adapters/node/config_keeper.hpp
+++ b/adapters/node/config_keeper.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "adapters/rpc/config_payload.hpp"
+#include "hemlockshelf/config/revision_applier.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/core/clock.hpp"
 #include "hemlockshelf/core/metric_sink.hpp"
@@ -72,6 +73,7 @@
     std::size_t kept_deltas_;
     wall_time started_at_;
     mutable std::mutex mutex_;
+    revision_applier applier_;
     change_log log_;
     /// Deltas beyond the revision in force.
     std::map<revision, accepted_delta> waiting_;
