test: wait for each blob before the next edits

Cause: the blob writer replaces a blob that it has not begun to write by a newer one. On a busy machine 100 further edits were committed first, the blob of revision 100 was left out, and a_damaged_blob_is_passed_over read 210 change rows where 110 were expected (one failure in a run of 23 tests at once, none in 6 runs alone).

--- a/test/editing/test_snapshot_blob.cpp
+++ b/test/editing/test_snapshot_blob.cpp
@@ -1,6 +1,8 @@
 #include "hemlockshelf/editing/snapshot_blob.hpp"
 
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include <fmt/format.h>
 
@@ -47,6 +49,25 @@
     table_service& tables_;
 };
 
+/// Waits for the blob of a revision. The writer leaves a blob out when the next
+/// one is offered first, which happens to edits without a pause on a busy
+/// machine.
+void await_blob(memory_tables& platform, revision number)
+{
+    constexpr int max_polls = 60'000;
+    const auto name = fmt::format("snapshots/{}", number.value());
+    for (int poll = 0; poll < max_polls; ++poll)
+    {
+        const auto found = platform.get(name);
+        if (found && *found)
+        {
+            return;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    cr_assert_fail("the blob was not written");
+}
+
 /// Commits `count` edits and stores the blobs that belong to them.
 std::shared_ptr<const config_snapshot>
 make_revisions(memory_tables& platform, int count)
@@ -73,6 +94,10 @@
         const auto key = fmt::format("regie/p{}", index % 50);
         cr_assert(under_test.submit(request_of(id, {pool_edit(key, id)}))
                       .has_value());
+        if (held->number().value() % 100 == 0)
+        {
+            await_blob(platform, held->number());
+        }
     }
     return held;
 }
