http: claim not-run only if no earlier attempt may have run

The entry judged an attempt by itself: after an idempotent request had lost its answer at one gate, the refusal of the next gate was passed on with Hemlockshelf-Not-Run, which says nothing about the first attempt. Three unit tests show it (refusal with no gate left, refusal that is not retried, second gate unreachable); all three fail before this change and pass after it.

Ruled out: a request body that turns bad after its start (the gate already answers without the claim; the new test passes with and without this change), and non-idempotent requests, which are never retried after such an attempt.

Conclusion: the call state keeps whether an earlier attempt may have run; if so the call ends as outcome_unknown, without the claim.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -112,6 +112,7 @@
         }
         environment_.metrics_.add(
             metric_id::retries, answer_for(end.failure_.kind_).name_);
+        state.may_have_run_ = state.may_have_run_ || !end.not_run_;
         tried.push_back(choice->vm_);
         state.body_.rewind();
         resume();
@@ -131,6 +132,15 @@
         count_call(state, "caller_gone");
         co_return false;
     }
+    if (state.may_have_run_)
+    {
+        // The last attempt's proof says nothing about the attempts before.
+        end.not_run_ = false;
+        end.failure_ = {
+            error_kind::outcome_unknown,
+            "an earlier attempt may have run; the last one: " +
+                end.failure_.message_};
+    }
     count_call(state, answer_for(end.failure_.kind_).name_);
     const auto claim =
         end.not_run_ ? not_run_claim::by_kind : not_run_claim::never;
@@ -296,7 +306,9 @@
         end.not_run_ = refusal->not_run_;
         decide(state, end);
     }
-    if (refusal && end.decision_.retry())
+    const bool hides_attempt =
+        refusal && refusal->not_run_ && state.may_have_run_;
+    if (refusal && (end.decision_.retry() || hides_attempt))
     {
         co_await exchange.drop_answer();
         co_return;
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -68,6 +68,9 @@
         entry_call call_;
         request_body body_;
         unsigned attempts_ = 0;
+        /// Whether an attempt before the current one may have run, as only an
+        /// idempotent request allows.
+        bool may_have_run_ = false;
     };
 
     boost::asio::awaitable<bool> run_attempts(call_state& state);
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -43,6 +43,28 @@
     };
 }
 
+/// Refuses every request as a gate does that has not run it.
+scripted_server::script refusing_gate(const std::string& kind)
+{
+    return [kind](raw_connection& entry)
+    {
+        const auto head = entry.read_until("\r\n\r\n");
+        entry.send(
+            "HTTP/1.1 503 Service Unavailable\r\nHemlockshelf-Request-Id: " +
+            header_of(head, "Hemlockshelf-Request-Id") +
+            "\r\nHemlockshelf-Error: " + kind +
+            "\r\nHemlockshelf-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
+        entry.read_all();
+    };
+}
+
+/// Returns an address where nothing listens any longer.
+endpoint closed_endpoint()
+{
+    const scripted_server server([](raw_connection&) {});
+    return server.where();
+}
+
 } // namespace
 
 // Guards against a silent connection that costs the call although the request
@@ -119,6 +141,57 @@
     cr_assert_eq(executions.load() + second.load(), 1);
 }
 
+// Guards against a refusal of the last attempt that claims "not run" for a
+// request that an earlier attempt may have run.
+Test(entry, refusal_after_a_lost_answer_leaves_the_outcome_unknown)
+{
+    scripted_server losing(
+        [](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+        });
+    scripted_server refusing(refusing_gate("overloaded"));
+    entry_under_test entry({losing.where(), refusing.where()});
+    const auto answer = entry.call(caller_request("GET"));
+    cr_assert_eq(losing.connections(), 1);
+    cr_assert_eq(refusing.connections(), 1);
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "outcome_unknown");
+    cr_assert(!contains(answer, "Not-Run"));
+}
+
+// Guards against the same claim where the last refusal is not retried and the
+// gate's answer would be passed on as it is.
+Test(entry, final_refusal_after_a_lost_answer_is_not_passed_on)
+{
+    scripted_server losing(
+        [](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+        });
+    scripted_server refusing(refusing_gate("deadline_exceeded"));
+    entry_under_test entry({losing.where(), refusing.where()});
+    const auto answer = entry.call(caller_request("GET"));
+    cr_assert_eq(refusing.connections(), 1);
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "outcome_unknown");
+    cr_assert(!contains(answer, "Not-Run"));
+}
+
+// Guards against a second gate that can't be reached, which would make the
+// failure of the whole call look like one without an execution.
+Test(entry, lost_gate_after_a_lost_answer_leaves_the_outcome_unknown)
+{
+    scripted_server losing(
+        [](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+        });
+    entry_under_test entry({losing.where(), closed_endpoint()});
+    const auto answer = entry.call(caller_request("GET"));
+    cr_assert_eq(losing.connections(), 1);
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "outcome_unknown");
+    cr_assert(!contains(answer, "Not-Run"));
+}
+
 // Guards against a cut answer that the caller takes for a whole one.
 Test(entry, answer_cut_in_the_middle_is_cut_for_the_caller)
 {
--- a/test/http/test_gate.cpp
+++ b/test/http/test_gate.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
@@ -134,6 +135,28 @@
     cr_assert_eq(executions.load(), 1);
 }
 
+// Guards against a request whose body turns bad after the upstream has got its
+// start: the gate may not call it not run.
+Test(gate, body_that_turns_bad_after_its_start_may_have_run)
+{
+    std::promise<bool> begun;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            begun.set_value(!gate.read_until("\r\n\r\n").empty());
+            gate.read_all();
+        });
+    gate_under_test gate(upstream.where());
+    raw_connection entry(gate.where());
+    const std::string start(100'000, 'x');
+    entry.send(
+        gate_request_text("PUT", "Transfer-Encoding: chunked\r\n") +
+        "186a0\r\n" + start + "\r\nnot a chunk\r\n");
+    const auto answer = entry.read_all();
+    cr_assert(!contains(answer, "Not-Run"), "%s", answer.c_str());
+    cr_assert(begun.get_future().get());
+}
+
 // Guards against an upstream that works on after the deadline, and against a
 // late answer that is passed on.
 Test(gate, late_answer_is_dropped_and_the_upstream_is_cancelled)
