--- a/adapters/platform/platform_client.cpp
+++ b/adapters/platform/platform_client.cpp
@@ -209,6 +209,21 @@
         });
 }
 
+result<void> platform_client::remove(const std::string& name)
+{
+    const auto answer =
+        send(make_request(http::verb::delete_, "/v1/objects/" + name));
+    if (!answer)
+    {
+        return without_effect(answer.error());
+    }
+    if (answer->result() == http::status::not_found)
+    {
+        return {};
+    }
+    return expect_success(*answer);
+}
+
 result<http_response> platform_client::send(const http_request& request)
 {
     auto answer = receive(request);
--- a/adapters/platform/platform_client.hpp
+++ b/adapters/platform/platform_client.hpp
@@ -24,6 +24,7 @@
     result<void>
     put(const std::string& name, const std::string& content) override;
     result<std::optional<std::string>> get(const std::string& name) override;
+    result<void> remove(const std::string& name) override;
 
 private:
     /// Sends a request. The errors are `platform_unavailable` if it certainly
--- a/include/hemlockshelf/editing/blob_writer.hpp
+++ b/include/hemlockshelf/editing/blob_writer.hpp
@@ -15,7 +15,7 @@
 /// Stores the snapshots of every hundredth revision that this node accepted.
 /// Writes on a thread of its own, so that an operator's answer does not wait
 /// for the object store. A blob that cannot be stored is left out: readers use
-/// an older one. Thread-safe.
+/// an older one. Removes old blobs after each one that is stored. Thread-safe.
 class blob_writer
 {
 public:
--- a/include/hemlockshelf/editing/object_store.hpp
+++ b/include/hemlockshelf/editing/object_store.hpp
@@ -24,6 +24,10 @@
     /// `platform_unavailable`.
     virtual result<std::optional<std::string>> get(const std::string& name) = 0;
 
+    /// Removes a blob; a missing one is no error. The error is
+    /// `platform_unavailable`.
+    virtual result<void> remove(const std::string& name) = 0;
+
 protected:
     object_store() = default;
     object_store(const object_store&) = default;
--- a/include/hemlockshelf/editing/snapshot_blob.hpp
+++ b/include/hemlockshelf/editing/snapshot_blob.hpp
@@ -16,6 +16,10 @@
 /// A blob is written for each revision that is a multiple of this.
 inline constexpr std::uint64_t revisions_per_blob = 100;
 
+/// The newest blobs are kept, so that a reader that has chosen one still finds
+/// it after several more have been written. Older ones are removed.
+inline constexpr std::uint64_t blobs_kept = 10;
+
 /// Returns `snapshots/<revision>`.
 std::string blob_name(revision number);
 
@@ -33,6 +37,11 @@
 result<std::shared_ptr<const config_snapshot>>
 load_newest_blob(object_store& objects, revision held, revision head);
 
+/// Removes blobs that readers no longer need once the blob of `written` is
+/// stored. Looks at as many old ones as are kept, so that a blob whose removal
+/// failed gets further chances. The error is `platform_unavailable`.
+result<void> remove_old_blobs(object_store& objects, revision written);
+
 /// Returns the snapshot of revision `target`, from `base` or the newest blob
 /// and the change rows after it. Of use to a starting node and to one that was
 /// away for long. The errors are `platform_unavailable` and `revision_gap`.
--- a/src/editing/blob_writer.cpp
+++ b/src/editing/blob_writer.cpp
@@ -77,6 +77,8 @@
     {
         if (objects_.put(blob_name(snapshot->number()), text))
         {
+            // What cannot be removed now is removed after the next blob.
+            static_cast<void>(remove_old_blobs(objects_, snapshot->number()));
             return;
         }
         if (!wait_for_retry())
--- a/src/editing/snapshot_blob.cpp
+++ b/src/editing/snapshot_blob.cpp
@@ -66,6 +66,29 @@
     return std::shared_ptr<const config_snapshot>();
 }
 
+result<void> remove_old_blobs(object_store& objects, revision written)
+{
+    auto number = written.value();
+    for (std::uint64_t age = 1; age < 2 * blobs_kept; ++age)
+    {
+        if (number <= revisions_per_blob)
+        {
+            return {};
+        }
+        number -= revisions_per_blob;
+        if (age < blobs_kept)
+        {
+            continue;
+        }
+        auto removed = objects.remove(blob_name(revision{number}));
+        if (!removed)
+        {
+            return removed;
+        }
+    }
+    return {};
+}
+
 result<std::shared_ptr<const config_snapshot>> catch_up(
     table_service& tables,
     object_store& objects,
--- a/standins/platform/memory_tables.cpp
+++ b/standins/platform/memory_tables.cpp
@@ -99,6 +99,13 @@
     return std::optional(found->second);
 }
 
+result<void> memory_tables::remove(const std::string& name)
+{
+    const std::lock_guard lock(mutex_);
+    objects_.erase(name);
+    return {};
+}
+
 std::uint64_t memory_tables::version_of(
     const std::string& table, const std::string& key) const
 {
--- a/standins/platform/memory_tables.hpp
+++ b/standins/platform/memory_tables.hpp
@@ -38,6 +38,7 @@
     result<void>
     put(const std::string& name, const std::string& content) override;
     result<std::optional<std::string>> get(const std::string& name) override;
+    result<void> remove(const std::string& name) override;
 
 private:
     using table_rows = std::map<std::string, stored_row>;
--- a/standins/platform/platform_handler.cpp
+++ b/standins/platform/platform_handler.cpp
@@ -124,6 +124,11 @@
         static_cast<void>(tables.put(name, request.body()));
         return json_response(201, {{"stored", name}});
     }
+    if (request.method() == http::verb::delete_)
+    {
+        static_cast<void>(tables.remove(name));
+        return json_response(200, {{"removed", name}});
+    }
     const auto content = tables.get(name);
     if (!content->has_value())
     {
--- a/test/editing/test_snapshot_blob.cpp
+++ b/test/editing/test_snapshot_blob.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -49,6 +50,50 @@
     table_service& tables_;
 };
 
+/// Returns the revisions up to `last` that have a blob.
+std::vector<std::uint64_t>
+stored_blobs(memory_tables& platform, std::uint64_t last)
+{
+    std::vector<std::uint64_t> found;
+    for (std::uint64_t number = 100; number <= last; number += 100)
+    {
+        if (*platform.get(blob_name(revision{number})))
+        {
+            found.push_back(number);
+        }
+    }
+    return found;
+}
+
+/// An object store that loses every removal until it is healed.
+class failing_removals final : public object_store
+{
+public:
+    explicit failing_removals(object_store& objects) : objects_(objects) {}
+
+    result<void>
+    put(const std::string& name, const std::string& content) override
+    {
+        return objects_.put(name, content);
+    }
+
+    result<std::optional<std::string>> get(const std::string& name) override
+    {
+        return objects_.get(name);
+    }
+
+    result<void> remove(const std::string& name) override
+    {
+        return healed_ ? objects_.remove(name)
+                       : make_error(error_kind::platform_unavailable, "down");
+    }
+
+    bool healed_ = false;
+
+private:
+    object_store& objects_;
+};
+
 /// Waits for the blob of a revision. The writer leaves a blob out when the next
 /// one is offered first, which happens to edits without a pause on a busy
 /// machine.
@@ -146,3 +191,41 @@
         snapshot_from_blob(json.dump()).error().kind_ ==
         error_kind::hash_mismatch);
 }
+
+// Guards against an object store that fills up with one whole configuration for
+// every hundred edits, and against the removal of a blob that a reader needs.
+Test(snapshot_blob, only_the_newest_blobs_are_kept)
+{
+    memory_tables platform;
+    make_revisions(platform, 1300);
+    const std::vector<std::uint64_t> kept{400, 500,  600,  700,  800,
+                                          900, 1000, 1100, 1200, 1300};
+    cr_assert(stored_blobs(platform, 1300) == kept);
+}
+
+// Guards against blobs that stay for good because their removal failed once.
+Test(snapshot_blob, a_failed_removal_is_made_up_for)
+{
+    memory_tables platform;
+    for (std::uint64_t number = 100; number <= 1500; number += 100)
+    {
+        cr_assert(platform.put(blob_name(revision{number}), "text"));
+    }
+    failing_removals objects(platform);
+    cr_assert(!remove_old_blobs(objects, revision{1400}).has_value());
+    cr_assert(stored_blobs(platform, 1500).size() == 15);
+    objects.healed_ = true;
+    cr_assert(remove_old_blobs(objects, revision{1500}).has_value());
+    cr_assert(stored_blobs(platform, 1500).front() == 600);
+    cr_assert(stored_blobs(platform, 1500).size() == blobs_kept);
+}
+
+// Guards against a number below zero at the first blobs of a platform.
+Test(snapshot_blob, the_first_blobs_have_nothing_to_remove)
+{
+    memory_tables platform;
+    cr_assert(platform.put(blob_name(revision{100}), "text"));
+    cr_assert(remove_old_blobs(platform, revision{100}).has_value());
+    cr_assert(remove_old_blobs(platform, revision{0}).has_value());
+    cr_assert(stored_blobs(platform, 100).size() == 1);
+}
--- a/test/platform/test_platform_client.cpp
+++ b/test/platform/test_platform_client.cpp
@@ -112,6 +112,9 @@
     cr_assert(client.put("snapshots/100", "text").has_value());
     cr_assert(*client.get("snapshots/100") == "text");
     cr_assert(!client.get("snapshots/200")->has_value());
+    cr_assert(client.remove("snapshots/100").has_value());
+    cr_assert(!client.get("snapshots/100")->has_value());
+    cr_assert(client.remove("snapshots/100").has_value());
 }
 
 // Guards against a refusal that is taken for a lost answer.
