editing: archive old change rows in the object store

Cause: change rows and change ids were never removed.

GET /v1/audit reads the archive and the rows as one log.

A revision was won by the absence of its change row alone, so that a commit that was delayed until its row had been archived would have won the revision again. A commit now checks also that the row of the revision before is there with the version that was read, which costs no further request.

--- a/adapters/node/admin_handler.hpp
+++ b/adapters/node/admin_handler.hpp
@@ -11,6 +11,7 @@
 #include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/editing/editor.hpp"
+#include "hemlockshelf/editing/object_store.hpp"
 #include "hemlockshelf/membership/member_table.hpp"
 
 namespace hemlockshelf {
@@ -21,6 +22,7 @@
     const node_settings* settings_ = nullptr;
     const snapshot_store* snapshots_ = nullptr;
     table_service* tables_ = nullptr;
+    object_store* objects_ = nullptr;
     editor* editor_ = nullptr;
     own_upstream* upstream_ = nullptr;
     call_plane* calls_ = nullptr;
--- a/adapters/node/edit_handlers.cpp
+++ b/adapters/node/edit_handlers.cpp
@@ -12,7 +12,7 @@
 
 #include "adapters/http/json_server.hpp"
 #include "hemlockshelf/config/row_codec.hpp"
-#include "hemlockshelf/editing/config_reader.hpp"
+#include "hemlockshelf/editing/change_archive.hpp"
 
 namespace hemlockshelf {
 
@@ -239,8 +239,8 @@
     {
         return error_response(after ? limit.error() : after.error());
     }
-    const auto records =
-        read_changes(*context.tables_, revision{*after}, *limit);
+    const auto records = read_history(
+        *context.tables_, *context.objects_, revision{*after}, *limit);
     if (!records)
     {
         return error_response(records.error());
--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <spdlog/spdlog.h>
 
 #include "adapters/http/json_server.hpp"
 #include "adapters/node/admin_handler.hpp"
@@ -15,6 +16,7 @@
 #include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/core/real_clock.hpp"
 #include "hemlockshelf/editing/blob_writer.hpp"
+#include "hemlockshelf/editing/change_archive.hpp"
 
 namespace hemlockshelf {
 
@@ -60,8 +62,8 @@
                   return control_.may_route();
               }),
           editor_(make_editor_ports(), settings_.vm_, settings_.editing_),
-          admin_{&settings_, &snapshots_, &platform_, &editor_, &upstream_,
-                 &calls_,    &metrics_,   &members_,  &control_},
+          admin_{&settings_, &snapshots_, &platform_, &platform_, &editor_,
+                 &upstream_, &calls_,     &metrics_,  &members_,  &control_},
           admin_server_(
               context_,
               settings_.admin_,
@@ -111,6 +113,24 @@
         return ports;
     }
 
+    /// Moves change rows past their retention out of the tables. What fails is
+    /// made up for after a later blob.
+    void archive(revision snapshot)
+    {
+        const auto moved = archive_changes(
+            platform_, platform_, snapshot, time_.wall_now(),
+            settings_.editing_.change_retention_);
+        if (!moved)
+        {
+            spdlog::warn(
+                "change rows were not archived: {}", moved.error().message_);
+        }
+        else if (*moved > 0)
+        {
+            spdlog::info("archived {} change rows", *moved);
+        }
+    }
+
     /// Keeps serving until the other nodes have learned of the drain and the
     /// calls in progress have ended, with a bounded wait.
     void shut_down()
@@ -137,7 +157,11 @@
     own_upstream upstream_;
     control_plane control_;
     call_plane calls_;
-    blob_writer blobs_{platform_};
+    blob_writer blobs_{
+        platform_, [this](revision written)
+        {
+            archive(written);
+        }};
     editor editor_;
     admin_context admin_;
     json_server admin_server_;
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -252,6 +252,11 @@
     read_count(
         section, {"change_log_capacity", "Deltas that a node keeps for peers."},
         settings.change_log_capacity_);
+    read_duration(
+        section,
+        {"change_retention",
+         "Age at which change rows and change ids move to the archive."},
+        settings.change_retention_);
     section.reject_unknown_keys();
 }
 
--- a/include/hemlockshelf/editing/blob_writer.hpp
+++ b/include/hemlockshelf/editing/blob_writer.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -19,8 +20,11 @@
 class blob_writer
 {
 public:
+    /// `on_written` is called on the writer's thread for each blob that is
+    /// stored; it may be empty.
     explicit blob_writer(
         object_store& objects,
+        std::function<void(revision)> on_written = {},
         std::chrono::milliseconds retry_interval = std::chrono::seconds{1});
     ~blob_writer();
 
@@ -39,6 +43,7 @@
     bool wait_for_retry();
 
     object_store& objects_;
+    std::function<void(revision)> on_written_;
     std::chrono::milliseconds retry_interval_;
     std::mutex mutex_;
     std::condition_variable changed_;
--- a/include/hemlockshelf/editing/change_record.hpp
+++ b/include/hemlockshelf/editing/change_record.hpp
@@ -38,6 +38,9 @@
     change_id id_;
     config_delta delta_;
     audit_entry audit_;
+    /// Version of the change row that the record was read from; 0 for a record
+    /// that was not read from the platform.
+    row_version version_{0};
 };
 
 nlohmann::json to_json(const audit_entry& entry);
--- a/include/hemlockshelf/editing/edit_base.hpp
+++ b/include/hemlockshelf/editing/edit_base.hpp
@@ -31,6 +31,9 @@
     std::shared_ptr<const config_snapshot> snapshot_;
     /// The last changes up to the snapshot's revision, in order.
     std::vector<recent_change> recent_;
+    /// Version of the change row of the snapshot's revision; 0 at revision 0,
+    /// and in a base that was not read from the platform.
+    row_version change_version_{0};
 };
 
 using edit_base_pointer = std::shared_ptr<const edit_base>;
--- a/include/hemlockshelf/editing/editing_settings.hpp
+++ b/include/hemlockshelf/editing/editing_settings.hpp
@@ -52,6 +52,10 @@
     std::chrono::milliseconds platform_timeout_{2000};
     /// Deltas that a node keeps for peers that fetch.
     std::size_t change_log_capacity_ = 256;
+    /// Age at which change rows move from the tables to the archive in the
+    /// object store. An edit that is submitted again under its change id after
+    /// that counts as a new one.
+    std::chrono::milliseconds change_retention_ = std::chrono::hours{24 * 7};
 };
 
 } // namespace hemlockshelf
--- a/src/editing/blob_writer.cpp
+++ b/src/editing/blob_writer.cpp
@@ -13,12 +13,15 @@
 } // namespace
 
 blob_writer::blob_writer(
-    object_store& objects, std::chrono::milliseconds retry_interval)
-    : objects_(objects), retry_interval_(retry_interval), thread_(
-                                                              [this]
-                                                              {
-                                                                  run();
-                                                              })
+    object_store& objects,
+    std::function<void(revision)> on_written,
+    std::chrono::milliseconds retry_interval)
+    : objects_(objects), on_written_(std::move(on_written)),
+      retry_interval_(retry_interval), thread_(
+                                           [this]
+                                           {
+                                               run();
+                                           })
 {}
 
 blob_writer::~blob_writer()
@@ -79,6 +82,10 @@
         {
             // What cannot be removed now is removed after the next blob.
             static_cast<void>(remove_old_blobs(objects_, snapshot->number()));
+            if (on_written_)
+            {
+                on_written_(snapshot->number());
+            }
             return;
         }
         if (!wait_for_retry())
--- a/src/editing/change_record.cpp
+++ b/src/editing/change_record.cpp
@@ -82,7 +82,9 @@
     {
         return change_record{
             change_id{json.at("change_id").get<std::string>()},
-            std::move(*delta), audit_from_json(json.at("audit"))};
+            std::move(*delta),
+            audit_from_json(json.at("audit")),
+            {}};
     }
     catch (const nlohmann::json::exception& failure)
     {
--- a/src/editing/config_reader.cpp
+++ b/src/editing/config_reader.cpp
@@ -75,6 +75,7 @@
         {
             return tl::unexpected<error>(record.error());
         }
+        record->version_ = row.version_;
         records.push_back(std::move(*record));
     }
     return records;
--- a/src/editing/edit_base.cpp
+++ b/src/editing/edit_base.cpp
@@ -70,7 +70,7 @@
     std::shared_ptr<const config_snapshot> snapshot,
     const change_record& record)
 {
-    edit_base next{std::move(snapshot), base.recent_};
+    edit_base next{std::move(snapshot), base.recent_, {}};
     append_change(next.recent_, record);
     return next;
 }
@@ -78,7 +78,7 @@
 edit_base_cache::edit_base_cache(table_service& tables, snapshot_source held)
     : tables_(tables), held_(std::move(held)),
       newest_(std::make_shared<const edit_base>(
-          edit_base{config_snapshot::empty(), {}}))
+          edit_base{config_snapshot::empty(), {}, {}}))
 {}
 
 result<edit_base_pointer> edit_base_cache::read()
@@ -102,6 +102,10 @@
         }
         base.snapshot_ = std::move(*next);
         append_changes(base.recent_, *records);
+        if (!records->empty())
+        {
+            base.change_version_ = records->back().version_;
+        }
         rows = records->size();
         read_up_to = rows == 0 ? read_up_to : records->back().delta_.to_;
     }
--- a/src/editing/edit_plan.cpp
+++ b/src/editing/edit_plan.cpp
@@ -69,14 +69,31 @@
         request.account_, base.recent_, plan.record_.audit_.at_, quotas);
 }
 
+/// Adds the checks that make the next revision's slot free: its change row is
+/// absent and that of the base is still there. Without the second one a commit
+/// that was delayed until its slot's row had been archived would win it again.
+void check_slot(edit_plan& plan, const edit_base& base)
+{
+    const auto held = base.snapshot_->number();
+    auto& checks = plan.writes_.checks_;
+    checks.push_back(
+        {platform_tables::changes,
+         platform_tables::change_key(plan.record_.delta_.to_), row_version{0}});
+    if (held > revision{0})
+    {
+        checks.push_back(
+            {platform_tables::changes, platform_tables::change_key(held),
+             base.change_version_});
+    }
+}
+
 void plan_common_rows(edit_plan& plan)
 {
     const auto next = plan.record_.delta_.to_;
     const auto& id = plan.record_.id_.value();
     const auto slot = platform_tables::change_key(next);
-    auto& checks = plan.writes_.checks_;
-    checks.push_back({platform_tables::changes, slot, row_version{0}});
-    checks.push_back({platform_tables::change_ids, id, row_version{0}});
+    plan.writes_.checks_.push_back(
+        {platform_tables::change_ids, id, row_version{0}});
     auto& writes = plan.writes_.writes_;
     writes.push_back(
         {platform_tables::head,
@@ -112,6 +129,7 @@
     }
     plan.record_.delta_.to_ = revision{base.snapshot_->number().value() + 1};
     plan.record_.delta_.result_hash_ = plan.tables_.hash_;
+    check_slot(plan, base);
     plan_common_rows(plan);
     return plan;
 }
