telemetry: log events with checked fields

Most lines went through spdlog's text functions, so that values could only be found by matching text. The field `level` of `log_level_changed` was overwritten by the formatter's member of the same name.

A closed table (`log_event_table`) now gives each event its name, level and fields. A call with other fields, or with a value of another type, does not compile. Each line names the vm and the failure domain of its node. Failures carry the error kind and the message as fields, and the failure of a connection of the call path now tells its cause. A failed task of the control loop is logged as an error in both places; one of them was a warning.

The reference has a page for each event, generated from the table.

--- a/adapters/http/call_threads.cpp
+++ b/adapters/http/call_threads.cpp
@@ -2,7 +2,7 @@
 
 #include <exception>
 
-#include <spdlog/spdlog.h>
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -19,7 +19,8 @@
         catch (const std::exception& failure)
         {
             // One connection's failure must not end the others.
-            spdlog::error("a call ended with: {}", failure.what());
+            log_event<log_event_id::call_thread_failed>(
+                log_fields::detail(failure.what()));
         }
     }
 }
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -11,9 +11,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
-#include <spdlog/spdlog.h>
 
 #include "adapters/http/refusal.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 
 namespace hemlockshelf {
@@ -29,6 +29,22 @@
 constexpr std::chrono::milliseconds close_timeout{500};
 constexpr std::size_t close_drop_bytes = std::size_t{256} * 1024;
 
+std::string describe(const std::exception_ptr& failure)
+{
+    try
+    {
+        std::rethrow_exception(failure);
+    }
+    catch (const std::exception& thrown)
+    {
+        return thrown.what();
+    }
+    catch (...)
+    {
+        return "not a std::exception";
+    }
+}
+
 error framing_error(const error_code& failure)
 {
     if (failure == http::error::header_limit)
@@ -84,7 +100,8 @@
         {
             if (failure)
             {
-                spdlog::error("a connection ended with an exception");
+                log_event<log_event_id::call_connection_failed>(
+                    log_fields::detail(describe(failure)));
             }
             session->client_.close();
             session->timer_.cancel();
--- a/adapters/node/admin_handler.cpp
+++ b/adapters/node/admin_handler.cpp
@@ -97,10 +97,9 @@
         return error_response(level.error());
     }
     spdlog::set_level(*level);
-    log_event(
-        spdlog::level::info, "log_level_changed",
-        {{"level", query_parameter(request, "level")},
-         {"client_account", account->value()}});
+    log_event<log_event_id::log_level_changed>(
+        log_fields::new_level(query_parameter(request, "level")),
+        log_fields::client_account(*account));
     return json_response(200, {{"level", query_parameter(request, "level")}});
 }
 
--- a/adapters/node/config_keeper.cpp
+++ b/adapters/node/config_keeper.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <spdlog/spdlog.h>
 
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 
 namespace hemlockshelf {
@@ -176,7 +176,6 @@
 void config_keeper::report(
     apply_source source, std::optional<wall_time> accepted_at) const
 {
-    const auto now_held = snapshots_.current()->number().value();
     metrics_.add(metric_id::config_applies, to_string(source));
     // A node that has just started catches up with edits of the past.
     if (accepted_at && *accepted_at >= started_at_)
@@ -185,7 +184,8 @@
             metric_id::convergence_duration, to_string(source),
             seconds(time_.wall_now() - *accepted_at));
     }
-    spdlog::info("revision {} is in force ({})", now_held, to_string(source));
+    log_event<log_event_id::revision_applied>(
+        log_fields::revision(held()), log_fields::source(to_string(source)));
 }
 
 } // namespace hemlockshelf
--- a/adapters/node/contact_tracker.cpp
+++ b/adapters/node/contact_tracker.cpp
@@ -1,6 +1,6 @@
 #include "adapters/node/contact_tracker.hpp"
 
-#include <spdlog/spdlog.h>
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -17,15 +17,16 @@
     {
         return;
     }
-    spdlog::warn(
-        "failure domain {} is {}", domain.value(),
-        reached ? "reachable again" : "unreachable");
     if (reached)
     {
+        log_event<log_event_id::failure_domain_reachable>(
+            log_fields::peer_failure_domain(domain));
         mark(domain, liveness::unreachable, liveness::alive);
     }
     else
     {
+        log_event<log_event_id::failure_domain_unreachable>(
+            log_fields::peer_failure_domain(domain));
         mark(domain, liveness::alive, liveness::unreachable);
     }
 }
--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -10,8 +10,6 @@
 #include <utility>
 #include <vector>
 
-#include <spdlog/spdlog.h>
-
 #include "adapters/node/config_keeper.hpp"
 #include "adapters/node/contact_tracker.hpp"
 #include "adapters/node/control_context.hpp"
@@ -22,6 +20,7 @@
 #include "adapters/node/push_agent.hpp"
 #include "adapters/node/record_keeper.hpp"
 #include "adapters/node/repair_agent.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/dissemination/readers.hpp"
 
 namespace hemlockshelf {
@@ -47,6 +46,20 @@
     return rpc;
 }
 
+void log_malformed(
+    const push_message& request,
+    const result<std::vector<accepted_delta>>& deltas)
+{
+    const auto failure =
+        deltas ? error{error_kind::bad_request, "expected deltas, given none"}
+               : deltas.error();
+    log_event<log_event_id::push_malformed>(
+        log_fields::peer(request.sender_.vm_),
+        log_fields::origin(request.origin_),
+        log_fields::error_kind(failure.kind_),
+        log_fields::detail(failure.message_));
+}
+
 } // namespace
 
 class control_plane::parts final : public control_handler
@@ -258,8 +271,7 @@
         const auto deltas = decode_deltas(request.deltas_);
         if (!deltas || deltas->empty())
         {
-            spdlog::warn(
-                "a push from {} is malformed", request.origin_.value());
+            log_malformed(request, deltas);
             return;
         }
         repairs_.note_revision(request.revision_);
@@ -269,9 +281,12 @@
         {
             return;
         }
-        spdlog::info(
-            "a push from {} does not apply: {}", request.origin_.value(),
-            applied.error().message_);
+        log_event<log_event_id::push_rejected>(
+            log_fields::peer(request.sender_.vm_),
+            log_fields::origin(request.origin_),
+            log_fields::revision(request.revision_),
+            log_fields::error_kind(applied.error().kind_),
+            log_fields::detail(applied.error().message_));
         if (const auto peer = address_of(context_, request.sender_.vm_))
         {
             repairs_.fetch_from(*peer, [](bool) {});
@@ -311,10 +326,8 @@
 
     void on_paused(std::chrono::nanoseconds pause)
     {
-        spdlog::warn(
-            "the process was paused for {} ms; refreshing from peers",
-            std::chrono::duration_cast<std::chrono::milliseconds>(pause)
-                .count());
+        log_event<log_event_id::process_paused>(log_fields::pause_ms(
+            std::chrono::duration_cast<std::chrono::milliseconds>(pause)));
         heartbeats_.reset();
         contacts_.reset();
         lifecycle_.paused();
@@ -338,9 +351,9 @@
         publish_state();
         records_.announce();
         choose_poll_mode();
-        spdlog::info(
-            "serving with revision {} and {} members", keeper_.held().value(),
-            context_.members_.size());
+        log_event<log_event_id::node_serving>(
+            log_fields::revision(keeper_.held()),
+            log_fields::members(context_.members_.size()));
     }
 
     void publish_state()
--- a/adapters/node/heartbeat_agent.cpp
+++ b/adapters/node/heartbeat_agent.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <spdlog/spdlog.h>
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -212,7 +212,8 @@
     {
         return;
     }
-    spdlog::warn("member {} is down", vm.value());
+    log_event<log_event_id::member_down>(
+        log_fields::peer(vm), log_fields::incarnation(seen));
     if (const auto entry = context_.members_.find(vm))
     {
         pushes_.push_records({to_update(*entry)});
--- a/adapters/node/platform_poller.cpp
+++ b/adapters/node/platform_poller.cpp
@@ -4,8 +4,7 @@
 #include <exception>
 #include <utility>
 
-#include <spdlog/spdlog.h>
-
+#include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/editing/config_reader.hpp"
 #include "hemlockshelf/editing/snapshot_blob.hpp"
 
@@ -98,7 +97,8 @@
         }
         catch (const std::exception& failure)
         {
-            spdlog::error("polling the platform failed: {}", failure.what());
+            log_event<log_event_id::polling_failed>(
+                log_fields::detail(failure.what()));
         }
         lock.lock();
         const auto has_work = [this]
@@ -170,8 +170,10 @@
         const auto applied = keeper_.apply(deltas, apply_source::poll);
         if (!applied)
         {
-            spdlog::warn(
-                "change rows were rejected: {}", applied.error().message_);
+            log_event<log_event_id::change_rows_rejected>(
+                log_fields::revision(before),
+                log_fields::error_kind(applied.error().kind_),
+                log_fields::detail(applied.error().message_));
         }
         if (keeper_.held() == before)
         {
--- a/adapters/node/push_agent.cpp
+++ b/adapters/node/push_agent.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <spdlog/spdlog.h>
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -148,9 +148,9 @@
 {
     if (task->candidate_ >= attempts_for(task->leg_))
     {
-        spdlog::warn(
-            "no receiver of a push answered in {}/{}; left to repair",
-            task->leg_.region_.value(), task->leg_.failure_domain_.value());
+        log_event<log_event_id::push_unanswered>(
+            log_fields::peer_region(task->leg_.region_),
+            log_fields::peer_failure_domain(task->leg_.failure_domain_));
         return;
     }
     const auto& vm = task->leg_.candidates_.at(task->candidate_);
--- a/adapters/node/record_keeper.cpp
+++ b/adapters/node/record_keeper.cpp
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <utility>
 
-#include <spdlog/spdlog.h>
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -112,10 +112,9 @@
     {
         return;
     }
-    spdlog::warn(
-        "peers hold a newer record of this node (incarnation {}, down {}); "
-        "raising the incarnation",
-        claim.record_.incarnation_.value(), claim.down_);
+    log_event<log_event_id::own_record_superseded>(
+        log_fields::incarnation(claim.record_.incarnation_),
+        log_fields::down(claim.down_));
     auto next = record_;
     const auto lowest = claim.record_.incarnation_.value() + 1;
     next.incarnation_ =
--- a/adapters/node/repair_agent.cpp
+++ b/adapters/node/repair_agent.cpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <utility>
 
-#include <spdlog/spdlog.h>
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -262,8 +262,10 @@
                    : result<void>(tl::unexpected<error>(deltas.error()));
         if (!applied)
         {
-            spdlog::warn(
-                "deltas of a peer were rejected: {}", applied.error().message_);
+            log_event<log_event_id::repair_deltas_rejected>(
+                log_fields::peer_address(to_string(peer.endpoint_)),
+                log_fields::error_kind(applied.error().kind_),
+                log_fields::detail(applied.error().message_));
             fetch(peer, true, attempt + 1, done);
             return;
         }
@@ -273,9 +275,10 @@
         const auto snapshot = decode_snapshot(answer.payload_);
         if (!snapshot)
         {
-            spdlog::warn(
-                "the snapshot of a peer was rejected: {}",
-                snapshot.error().message_);
+            log_event<log_event_id::repair_snapshot_rejected>(
+                log_fields::peer_address(to_string(peer.endpoint_)),
+                log_fields::error_kind(snapshot.error().kind_),
+                log_fields::detail(snapshot.error().message_));
             finish_fetch(done, false);
             return;
         }
--- a/adapters/rpc/control_network.cpp
+++ b/adapters/rpc/control_network.cpp
@@ -7,12 +7,12 @@
 #include <vector>
 
 #include <kj/async-io.h>
-#include <spdlog/spdlog.h>
 
 #include "adapters/rpc/incoming_links.hpp"
 #include "adapters/rpc/message_codec.hpp"
 #include "adapters/rpc/outgoing_links.hpp"
 #include "adapters/rpc/sockets.hpp"
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -167,8 +167,8 @@
 
     void taskFailed(kj::Exception&& exception) override
     {
-        spdlog::warn(
-            "control task failed: {}", exception.getDescription().cStr());
+        log_event<log_event_id::control_task_failed>(
+            log_fields::detail(exception.getDescription().cStr()));
     }
 
     const rpc_settings& settings_;
@@ -275,7 +275,8 @@
         }
         catch (const std::exception& failure)
         {
-            spdlog::error("control task failed: {}", failure.what());
+            log_event<log_event_id::control_task_failed>(
+                log_fields::detail(failure.what()));
         }
     }
 
--- a/adapters/rpc/incoming_links.cpp
+++ b/adapters/rpc/incoming_links.cpp
@@ -5,9 +5,9 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <spdlog/spdlog.h>
 
 #include "adapters/rpc/control_service.hpp"
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -91,8 +91,8 @@
 
 void incoming_links::taskFailed(kj::Exception&& exception)
 {
-    spdlog::debug(
-        "incoming control connection: {}", exception.getDescription().cStr());
+    log_event<log_event_id::incoming_link_failed>(
+        log_fields::detail(exception.getDescription().cStr()));
 }
 
 } // namespace hemlockshelf
--- a/adapters/rpc/outgoing_links.cpp
+++ b/adapters/rpc/outgoing_links.cpp
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include <kj/debug.h>
-#include <spdlog/spdlog.h>
 
 #include "adapters/rpc/sockets.hpp"
+#include "adapters/telemetry/event_log.hpp"
 
 namespace hemlockshelf {
 
@@ -144,7 +144,8 @@
 
 void outgoing_links::taskFailed(kj::Exception&& exception)
 {
-    spdlog::debug("control connection: {}", exception.getDescription().cStr());
+    log_event<log_event_id::outgoing_link_failed>(
+        log_fields::detail(exception.getDescription().cStr()));
 }
 
 } // namespace hemlockshelf
--- a/adapters/telemetry/event_log.cpp
+++ b/adapters/telemetry/event_log.cpp
@@ -1,7 +1,10 @@
 #include "adapters/telemetry/event_log.hpp"
 
 #include <atomic>
+#include <cstddef>
 #include <memory>
+#include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -15,43 +18,82 @@
 
 std::atomic<log_format> current_format = log_format::text;
 
+std::string_view name_of(const log_field& field)
+{
+    return log_field_table()[static_cast<std::size_t>(field.id_)].name_;
+}
+
+std::string dump(const nlohmann::json& value)
+{
+    // Details of errors can hold bytes of a peer that are not UTF-8.
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string
-to_text(std::string_view event, std::initializer_list<log_field> fields)
+to_text(const log_event_info& event, std::span<const log_field> fields)
 {
-    std::string line(event);
+    std::string line(event.name_);
     for (const auto& field : fields)
     {
-        line += fmt::format(" {}={}", field.name_, field.value_.dump());
+        line += fmt::format(" {}={}", name_of(field), dump(field.value_));
     }
     return line;
 }
 
 std::string
-to_json_text(std::string_view event, std::initializer_list<log_field> fields)
+to_json_text(const log_event_info& event, std::span<const log_field> fields)
 {
-    nlohmann::json line{{"event", event}};
+    nlohmann::json line{{"event", event.name_}};
     for (const auto& field : fields)
     {
-        line[std::string(field.name_)] = field.value_;
+        line[std::string(name_of(field))] = field.value_;
     }
-    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return dump(line);
+}
+
+/// Returns the pattern of spdlog for text lines. A percent sign begins a
+/// placeholder in it and is doubled.
+std::string text_pattern(const log_origin& origin)
+{
+    const auto names = fmt::format(
+        "vm={} failure_domain={}", dump(origin.vm_.value()),
+        dump(origin.failure_domain_.value()));
+    std::string pattern = "%Y-%m-%dT%H:%M:%S.%e%z %l ";
+    for (const char letter : names)
+    {
+        pattern.append(letter == '%' ? 2 : 1, letter);
+    }
+    return pattern + " %v";
 }
 
 } // namespace
 
-void configure_log(log_format format, spdlog::level::level_enum level)
+void configure_log(
+    log_format format,
+    spdlog::level::level_enum level,
+    const log_origin& origin)
+{
+    configure_log(
+        format, level, origin,
+        std::make_shared<spdlog::sinks::stderr_sink_mt>());
+}
+
+void configure_log(
+    log_format format,
+    spdlog::level::level_enum level,
+    const log_origin& origin,
+    spdlog::sink_ptr sink)
 {
     current_format = format;
-    auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
     auto logger =
         std::make_shared<spdlog::logger>("hemlockshelf", std::move(sink));
     if (format == log_format::json)
     {
-        logger->set_formatter(std::make_unique<json_log_formatter>());
+        logger->set_formatter(std::make_unique<json_log_formatter>(origin));
     }
     else
     {
-        logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e%z %l %v");
+        logger->set_pattern(text_pattern(origin));
     }
     logger->set_level(level);
     logger->flush_on(spdlog::level::info);
@@ -78,20 +120,18 @@
             name));
 }
 
-void log_event(
-    spdlog::level::level_enum level,
-    std::string_view event,
-    std::initializer_list<log_field> fields)
+void write_log_event(
+    const log_event_info& event, std::span<const log_field> fields)
 {
     auto* logger = spdlog::default_logger_raw();
-    if (!logger->should_log(level))
+    if (!logger->should_log(event.level_))
     {
         return;
     }
     const auto line = current_format == log_format::json
                           ? to_json_text(event, fields)
                           : to_text(event, fields);
-    logger->log(level, "{}", line);
+    logger->log(event.level_, "{}", line);
 }
 
 } // namespace hemlockshelf
--- a/adapters/telemetry/event_log.hpp
+++ b/adapters/telemetry/event_log.hpp
@@ -1,13 +1,17 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_TELEMETRY_EVENT_LOG_HPP
 #define HEMLOCKSHELF_ADAPTERS_TELEMETRY_EVENT_LOG_HPP
 
-#include <initializer_list>
+#include <array>
+#include <span>
 #include <string>
-#include <string_view>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 #include <spdlog/common.h>
 
+#include "adapters/telemetry/log_event_table.hpp"
+#include "adapters/telemetry/log_fields.hpp"
+#include "adapters/telemetry/log_origin.hpp"
 #include "hemlockshelf/core/error.hpp"
 
 namespace hemlockshelf {
@@ -19,26 +23,46 @@
     json,
 };
 
-/// A named value of a log line.
+/// A field of one log line.
 struct log_field
 {
-    std::string_view name_;
+    log_field_id id_;
     nlohmann::json value_;
 };
 
-/// Sets up the process's log on standard error. Messages logged through spdlog
-/// directly take the same form.
-void configure_log(log_format format, spdlog::level::level_enum level);
+/// Sets up the process's log on standard error. Each line names `origin`.
+void configure_log(
+    log_format format,
+    spdlog::level::level_enum level,
+    const log_origin& origin);
+
+/// As above, with the lines written to `sink`.
+void configure_log(
+    log_format format,
+    spdlog::level::level_enum level,
+    const log_origin& origin,
+    spdlog::sink_ptr sink);
 
 /// Returns the level called `name`. The error is `bad_request`.
 result<spdlog::level::level_enum> parse_log_level(const std::string& name);
 
-/// Writes one line: the event's name and its fields. Fields must not hold
-/// secrets.
-void log_event(
-    spdlog::level::level_enum level,
-    std::string_view event,
-    std::initializer_list<log_field> fields = {});
+/// Writes one line. `log_event` checks the fields before it calls this.
+void write_log_event(
+    const log_event_info& event, std::span<const log_field> fields);
+
+/// Writes one line with the event's name and its fields, which must be those
+/// that `log_event_table` lists; another set does not compile. Fields must not
+/// hold secrets. Thread-safe.
+template <log_event_id Event, log_field_id... Ids>
+void log_event(log_value<Ids>... values)
+{
+    static_assert(
+        log_field_set{Ids...} == info_of(Event).fields_,
+        "the fields differ from those in log_event_table");
+    const std::array<log_field, sizeof...(Ids)> fields{
+        log_field{Ids, std::move(values.value_)}...};
+    write_log_event(info_of(Event), fields);
+}
 
 } // namespace hemlockshelf
 
--- a/adapters/telemetry/json_log_formatter.cpp
+++ b/adapters/telemetry/json_log_formatter.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -40,6 +41,10 @@
 
 } // namespace
 
+json_log_formatter::json_log_formatter(log_origin origin)
+    : origin_(std::move(origin))
+{}
+
 void json_log_formatter::format(
     const spdlog::details::log_msg& message, spdlog::memory_buf_t& destination)
 {
@@ -48,6 +53,8 @@
     line["level"] = std::string(level.data(), level.size());
     line["time"] = utc_time(message.time);
     line["thread"] = message.thread_id;
+    line["vm"] = origin_.vm_.value();
+    line["failure_domain"] = origin_.failure_domain_.value();
     const auto text =
         line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
         "\n";
@@ -56,7 +63,7 @@
 
 std::unique_ptr<spdlog::formatter> json_log_formatter::clone() const
 {
-    return std::make_unique<json_log_formatter>();
+    return std::make_unique<json_log_formatter>(origin_);
 }
 
 } // namespace hemlockshelf
--- /dev/null
+++ b/adapters/telemetry/log_event_table.hpp
@@ -0,0 +1,107 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_TELEMETRY_LOG_EVENT_TABLE_HPP
+#define HEMLOCKSHELF_ADAPTERS_TELEMETRY_LOG_EVENT_TABLE_HPP
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+#include <spdlog/common.h>
+
+#include "adapters/telemetry/log_fields.hpp"
+
+namespace hemlockshelf {
+
+/// The closed list of log events. `log_event_table` describes each.
+enum class log_event_id
+{
+    node_failed,
+    node_serving,
+    process_paused,
+    revision_applied,
+    change_rows_rejected,
+    polling_failed,
+    push_malformed,
+    push_rejected,
+    push_unanswered,
+    repair_deltas_rejected,
+    repair_snapshot_rejected,
+    member_down,
+    own_record_superseded,
+    failure_domain_unreachable,
+    failure_domain_reachable,
+    control_task_failed,
+    incoming_link_failed,
+    outgoing_link_failed,
+    call_thread_failed,
+    call_connection_failed,
+    log_level_changed,
+};
+
+/// Name, level, fields and meaning of an event.
+struct log_event_info
+{
+    log_event_id id_;
+    spdlog::level::level_enum level_;
+    /// Stable: operators search for it.
+    std::string_view name_;
+    /// Every line of the event has exactly these.
+    log_field_set fields_;
+    std::string_view help_;
+};
+
+/// The whole table, in the order of `log_event_id`. It stands in the header so
+/// that the fields of each call of `log_event` are checked at compile time.
+// clang-format off
+inline constexpr std::array log_event_table{
+    log_event_info{log_event_id::node_failed, spdlog::level::err, "node_failed", {log_field_id::detail}, "The node cannot run and ends."},
+    log_event_info{log_event_id::node_serving, spdlog::level::info, "node_serving", {log_field_id::revision_number, log_field_id::members}, "The node has joined and serves calls."},
+    log_event_info{log_event_id::process_paused, spdlog::level::warn, "process_paused", {log_field_id::pause_ms}, "The process did not run for a while; it refreshes its state from peers before it routes again."},
+    log_event_info{log_event_id::revision_applied, spdlog::level::info, "revision_applied", {log_field_id::revision_number, log_field_id::source}, "A revision is in force on this node."},
+    log_event_info{log_event_id::change_rows_rejected, spdlog::level::warn, "change_rows_rejected", {log_field_id::revision_number, log_field_id::error_kind, log_field_id::detail}, "Change rows of the platform do not apply to the revision that the node held."},
+    log_event_info{log_event_id::polling_failed, spdlog::level::err, "polling_failed", {log_field_id::detail}, "A poll of the platform ended with an exception; the next one follows as usual."},
+    log_event_info{log_event_id::push_malformed, spdlog::level::warn, "push_malformed", {log_field_id::peer, log_field_id::origin, log_field_id::error_kind, log_field_id::detail}, "The deltas of a push cannot be read; the push is dropped."},
+    log_event_info{log_event_id::push_rejected, spdlog::level::info, "push_rejected", {log_field_id::peer, log_field_id::origin, log_field_id::revision_number, log_field_id::error_kind, log_field_id::detail}, "A push of a revision does not apply; the node fetches from the sender instead."},
+    log_event_info{log_event_id::push_unanswered, spdlog::level::warn, "push_unanswered", {log_field_id::peer_region, log_field_id::peer_failure_domain}, "No receiver of a push answered; repair by digest brings the change."},
+    log_event_info{log_event_id::repair_deltas_rejected, spdlog::level::warn, "repair_deltas_rejected", {log_field_id::peer_address, log_field_id::error_kind, log_field_id::detail}, "Deltas that a peer sent do not apply; the node asks it for the whole snapshot."},
+    log_event_info{log_event_id::repair_snapshot_rejected, spdlog::level::warn, "repair_snapshot_rejected", {log_field_id::peer_address, log_field_id::error_kind, log_field_id::detail}, "The snapshot that a peer sent cannot be used."},
+    log_event_info{log_event_id::member_down, spdlog::level::warn, "member_down", {log_field_id::peer, log_field_id::incarnation_number}, "The node found a member down and other nodes confirmed it."},
+    log_event_info{log_event_id::own_record_superseded, spdlog::level::warn, "own_record_superseded", {log_field_id::incarnation_number, log_field_id::down}, "Peers hold a newer record of this node; it refutes the record with a higher incarnation."},
+    log_event_info{log_event_id::failure_domain_unreachable, spdlog::level::warn, "failure_domain_unreachable", {log_field_id::peer_failure_domain}, "The node reaches no member of a failure domain."},
+    log_event_info{log_event_id::failure_domain_reachable, spdlog::level::warn, "failure_domain_reachable", {log_field_id::peer_failure_domain}, "A failure domain that was unreachable answers again."},
+    log_event_info{log_event_id::control_task_failed, spdlog::level::err, "control_task_failed", {log_field_id::detail}, "A task of the control loop ended with an exception; the loop goes on."},
+    log_event_info{log_event_id::incoming_link_failed, spdlog::level::debug, "incoming_link_failed", {log_field_id::detail}, "A control connection that another node opened ended with an error."},
+    log_event_info{log_event_id::outgoing_link_failed, spdlog::level::debug, "outgoing_link_failed", {log_field_id::detail}, "A control connection that this node opened ended with an error."},
+    log_event_info{log_event_id::call_thread_failed, spdlog::level::err, "call_thread_failed", {log_field_id::detail}, "A handler on a call thread ended with an exception; the thread goes on."},
+    log_event_info{log_event_id::call_connection_failed, spdlog::level::err, "call_connection_failed", {log_field_id::detail}, "A connection of the call path ended with an exception and was closed."},
+    log_event_info{log_event_id::log_level_changed, spdlog::level::info, "log_level_changed", {log_field_id::new_level, log_field_id::client_account}, "An operator changed the log level."},
+};
+// clang-format on
+
+/// Returns the description of an event.
+constexpr const log_event_info& info_of(log_event_id event)
+{
+    return log_event_table[static_cast<std::size_t>(event)];
+}
+
+namespace detail {
+
+constexpr bool log_events_in_enum_order()
+{
+    for (std::size_t index = 0; index < log_event_table.size(); ++index)
+    {
+        if (static_cast<std::size_t>(log_event_table[index].id_) != index)
+        {
+            return false;
+        }
+    }
+    return log_event_table.size() ==
+           static_cast<std::size_t>(log_event_id::log_level_changed) + 1;
+}
+
+static_assert(log_events_in_enum_order(), "info_of indexes the table by id");
+
+} // namespace detail
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/adapters/telemetry/log_fields.cpp
@@ -0,0 +1,70 @@
+#include "adapters/telemetry/log_fields.hpp"
+
+#include <array>
+
+#include "hemlockshelf/core/error_table.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+using enum log_field_id;
+
+// clang-format off
+constexpr std::array fields{
+    log_field_info{peer, "peer", "string", "Machine (vm) of the other node."},
+    log_field_info{peer_address, "peer_address", "string", "Control address of the other node."},
+    log_field_info{peer_region, "peer_region", "string", "Region of the other nodes."},
+    log_field_info{peer_failure_domain, "peer_failure_domain", "string", "Failure domain of the other nodes."},
+    log_field_info{origin, "origin", "string", "Machine (vm) of the node that started the push."},
+    log_field_info{revision_number, "revision", "number", "Revision of the configuration."},
+    log_field_info{source, "source", "string", "How the revision arrived: push, poll, repair or edit."},
+    log_field_info{incarnation_number, "incarnation", "number", "Incarnation of the member record."},
+    log_field_info{down, "down", "boolean", "Whether the record says that the member is down."},
+    log_field_info{members, "members", "number", "Members that the node knows, itself included."},
+    log_field_info{pause_ms, "pause_ms", "number", "Length of the pause in milliseconds."},
+    log_field_info{client_account, "client_account", "string", "Client account of the operator."},
+    log_field_info{new_level, "new_level", "string", "Level that is in force from now on."},
+    log_field_info{error_kind, "error_kind", "string", "Name of the [error kind](../errors.md)."},
+    log_field_info{detail, "detail", "string", "Message of the error."},
+};
+// clang-format on
+
+constexpr bool in_enum_order()
+{
+    for (std::size_t index = 0; index < fields.size(); ++index)
+    {
+        if (static_cast<std::size_t>(fields[index].id_) != index)
+        {
+            return false;
+        }
+    }
+    return fields.size() == static_cast<std::size_t>(detail) + 1;
+}
+
+static_assert(in_enum_order(), "the log indexes the table by id");
+static_assert(fields.size() <= 32, "log_field_set has 32 bits");
+
+} // namespace
+
+std::span<const log_field_info> log_field_table()
+{
+    return fields;
+}
+
+nlohmann::json to_log_json(std::string_view value)
+{
+    return std::string(value);
+}
+
+nlohmann::json to_log_json(std::chrono::milliseconds value)
+{
+    return value.count();
+}
+
+nlohmann::json to_log_json(hemlockshelf::error_kind value)
+{
+    return to_log_json(answer_for(value).name_);
+}
+
+} // namespace hemlockshelf
--- a/daemons/hemlockshelfd/main.cpp
+++ b/daemons/hemlockshelfd/main.cpp
@@ -4,7 +4,6 @@
 #include <iostream>
 
 #include <gflags/gflags.h>
-#include <spdlog/spdlog.h>
 
 #include "adapters/node/node.hpp"
 #include "adapters/settings/node_settings.hpp"
@@ -30,7 +29,8 @@
     }
     hemlockshelf::configure_log(
         settings->log_format_,
-        *hemlockshelf::parse_log_level(settings->log_level_));
+        *hemlockshelf::parse_log_level(settings->log_level_),
+        {settings->vm_, settings->failure_domain_});
     try
     {
         hemlockshelf::node instance(std::move(*settings));
@@ -38,7 +38,8 @@
     }
     catch (const std::exception& failure)
     {
-        spdlog::error("the node cannot run: {}", failure.what());
+        hemlockshelf::log_event<hemlockshelf::log_event_id::node_failed>(
+            hemlockshelf::log_fields::detail(failure.what()));
         return static_cast<int>(hemlockshelf::exit_code::internal);
     }
     return 0;
--- a/test/telemetry/test_json_log_formatter.cpp
+++ b/test/telemetry/test_json_log_formatter.cpp
@@ -13,7 +13,7 @@
 
 nlohmann::json format(const std::string& payload)
 {
-    json_log_formatter formatter;
+    json_log_formatter formatter({vm_id{"vm-1"}, failure_domain_id{"d"}});
     spdlog::memory_buf_t buffer;
     formatter.format(
         spdlog::details::log_msg("test", spdlog::level::info, payload), buffer);
--- a/tools/reference/reference_pages.cpp
+++ b/tools/reference/reference_pages.cpp
@@ -6,6 +6,7 @@
 
 #include "adapters/cli/command_table.hpp"
 #include "adapters/settings/node_settings.hpp"
+#include "adapters/telemetry/log_event_table.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 #include "hemlockshelf/core/metric_id.hpp"
 
@@ -77,6 +78,28 @@
         metric.label_.empty() ? "none" : metric.label_);
 }
 
+std::string event_page(const log_event_info& event)
+{
+    const auto level = spdlog::level::to_string_view(event.level_);
+    auto page = fmt::format(
+        "# {}\n\n{}\n\n"
+        "| | |\n|---|---|\n"
+        "| Level | {} |\n",
+        event.name_, event.help_, std::string_view(level.data(), level.size()));
+    for (const auto& field : log_field_table())
+    {
+        if (event.fields_.contains(field.id_))
+        {
+            page += fmt::format(
+                "| Field `{}` | {}. {} |\n", field.name_, field.type_,
+                field.help_);
+        }
+    }
+    return page +
+           "| Fields of every line | `time`, `level`, `thread`, `event`; `vm` "
+           "and `failure_domain` of the node that logs |\n";
+}
+
 std::string errors_page()
 {
     std::string page =
@@ -131,13 +154,18 @@
     {
         pages[fmt::format("metric/{}.md", metric.name_)] = metric_page(metric);
     }
+    for (const auto& event : log_event_table)
+    {
+        pages[fmt::format("event/{}.md", event.name_)] = event_page(event);
+    }
     const auto index = fmt::format(
         "# Reference\n\n"
         "These pages are written by `build/bin/hemlockshelf_reference`.\n\n"
         "## Commands\n\n{}\n## Settings\n\n{}\n## Metrics\n\n{}\n"
+        "## Log events\n\n{}\n"
         "## Errors\n\n- [Error kinds](errors.md)\n",
         index_lines(pages, "command/"), index_lines(pages, "setting/"),
-        index_lines(pages, "metric/"));
+        index_lines(pages, "metric/"), index_lines(pages, "event/"));
     pages["errors.md"] = errors_page();
     pages["index.md"] = index;
     return pages;
