experiment: count messages and connections of an edit

Cause: the measure of control bytes said what an edit costs, but not whether by repeated deliveries, repairs or connections. Each size now also reports, per node and edit, the revisions applied by source, the control messages sent by kind, rejections, and the new control connections at the relay.

--- a/experiment/measure_control_bytes.cpp
+++ b/experiment/measure_control_bytes.cpp
@@ -44,6 +44,52 @@
     return bytes;
 }
 
+using counts = std::map<std::string, double>;
+
+/// Messages, applied revisions and rejections of all nodes, and connections
+/// that were made, since their start.
+counts read_counts(const cluster& mesh)
+{
+    counts found;
+    for (const auto& [name, value] : mesh.metric_sums())
+    {
+        if (name.starts_with("hemlockshelf_control_messages_total") ||
+            name.starts_with("hemlockshelf_config_applies_total") ||
+            name.starts_with("hemlockshelf_config_rejections_total"))
+        {
+            found[name] = value;
+        }
+    }
+    const auto counters = mesh.link_counters();
+    for (const auto& pair : counters.at("pairs"))
+    {
+        if (pair.at("kind") == "control")
+        {
+            found["new connections"] += pair.at("connections").get<double>();
+        }
+    }
+    return found;
+}
+
+void add_counts(
+    measurements& found,
+    const cluster& mesh,
+    const counts& before,
+    const counts& after,
+    std::size_t edits)
+{
+    const auto divisor = static_cast<double>(mesh.size() * edits);
+    for (const auto& [name, value] : after)
+    {
+        const auto old = before.find(name);
+        const auto rise = value - (old == before.end() ? 0 : old->second);
+        found.push_back(
+            {fmt::format("counts, {} nodes, per edit, {}", mesh.size(), name),
+             "per node", summarize({rise / divisor}),
+             "of the whole series, idle messages included"});
+    }
+}
+
 /// Bytes per second during the window, while `act` runs each second.
 template <class Act>
 bytes_by_scope measure_rate(const cluster& mesh, Act act)
@@ -89,6 +135,7 @@
     std::this_thread::sleep_for(settle_time);
     const auto idle = measure_rate(mesh, [](std::size_t) {});
     add(found, mesh, "idle", idle, "bytes/s per node", nodes);
+    const auto counts_before = read_counts(mesh);
     const auto before = read_bytes(mesh);
     const auto start = std::chrono::steady_clock::now();
     const auto accepted = submit_series(
@@ -101,8 +148,10 @@
     {
         amount -= before.at(scope) + idle.at(scope) * elapsed.count();
     }
+    const auto edits = std::max<std::size_t>(1, accepted.size());
     add(found, mesh, "per edit, idle traffic subtracted", bytes, "bytes",
-        static_cast<double>(std::max<std::size_t>(1, accepted.size())));
+        static_cast<double>(edits));
+    add_counts(found, mesh, counts_before, read_counts(mesh), edits);
     const auto churn = measure_rate(
         mesh,
         [&mesh](std::size_t second)
