dissemination: push deltas along two fixed trees

Cause: each push ordered the members by a seed of its own. In a failure domain of 4 nodes its links were soon all open, in one of 32 nearly each delta went over a connection that was new or had carried little, and paid for its set-up and for a message that the compression could not shorten.

Deltas now follow one of two orders of the members. Member records keep an order for each push: when a failure domain returns, they come from all nodes at once and would meet at one bridge.

A node that takes deltas and does not pass them on now loses every other push for its subtree instead of a random few; neighbours repair those with the next heartbeat.

--- a/adapters/node/push_agent.cpp
+++ b/adapters/node/push_agent.cpp
@@ -26,7 +26,8 @@
     }
     push_message message;
     message.origin_ = context_.self_.vm_;
-    message.duty_ = {scope, context_.random_(), {}};
+    message.duty_ = {
+        scope, make_push_seed(context_.random_(), delta_push_orders), {}};
     message.revision_ = deltas.back().delta_.to_;
     message.deltas_ = encode_deltas(deltas);
     forward(std::move(message));
--- a/include/hemlockshelf/dissemination/push_plan.hpp
+++ b/include/hemlockshelf/dissemination/push_plan.hpp
@@ -41,7 +41,7 @@
 struct push_duty
 {
     push_scope scope_ = push_scope::global;
-    /// Orders the members; differs from push to push to spread the load.
+    /// Made by `make_push_seed`: identifies the push and orders the members.
     std::uint64_t seed_ = 0;
     /// Part of the own failure domain to serve. Of no meaning in the other
     /// scopes, where it is everything but the own position.
@@ -71,6 +71,21 @@
     std::vector<vm_id> candidates_;
 };
 
+/// Orders of the members that a push can follow.
+inline constexpr std::uint64_t all_push_orders = 1ULL << 16;
+
+/// Orders that pushes of deltas follow. In few orders a node gets each delta
+/// from the same few peers, over connections that are open and whose
+/// compression knows the messages before. An order for each push makes nearly
+/// every delta to a node of a large failure domain cost a new connection. The
+/// second order carries every other push past a node that takes deltas without
+/// passing them on.
+inline constexpr std::uint64_t delta_push_orders = 2;
+
+/// Returns a seed for a new push that follows one of the first `orders` orders
+/// (1 to `all_push_orders`), from a random number.
+std::uint64_t make_push_seed(std::uint64_t random, std::uint64_t orders);
+
 /// Returns the position of a member in the order of a push.
 std::uint64_t position_of(const vm_id& vm, std::uint64_t seed);
 
--- a/src/dissemination/push_plan.cpp
+++ b/src/dissemination/push_plan.cpp
@@ -20,6 +20,7 @@
     operator<=>(const placed_member&, const placed_member&) = default;
 };
 
+constexpr std::uint64_t order_mask = all_push_orders - 1;
 constexpr auto whole_ring = std::numeric_limits<std::uint64_t>::max();
 
 /// Returns every position but the given one.
@@ -167,9 +168,14 @@
 
 } // namespace
 
+std::uint64_t make_push_seed(std::uint64_t random, std::uint64_t orders)
+{
+    return (random & ~order_mask) | (random & order_mask) % orders;
+}
+
 std::uint64_t position_of(const vm_id& vm, std::uint64_t seed)
 {
-    return hash_text(vm.value(), seed);
+    return hash_text(vm.value(), seed & order_mask);
 }
 
 bool covers(const push_duty& held, const push_duty& asked)
--- a/test/dissemination/test_push_plan.cpp
+++ b/test/dissemination/test_push_plan.cpp
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
+#include "hemlockshelf/core/content_hash.hpp"
+
 #include <criterion/criterion.h>
 
 using namespace hemlockshelf;
@@ -84,9 +86,10 @@
             {
                 if (!nodes_.failed_.contains(leg.candidates_[index]))
                 {
+                    links_.emplace(vm, leg.candidates_[index]);
                     deliver(
                         leg.candidates_[index],
-                        duty_of(leg, index, nodes_.seed_));
+                        duty_of(leg, index, duty.seed_));
                     break;
                 }
             }
@@ -94,6 +97,8 @@
     }
 
     std::map<vm_id, int> reached_;
+    /// Senders and receivers.
+    std::set<std::pair<vm_id, vm_id>> links_;
 
 private:
     const fleet& nodes_;
@@ -217,3 +222,75 @@
             RC_ASSERT(children <= static_cast<int>(nodes.fanout_));
         }));
 }
+
+namespace {
+
+/// Returns one region with an entry domain of one node and a failure domain of
+/// `size` nodes.
+fleet fleet_of(std::size_t size)
+{
+    fleet nodes;
+    nodes.fanout_ = 4;
+    const region_id region{"r"};
+    nodes.members_.push_back({vm_id{"entry"}, failure_domain_id{"e"}, region});
+    for (std::size_t index = 0; index < size; ++index)
+    {
+        nodes.members_.push_back(
+            {vm_id{fmt::format("vm-{}", index)}, failure_domain_id{"d"},
+             region});
+    }
+    return nodes;
+}
+
+} // namespace
+
+// Guards against a cost per node and edit that grows with the failure domain:
+// the budget of 3 KB/s at 38,000 edits a day allows 6,985 bytes an edit, and
+// neither repeated deliveries nor a new connection for each of them.
+Test(push_plan, deltas_use_few_links_at_any_size_of_a_failure_domain)
+{
+    constexpr std::size_t edits = 24;
+    constexpr std::size_t links_to_a_node = 2;
+    std::uint64_t random = 1;
+    for (const std::size_t size : {4, 16, 32, 128, 512, 1143})
+    {
+        const auto nodes = fleet_of(size);
+        push_run run(
+            nodes,
+            [&nodes](const tree_member&)
+            {
+                return nodes.members_;
+            });
+        for (std::size_t edit = 0; edit < edits; ++edit)
+        {
+            random = hash_text("next", random);
+            run.deliver(
+                vm_id{"entry"}, {push_scope::global,
+                                 make_push_seed(random, delta_push_orders),
+                                 {}});
+        }
+        for (const auto& [vm, count] : run.reached_)
+        {
+            cr_assert_eq(count, static_cast<int>(edits));
+        }
+        cr_assert_leq(
+            run.links_.size(), links_to_a_node * size, "%zu nodes: %zu links",
+            size, run.links_.size());
+    }
+}
+
+// Guards against pushes that are taken for one another because they follow the
+// same order.
+Test(push_plan, pushes_in_one_order_have_seeds_of_their_own)
+{
+    cr_assert(rc::check(
+        []
+        {
+            const auto first = *rc::gen::arbitrary<std::uint64_t>();
+            const auto second = first + all_push_orders;
+            RC_ASSERT(make_push_seed(first, 1) != make_push_seed(second, 1));
+            RC_ASSERT(
+                position_of(vm_id{"a"}, make_push_seed(first, 1)) ==
+                position_of(vm_id{"a"}, make_push_seed(second, 1)));
+        }));
+}
