rpc: leave the compression of short deltas to the stream

Cause: a push carried its delta as a zstd frame of its own. The control stream is compressed with the history of its connection, but cannot find in a frame what it repeats, so that each delta cost its full compressed size even over a connection that had carried many like it. Ruled out before: repeated deliveries.

An empty list is refused as malformed; no node sends one.

--- a/adapters/rpc/config_payload.cpp
+++ b/adapters/rpc/config_payload.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr int compression_level = 3;
+// Deltas up to this size, in bytes, are left to the compression of the control
+// stream, which finds in the messages before what they repeat. It can't do so
+// in a compressed payload. Well below the stream's window of 16 KiB.
+constexpr std::size_t max_plain_size = 4096;
 // A snapshot of 2,500 services takes a few MB; a peer that claims more is
 // refused before memory is taken for it.
 constexpr unsigned long long max_payload_size = 64ULL << 20;
@@ -27,6 +31,17 @@
     return bytes;
 }
 
+result<nlohmann::json> parse(std::string_view text)
+{
+    auto json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_discarded())
+    {
+        return make_error(
+            error_kind::invalid_row, "configuration payload: malformed JSON");
+    }
+    return json;
+}
+
 result<nlohmann::json> decompress(std::string_view payload)
 {
     const auto size = ZSTD_getFrameContentSize(payload.data(), payload.size());
@@ -44,13 +59,7 @@
         return make_error(
             error_kind::invalid_row, "configuration payload: malformed frame");
     }
-    auto json = nlohmann::json::parse(text, nullptr, false);
-    if (json.is_discarded())
-    {
-        return make_error(
-            error_kind::invalid_row, "configuration payload: malformed JSON");
-    }
-    return json;
+    return parse(text);
 }
 
 std::int64_t to_milliseconds(wall_time time)
@@ -86,17 +95,20 @@
         item["at_ms"] = to_milliseconds(entry.accepted_at_);
         items.push_back(std::move(item));
     }
-    return compress(items.dump());
+    auto text = items.dump();
+    return text.size() <= max_plain_size ? text : compress(text);
 }
 
 result<std::vector<accepted_delta>> decode_deltas(std::string_view payload)
 {
-    const auto json = decompress(payload);
+    // A zstd frame begins with another byte.
+    const auto json =
+        payload.starts_with('[') ? parse(payload) : decompress(payload);
     if (!json)
     {
         return tl::unexpected<error>(json.error());
     }
-    if (!json->is_array())
+    if (!json->is_array() || json->empty())
     {
         return make_error(
             error_kind::invalid_row,
--- a/adapters/rpc/config_payload.hpp
+++ b/adapters/rpc/config_payload.hpp
@@ -21,7 +21,8 @@
     wall_time accepted_at_;
 };
 
-/// Returns deltas as compressed JSON.
+/// Returns deltas as JSON, compressed unless it is short. The list must not be
+/// empty.
 std::string encode_deltas(const std::vector<accepted_delta>& deltas);
 
 /// Reads what `encode_deltas` wrote. The error is `invalid_row`.
--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -53,7 +53,7 @@
   positionCount @5 :UInt64;
   # Highest revision of the deltas, or the one that is offered without them.
   revision @6 :UInt64;
-  # zstd JSON; empty if there are none.
+  # JSON, a zstd frame if it is long; empty if there are none.
   deltas @7 :Data;
   records @8 :List(MemberRecord);
 }
@@ -66,7 +66,7 @@
     busy @3;
   }
   kind @0 :Kind;
-  # zstd JSON.
+  # As the deltas of a push; a snapshot is always a zstd frame.
   payload @1 :Data;
   retryAfterMs @2 :UInt32;
 }
--- a/test/rpc/test_config_payload.cpp
+++ b/test/rpc/test_config_payload.cpp
@@ -1,6 +1,7 @@
 #include "adapters/rpc/config_payload.hpp"
 
 #include <string>
+#include <vector>
 
 #include <rapidcheck.h>
 
@@ -36,6 +37,21 @@
     cr_assert(read->front().accepted_at_ == sent.accepted_at_);
 }
 
+// Guards against short deltas that are compressed by themselves, which keeps
+// the control stream from using the messages before, and against long ones that
+// are not.
+Test(config_payload, only_long_lists_of_deltas_are_compressed)
+{
+    const auto one = encode_deltas({make_delta()});
+    cr_assert_neq(one.find("guild/ledger"), std::string::npos);
+    const std::vector<accepted_delta> many(1000, make_delta());
+    const auto long_list = encode_deltas(many);
+    cr_assert_lt(long_list.size(), 100 * one.size());
+    const auto read = decode_deltas(long_list);
+    cr_assert(read.has_value());
+    cr_assert(read->size() == many.size());
+}
+
 // Guards against a damaged payload that ends the process or is applied.
 Test(config_payload, damaged_payloads_are_refused)
 {
