--- a/adapters/node/node.cpp
+++ b/adapters/node/node.cpp
@@ -6,13 +6,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <spdlog/spdlog.h>
 
 #include "adapters/http/json_server.hpp"
 #include "adapters/node/admin_handler.hpp"
 #include "adapters/node/call_plane.hpp"
 #include "adapters/node/control_plane.hpp"
 #include "adapters/platform/platform_client.hpp"
+#include "adapters/telemetry/event_log.hpp"
 #include "adapters/telemetry/prometheus_metrics.hpp"
 #include "hemlockshelf/core/real_clock.hpp"
 #include "hemlockshelf/editing/blob_writer.hpp"
@@ -122,12 +122,15 @@
             settings_.editing_.change_retention_);
         if (!moved)
         {
-            spdlog::warn(
-                "change rows were not archived: {}", moved.error().message_);
+            log_event<log_event_id::archiving_failed>(
+                log_fields::revision(snapshot),
+                log_fields::error_kind(moved.error().kind_),
+                log_fields::detail(moved.error().message_));
         }
         else if (*moved > 0)
         {
-            spdlog::info("archived {} change rows", *moved);
+            log_event<log_event_id::changes_archived>(
+                log_fields::revision(snapshot), log_fields::changes(*moved));
         }
     }
 
--- a/adapters/telemetry/log_fields.cpp
+++ b/adapters/telemetry/log_fields.cpp
@@ -22,6 +22,7 @@
     log_field_info{incarnation_number, "incarnation", "number", "Incarnation of the member record."},
     log_field_info{down, "down", "boolean", "Whether the record says that the member is down."},
     log_field_info{members, "members", "number", "Members that the node knows, itself included."},
+    log_field_info{changes, "changes", "number", "Number of change rows."},
     log_field_info{pause_ms, "pause_ms", "number", "Length of the pause in milliseconds."},
     log_field_info{client_account, "client_account", "string", "Client account of the operator."},
     log_field_info{new_level, "new_level", "string", "Level that is in force from now on."},
--- a/adapters/telemetry/log_fields.hpp
+++ b/adapters/telemetry/log_fields.hpp
@@ -30,6 +30,7 @@
     incarnation_number,
     down,
     members,
+    changes,
     pause_ms,
     client_account,
     new_level,
@@ -134,6 +135,7 @@
     incarnation{};
 inline constexpr maker<log_field_id::down, bool> down{};
 inline constexpr maker<log_field_id::members, std::size_t> members{};
+inline constexpr maker<log_field_id::changes, std::size_t> changes{};
 inline constexpr maker<log_field_id::pause_ms, std::chrono::milliseconds>
     pause_ms{};
 inline constexpr maker<log_field_id::client_account, client_account_id>
