editing: check and index only what an edit touches

For each edit, the plan checked the reference of every route, and an accepted edit was checked and indexed again from a copy of all rows.

--- a/src/editing/edit_plan.cpp
+++ b/src/editing/edit_plan.cpp
@@ -25,13 +25,13 @@
                : find_row(tables.pools_, change.key_);
 }
 
-void plan_row(edit_plan& plan, const row_edit& edit)
+void plan_row(edit_plan& plan, config_tables& tables, const row_edit& edit)
 {
     const auto& change = edit.change_;
     const std::string table(to_string(change.table_));
-    auto before = row_json(plan.tables_, change);
-    apply_change(plan.tables_, change);
-    auto after = row_json(plan.tables_, change);
+    auto before = row_json(tables, change);
+    apply_change(tables, change);
+    auto after = row_json(tables, change);
     plan.writes_.writes_.push_back({table, change.key_.value(), after});
     if (edit.expected_version_)
     {
@@ -43,30 +43,49 @@
     plan.record_.delta_.changes_.push_back(change);
 }
 
-result<void> check_plan(
+result<void> check_quotas(
     const edit_plan& plan,
     const edit_request& request,
     const edit_base& base,
     const edit_quotas& quotas)
 {
-    const auto& before = base.snapshot_->tables();
-    auto deletions = check_deletions(request, before);
+    auto rows = check_row_quota(
+        request.account_, base.snapshot_->tables(), plan.snapshot_->tables(),
+        quotas);
+    if (!rows)
+    {
+        return rows;
+    }
+    return check_accepted_quota(
+        request.account_, base.recent_, plan.record_.audit_.at_, quotas);
+}
+
+/// Applies the edit and sets the plan's delta and snapshot. The errors are
+/// `not_found` and `invalid_row`.
+result<void> plan_snapshot(
+    edit_plan& plan, const edit_request& request, const config_snapshot& base)
+{
+    auto deletions = check_deletions(request, base.tables());
     if (!deletions)
     {
         return deletions;
     }
-    auto references = check_references(plan.tables_);
-    if (!references)
+    auto tables = base.tables();
+    for (const auto& edit : request.edits_)
     {
-        return references;
+        plan_row(plan, tables, edit);
     }
-    auto rows = check_row_quota(request.account_, before, plan.tables_, quotas);
-    if (!rows)
+    auto& delta = plan.record_.delta_;
+    delta.to_ = revision{base.number().value() + 1};
+    delta.result_hash_ = tables.hash_;
+    auto next = config_snapshot::build_next(
+        base, delta.to_, std::move(tables), delta.changes_);
+    if (!next)
     {
-        return rows;
+        return tl::unexpected<error>(std::move(next.error()));
     }
-    return check_accepted_quota(
-        request.account_, base.recent_, plan.record_.audit_.at_, quotas);
+    plan.snapshot_ = std::move(*next);
+    return {};
 }
 
 void plan_common_rows(edit_plan& plan)
@@ -82,7 +101,7 @@
         {platform_tables::head,
          platform_tables::head_key,
          {{"revision", next.value()},
-          {"hash", plan.tables_.hash_.to_string()}}});
+          {"hash", plan.record_.delta_.result_hash_.to_string()}}});
     writes.push_back({platform_tables::changes, slot, to_json(plan.record_)});
     writes.push_back(
         {platform_tables::change_ids, id, {{"revision", next.value()}}});
@@ -100,18 +119,16 @@
     edit_plan plan;
     plan.record_.id_ = request.id_;
     plan.record_.audit_ = {request.actor_, request.account_, now, vm, {}};
-    plan.tables_ = base.snapshot_->tables();
-    for (const auto& edit : request.edits_)
+    const auto applied = plan_snapshot(plan, request, *base.snapshot_);
+    if (!applied)
     {
-        plan_row(plan, edit);
+        return tl::unexpected<error>(applied.error());
     }
-    const auto checked = check_plan(plan, request, base, quotas);
+    const auto checked = check_quotas(plan, request, base, quotas);
     if (!checked)
     {
         return tl::unexpected<error>(checked.error());
     }
-    plan.record_.delta_.to_ = revision{base.snapshot_->number().value() + 1};
-    plan.record_.delta_.result_hash_ = plan.tables_.hash_;
     plan_common_rows(plan);
     return plan;
 }
--- a/src/editing/editor.cpp
+++ b/src/editing/editor.cpp
@@ -340,15 +340,9 @@
 edit_outcome editor::accept(const edit_plan& plan, const edit_base& base)
 {
     const auto& record = plan.record_;
-    // The plan has checked the references, so that this cannot fail.
-    const auto snapshot =
-        config_snapshot::build(record.delta_.to_, plan.tables_);
-    if (snapshot)
-    {
-        bases_.keep(std::make_shared<const edit_base>(
-            next_base(base, *snapshot, record)));
-        ports_.on_accepted_(record, *snapshot);
-    }
+    bases_.keep(std::make_shared<const edit_base>(
+        next_base(base, plan.snapshot_, record)));
+    ports_.on_accepted_(record, plan.snapshot_);
     return {record.id_, record.delta_.to_};
 }
 
--- a/test/editing/ordering/lease_node.cpp
+++ b/test/editing/ordering/lease_node.cpp
@@ -98,10 +98,8 @@
         return make_error(error_kind::stale_revision, "fenced off");
     }
     const auto& record = plan->record_;
-    const auto snapshot =
-        config_snapshot::build(record.delta_.to_, plan->tables_);
-    base_ =
-        std::make_shared<const edit_base>(next_base(*base_, *snapshot, record));
+    base_ = std::make_shared<const edit_base>(
+        next_base(*base_, plan->snapshot_, record));
     return edit_outcome{record.id_, record.delta_.to_};
 }
 
