dissemination: push member records along four fixed trees

Cause: after the start of a mesh every node pushes its record, and again ten seconds later when its upstream has warmed up. Each push had an order of its own, so that nearly every one of its deliveries opened a connection. At 128 nodes 77,000 pushes found no receiver in time, failure domains were reported as unreachable and live nodes as down, and deltas and heartbeats waited behind. The suspicion that nodes are still joining holds for the first two edits only.

How the edits of the first series reached the 128 nodes (logs, load average 30 to 60): before, edits 2 to 12 s after the start by push 118, 123, 126, 127, 127, then during the second wave 100, 67, 67, 66, 79, 92, 120, the rest by repair.

The test starts one push from each of 256 members: 161 links a node with an order for each push, 37 with four orders, at most 48 allowed. Ruled out: one order (15 links), since the records of a returning failure domain would then all meet at one bridge of each other failure domain.

Conclusion: the cause was the set-up of connections. More than about 4,000 nodes that change at once would exceed the 1,024 incoming connections of a bridge; the push then goes to the next candidates.

--- a/adapters/node/push_agent.cpp
+++ b/adapters/node/push_agent.cpp
@@ -56,7 +56,10 @@
 {
     push_message message;
     message.origin_ = context_.self_.vm_;
-    message.duty_ = {push_scope::global, context_.random_(), {}};
+    message.duty_ = {
+        push_scope::global,
+        make_push_seed(context_.random_(), record_push_orders),
+        {}};
     message.records_ = std::exchange(batch_, {});
     forward(std::move(message));
 }
--- a/include/hemlockshelf/dissemination/push_plan.hpp
+++ b/include/hemlockshelf/dissemination/push_plan.hpp
@@ -82,6 +82,13 @@
 /// passing them on.
 inline constexpr std::uint64_t delta_push_orders = 2;
 
+/// Orders that pushes of member records follow. When many members change at
+/// once, an order for each push costs a new connection for nearly every
+/// delivery, which delays deltas and heartbeats by seconds. More than for
+/// deltas, since the records of a failure domain that returns meet at as many
+/// bridges as there are orders.
+inline constexpr std::uint64_t record_push_orders = 4;
+
 /// Returns a seed for a new push that follows one of the first `orders` orders
 /// (1 to `all_push_orders`), from a random number.
 std::uint64_t make_push_seed(std::uint64_t random, std::uint64_t orders);
--- a/test/dissemination/test_push_plan.cpp
+++ b/test/dissemination/test_push_plan.cpp
@@ -279,6 +279,33 @@
     }
 }
 
+// Guards against members that change all at once, as after a start, and need a
+// new connection for nearly every delivery: 48 links a node for 256 pushes.
+Test(push_plan, records_of_all_members_use_few_links)
+{
+    constexpr std::size_t size = 256;
+    constexpr std::size_t links_of_a_node = 48;
+    const auto nodes = fleet_of(size);
+    push_run run(
+        nodes,
+        [&nodes](const tree_member&)
+        {
+            return nodes.members_;
+        });
+    std::uint64_t random = 1;
+    for (const auto& origin : nodes.members_)
+    {
+        random = hash_text("next", random);
+        run.deliver(
+            origin.vm_, {push_scope::global,
+                         make_push_seed(random, record_push_orders),
+                         {}});
+    }
+    cr_assert_leq(
+        run.links_.size(), links_of_a_node * size, "%zu links",
+        run.links_.size());
+}
+
 // Guards against pushes that are taken for one another because they follow the
 // same order.
 Test(push_plan, pushes_in_one_order_have_seeds_of_their_own)
