history: check that edits with expected_version form a chain

Two operators who replace the same version of a row were only found in memory by the editor's tests.

--- a/include/hemlockshelf/history/checkers.hpp
+++ b/include/hemlockshelf/history/checkers.hpp
@@ -17,6 +17,12 @@
 /// invoked has the lower revision.
 violations check_edits(const run_history& history);
 
+/// Committed edits with `expected_version` form a chain for each row: each
+/// replaced the content that its operator had read at that version, no two
+/// replaced the same version, and later revisions replaced later versions.
+/// Versions are unique and rise; 0 stands for an absent row at any time.
+violations check_expected_versions(const run_history& history);
+
 /// No revision holds a route whose pool is absent.
 violations check_references(const run_history& history);
 
--- a/include/hemlockshelf/history/records.hpp
+++ b/include/hemlockshelf/history/records.hpp
@@ -40,6 +40,17 @@
     unknown,
 };
 
+/// State of a row on which an edit depends by `expected_version`.
+struct expected_row
+{
+    table_id table_ = table_id::routes;
+    row_key key_;
+    /// Version that the operator gave; 0 means that the row is absent.
+    std::uint64_t version_ = 0;
+    /// Content that the operator read at this version; null if it is absent.
+    nlohmann::json row_;
+};
+
 /// One edit as its operator saw it.
 struct edit_record
 {
@@ -50,6 +61,9 @@
     edit_result result_ = edit_result::unknown;
     /// Revision that the answer gave; only for accepted edits.
     revision revision_;
+    /// Rows that have to be as the operator read them; empty for an edit
+    /// without `expected_version`.
+    std::vector<expected_row> expected_ = {};
 };
 
 /// One change as the platform holds it.
--- a/src/history/check_all.cpp
+++ b/src/history/check_all.cpp
@@ -12,8 +12,9 @@
 
 using checker = violations (*)(const run_history&);
 
-constexpr std::array<std::pair<std::string_view, checker>, 7> checkers{{
+constexpr std::array<std::pair<std::string_view, checker>, 8> checkers{{
     {"edits", check_edits},
+    {"expected_versions", check_expected_versions},
     {"references", check_references},
     {"revisions", check_revisions_rise},
     {"at_most_once", check_at_most_once},
