experiment: report the parts of convergence apart

Convergence is counted from the request of an edit, so a slow commit at the platform and a slow spread through the fleet looked the same. Each series now lists, beside the whole, the time from the request to the answer that the edit is accepted and the time from that answer until every node runs the revision. The sums of hemlockshelf_config_applies_total over the nodes tell by which way the revisions came: push, poll, repair, or as the accepting node's own edit. The counter existed; no metric is new.

--- a/experiment/measure_convergence.cpp
+++ b/experiment/measure_convergence.cpp
@@ -7,6 +7,7 @@
 #include "experiment/final_checks.hpp"
 #include "experiment/measured_edits.hpp"
 #include "experiment/measurement.hpp"
+#include "experiment/node_metrics.hpp"
 
 namespace hemlockshelf {
 
@@ -14,6 +15,9 @@
 
 constexpr std::chrono::seconds convergence_timeout{20};
 
+/// Counts the revisions put into force, by the way they came to the node.
+constexpr auto applies_metric = "hemlockshelf_config_applies_total";
+
 /// Polls of all nodes together stay below about 3,000 a second.
 std::chrono::milliseconds watch_interval(std::size_t nodes)
 {
@@ -36,26 +40,32 @@
         watcher_.start();
     }
 
-    measurement
-    series(const char* what, std::size_t count, std::chrono::milliseconds gap)
+    /// Submits a series of edits and adds its times, and how the revisions
+    /// came to the nodes, to `found`.
+    void series(
+        const char* what,
+        std::size_t count,
+        std::chrono::milliseconds gap,
+        measurements& found)
     {
-        const auto name =
-            fmt::format("convergence, {} nodes, {}", mesh_.size(), what);
+        const auto name = fmt::format("{} nodes, {}", mesh_.size(), what);
         if (!problems_.empty())
         {
-            return {name, "ms", {}, "not measured: " + problems_.front()};
+            found.push_back(
+                {"convergence, " + name,
+                 "ms",
+                 {},
+                 "not measured: " + problems_.front()});
+            return;
         }
+        const auto before = read_metric(mesh_, applies_metric);
         const auto edits = submit_series(
             mesh_, fmt::format("series{}", ++series_), count, gap);
         const auto times =
-            convergence_times(mesh_, watcher_, edits, convergence_timeout);
-        return {
-            name, "ms", summarize(times),
-            fmt::format(
-                "{} edits, {} accepted, {} in force everywhere; polled each "
-                "{} ms",
-                count, edits.size(), times.size(),
-                watch_interval(mesh_.size()).count())};
+            times_of(mesh_, watcher_, edits, convergence_timeout);
+        const auto after = read_metric(mesh_, applies_metric);
+        add_times(name, count, times, found);
+        add_arrivals(name, edits.size(), increase(before, after), found);
     }
 
     cluster& mesh()
@@ -64,6 +74,46 @@
     }
 
 private:
+    void add_times(
+        const std::string& name,
+        std::size_t count,
+        const edit_times& times,
+        measurements& found) const
+    {
+        const auto note = fmt::format(
+            "{} edits, {} accepted, {} in force everywhere; polled each {} ms",
+            count, times.acceptance_.size(), times.whole_.size(),
+            watch_interval(mesh_.size()).count());
+        found.push_back(
+            {"convergence, " + name, "ms", summarize(times.whole_), note});
+        found.push_back(
+            {"request to acceptance, " + name, "ms",
+             summarize(times.acceptance_), note});
+        found.push_back(
+            {"acceptance to every node, " + name, "ms",
+             summarize(times.spread_), note});
+    }
+
+    static void add_arrivals(
+        const std::string& name,
+        std::size_t edits,
+        const metric_values& arrivals,
+        measurements& found)
+    {
+        for (const auto* source : {"push", "poll", "repair", "edit"})
+        {
+            const auto counted = arrivals.find(source);
+            const auto total = counted == arrivals.end() ? 0 : counted->second;
+            found.push_back(
+                {fmt::format("arrivals by {}, {}", source, name),
+                 "nodes per edit",
+                 summarize(
+                     {total /
+                      static_cast<double>(std::max<std::size_t>(1, edits))}),
+                 fmt::format("{} arrivals, {} edits", total, edits)});
+        }
+    }
+
     static cluster_options
     with_nodes(cluster_options options, std::size_t nodes)
     {
@@ -88,8 +138,9 @@
     {
         mesh.kill_node(index);
     }
-    found.push_back(watched.series(
-        "one node of each failure domain killed before", 6, milliseconds{500}));
+    watched.series(
+        "one node of each failure domain killed before", 6, milliseconds{500},
+        found);
     for (std::size_t index = first + 4; index < mesh.size(); ++index)
     {
         mesh.kill_node(index);
@@ -98,11 +149,9 @@
     {
         mesh.start_node(index);
     }
-    found.push_back(
-        watched.series("a quarter returning", 10, milliseconds{500}));
+    watched.series("a quarter returning", 10, milliseconds{500}, found);
     mesh.set_platform_fault({{"mode", "slow"}, {"delay_ms", 300}});
-    found.push_back(
-        watched.series("platform slow by 300 ms", 4, milliseconds{1500}));
+    watched.series("platform slow by 300 ms", 4, milliseconds{1500}, found);
     mesh.set_platform_fault({{"mode", "ok"}});
 }
 
@@ -115,12 +164,9 @@
     for (const std::size_t nodes : {16, 64, 128})
     {
         watched_mesh watched(base, nodes);
-        found.push_back(
-            watched.series("one edit at a time", 20, milliseconds{700}));
-        found.push_back(
-            watched.series("0.5 edits a second", 5, milliseconds{2000}));
-        found.push_back(
-            watched.series("5 edits a second", 50, milliseconds{200}));
+        watched.series("one edit at a time", 20, milliseconds{700}, found);
+        watched.series("0.5 edits a second", 5, milliseconds{2000}, found);
+        watched.series("5 edits a second", 50, milliseconds{200}, found);
         if (nodes == 64)
         {
             measure_faults(watched, found);
--- a/experiment/measured_edits.cpp
+++ b/experiment/measured_edits.cpp
@@ -34,6 +34,11 @@
     return index;
 }
 
+double milliseconds_between(event_time from, event_time to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
 std::optional<event_time>
 last_reached(const cluster& mesh, revision_watcher& watcher, revision number)
 {
@@ -80,15 +85,17 @@
     return accepted;
 }
 
-std::vector<double> convergence_times(
+edit_times times_of(
     const cluster& mesh,
     revision_watcher& watcher,
     const std::vector<edit_record>& edits,
     std::chrono::milliseconds timeout)
 {
-    std::vector<double> times;
+    edit_times times;
     for (const auto& edit : edits)
     {
+        times.acceptance_.push_back(
+            milliseconds_between(edit.invoked_at_, edit.answered_at_));
         std::optional<event_time> reached;
         wait_until(
             timeout,
@@ -97,12 +104,14 @@
                 reached = last_reached(mesh, watcher, edit.revision_);
                 return reached.has_value();
             });
-        if (reached)
+        if (!reached)
         {
-            const std::chrono::duration<double, std::milli> elapsed =
-                *reached - edit.invoked_at_;
-            times.push_back(elapsed.count());
+            continue;
         }
+        times.spread_.push_back(
+            std::max(0.0, milliseconds_between(edit.answered_at_, *reached)));
+        times.whole_.push_back(
+            milliseconds_between(edit.invoked_at_, *reached));
     }
     return times;
 }
--- a/experiment/measured_edits.hpp
+++ b/experiment/measured_edits.hpp
@@ -19,10 +19,22 @@
     std::size_t count,
     std::chrono::milliseconds gap);
 
-/// Returns, for each edit, the milliseconds from its request until the last
-/// node that is up reported it. Edits that a node did not report within
-/// `timeout` are left out.
-std::vector<double> convergence_times(
+/// Times of the edits of a series in milliseconds, in the order of the edits.
+struct edit_times
+{
+    /// From the request until the accepting node answered that the edit is
+    /// accepted: the commit at the platform and the answer's way back.
+    std::vector<double> acceptance_;
+    /// From that answer until the last node that is up reported the revision;
+    /// 0 if every node reported it before.
+    std::vector<double> spread_;
+    /// From the request until the last node reported the revision.
+    std::vector<double> whole_;
+};
+
+/// Returns the times of the edits. An edit that a node did not report within
+/// `timeout` has a time of acceptance only.
+edit_times times_of(
     const cluster& mesh,
     revision_watcher& watcher,
     const std::vector<edit_record>& edits,
