experiment: measure both profiles side by side

dissemination.profile already chooses the defaults of its section, but nothing showed what the profiles cost against each other, and no test read the setting. The figures of the profiles stand in adjacent rows: convergence and its parts, idle bytes per node and second, and bytes per accepted edit by scope. The counting of bytes moves into `traffic_window`.

--- a/experiment/measure_calls.cpp
+++ b/experiment/measure_calls.cpp
@@ -3,8 +3,8 @@
 
 #include <fmt/format.h>
 
-#include "experiment/final_checks.hpp"
 #include "experiment/load_generator.hpp"
+#include "experiment/measured_mesh.hpp"
 #include "experiment/measurement.hpp"
 
 namespace hemlockshelf {
@@ -103,21 +103,6 @@
          "difference of the quantiles"});
 }
 
-bool prepare(cluster& mesh, const std::string& name, measurements& found)
-{
-    auto problems = mesh.start();
-    run_history history;
-    if (problems.empty())
-    {
-        apply_tables(mesh, history, problems);
-    }
-    if (!problems.empty())
-    {
-        found.push_back({name, "", {}, "not measured: " + problems.front()});
-    }
-    return problems.empty();
-}
-
 } // namespace
 
 measurements measure_added_latency(const cluster_options& base)
@@ -127,7 +112,7 @@
     options.nodes_ = 8;
     options.with_delays_ = false;
     cluster mesh(options);
-    if (!prepare(mesh, "latency", found))
+    if (!start_with_tables(mesh, "latency", found))
     {
         return found;
     }
@@ -145,7 +130,7 @@
     auto options = base;
     options.nodes_ = 16;
     cluster mesh(options);
-    if (!prepare(mesh, "goodput", found))
+    if (!start_with_tables(mesh, "goodput", found))
     {
         return found;
     }
--- a/experiment/measure_control_bytes.cpp
+++ b/experiment/measure_control_bytes.cpp
@@ -1,10 +1,10 @@
-#include <map>
 #include <thread>
 
 #include <fmt/format.h>
 
-#include "experiment/final_checks.hpp"
+#include "experiment/control_traffic.hpp"
 #include "experiment/measured_edits.hpp"
+#include "experiment/measured_mesh.hpp"
 #include "experiment/measurement.hpp"
 
 namespace hemlockshelf {
@@ -15,54 +15,18 @@
 constexpr std::chrono::seconds settle_time{15};
 constexpr std::size_t measured_edits = 20;
 
-/// Bytes of control traffic by scope.
-using bytes_by_scope = std::map<std::string, double>;
-
-bytes_by_scope read_bytes(const cluster& mesh)
-{
-    bytes_by_scope bytes{
-        {"local", 0}, {"domain", 0}, {"region", 0}, {"platform", 0}};
-    const auto counters = mesh.link_counters();
-    for (const auto& pair : counters.at("pairs"))
-    {
-        const auto kind = pair.at("kind").get<std::string>();
-        const auto amount = pair.at("bytes").get<double>();
-        if (kind == "platform")
-        {
-            bytes["platform"] += amount;
-        }
-        else if (kind == "control" && pair.at("from") == pair.at("to"))
-        {
-            bytes["local"] += amount;
-        }
-        else if (kind == "control")
-        {
-            const bool same = pair.at("from_region") == pair.at("to_region");
-            bytes[same ? "domain" : "region"] += amount;
-        }
-    }
-    return bytes;
-}
-
 /// Bytes per second during the window, while `act` runs each second.
 template <class Act>
 bytes_by_scope measure_rate(const cluster& mesh, Act act)
 {
-    const auto before = read_bytes(mesh);
+    const traffic_window counted(mesh);
     const auto start = std::chrono::steady_clock::now();
     for (std::size_t second = 0; second < window.count(); ++second)
     {
         act(second);
         std::this_thread::sleep_until(start + std::chrono::seconds{second + 1});
     }
-    auto rates = read_bytes(mesh);
-    const std::chrono::duration<double> elapsed =
-        std::chrono::steady_clock::now() - start;
-    for (auto& [scope, rate] : rates)
-    {
-        rate = (rate - before.at(scope)) / elapsed.count();
-    }
-    return rates;
+    return counted.rates();
 }
 
 void add(
@@ -89,18 +53,11 @@
     std::this_thread::sleep_for(settle_time);
     const auto idle = measure_rate(mesh, [](std::size_t) {});
     add(found, mesh, "idle", idle, "bytes/s per node", nodes);
-    const auto before = read_bytes(mesh);
-    const auto start = std::chrono::steady_clock::now();
+    const traffic_window edited(mesh);
     const auto accepted = submit_series(
         mesh, "bytes", measured_edits, std::chrono::milliseconds{300});
     std::this_thread::sleep_for(std::chrono::seconds{1});
-    auto bytes = read_bytes(mesh);
-    const std::chrono::duration<double> elapsed =
-        std::chrono::steady_clock::now() - start;
-    for (auto& [scope, amount] : bytes)
-    {
-        amount -= before.at(scope) + idle.at(scope) * elapsed.count();
-    }
+    const auto bytes = edited.bytes_above(idle);
     add(found, mesh, "per edit, idle traffic subtracted", bytes, "bytes",
         static_cast<double>(std::max<std::size_t>(1, accepted.size())));
     const auto churn = measure_rate(
@@ -128,22 +85,11 @@
         auto options = base;
         options.nodes_ = nodes;
         cluster mesh(options);
-        auto problems = mesh.start();
-        run_history history;
-        if (problems.empty())
-        {
-            apply_tables(mesh, history, problems);
-        }
-        if (!problems.empty())
+        if (start_with_tables(
+                mesh, fmt::format("control bytes, {} nodes", nodes), found))
         {
-            found.push_back(
-                {fmt::format("control bytes, {} nodes", nodes),
-                 "bytes",
-                 {},
-                 "not measured: " + problems.front()});
-            continue;
+            measure_size(mesh, found);
         }
-        measure_size(mesh, found);
     }
     return found;
 }
--- a/experiment/measured_edits.cpp
+++ b/experiment/measured_edits.cpp
@@ -62,6 +62,14 @@
 
 } // namespace
 
+edit_record
+submit_round(const cluster& mesh, const std::string& name, std::size_t round)
+{
+    return submit_edit(
+        mesh, node_for(mesh, round), fmt::format("{}-{}", name, round),
+        small_edit(mesh.options().deployment_, round));
+}
+
 std::vector<edit_record> submit_series(
     const cluster& mesh,
     const std::string& name,
@@ -74,9 +82,7 @@
     {
         std::this_thread::sleep_until(next);
         next += gap;
-        auto record = submit_edit(
-            mesh, node_for(mesh, round), fmt::format("{}-{}", name, round),
-            small_edit(mesh.options().deployment_, round));
+        auto record = submit_round(mesh, name, round);
         if (record.result_ == edit_result::accepted)
         {
             accepted.push_back(std::move(record));
--- a/experiment/measured_edits.hpp
+++ b/experiment/measured_edits.hpp
@@ -11,7 +11,13 @@
 
 namespace hemlockshelf {
 
-/// Submits `count` edits, one each `gap`, through random nodes that are up.
+/// Submits the edit of a series that has number `round`, through a node that is
+/// up; the node depends on the round.
+edit_record
+submit_round(const cluster& mesh, const std::string& name, std::size_t round);
+
+/// Submits `count` edits, one each `gap`, through a node that is up and
+/// changes with each edit.
 /// Returns those that were accepted.
 std::vector<edit_record> submit_series(
     const cluster& mesh,
--- a/experiment/measurement.hpp
+++ b/experiment/measurement.hpp
@@ -41,6 +41,10 @@
 /// scope.
 measurements measure_control_bytes(const cluster_options& base);
 
+/// Convergence time and configuration traffic of the profiles `convergence` and
+/// `bytes`, on two meshes that run at the same time and take edits in turn.
+measurements measure_profiles(const cluster_options& base);
+
 /// Latency of calls through the mesh and directly to the upstream, interleaved
 /// in one run.
 measurements measure_added_latency(const cluster_options& base);
--- a/test/settings/test_node_settings.cpp
+++ b/test/settings/test_node_settings.cpp
@@ -114,3 +114,44 @@
         load_node_settings("/nonexistent/file").error().kind_ ==
         error_kind::settings_invalid);
 }
+
+// Guards against a profile that is read but chooses nothing.
+Test(node_settings, the_profile_chooses_the_defaults_of_dissemination)
+{
+    const auto fast = load_text(valid);
+    const auto small = load_text(valid + "dissemination:\n  profile: bytes\n");
+    cr_assert(fast.has_value());
+    cr_assert(small.has_value());
+    const auto& favours_time = fast->dissemination_;
+    const auto& favours_bytes = small->dissemination_;
+    cr_assert_not(favours_time.offer_first_);
+    cr_assert(favours_bytes.offer_first_);
+    cr_assert(favours_bytes.domain_fanout_ < favours_time.domain_fanout_);
+    cr_assert(favours_bytes.poll_interval_ > favours_time.poll_interval_);
+    cr_assert(favours_bytes.repair_interval_ > favours_time.repair_interval_);
+}
+
+// Guards against a profile that overwrites a setting beside it, whichever of
+// them comes first in the file.
+Test(node_settings, a_setting_of_its_own_wins_over_the_profile)
+{
+    for (const std::string lines :
+         {"  profile: bytes\n  domain_fanout: 7\n",
+          "  domain_fanout: 7\n  profile: bytes\n"})
+    {
+        auto text = valid;
+        text.append("dissemination:\n").append(lines);
+        const auto settings = load_text(text);
+        cr_assert(settings.has_value());
+        cr_assert_eq(settings->dissemination_.domain_fanout_, 7);
+        cr_assert(settings->dissemination_.offer_first_);
+    }
+}
+
+// Guards against a misspelt profile that leaves the other one in use.
+Test(node_settings, an_unknown_profile_is_refused)
+{
+    assert_error(
+        valid + "dissemination:\n  profile: byte\n", "10",
+        "expected one of convergence, bytes, given \"byte\"");
+}
