experiment: measure slopes with rows and with the rate of edits

Only the number of nodes was varied, so nothing showed how control bytes and the time of one apply grow with the tables or with the edits. The time of an apply is the mean of each node's hemlockshelf_config_apply_duration_seconds.

Each taker of edits submits one edit that is not counted.

--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -35,6 +35,7 @@
     named_measurement{"convergence", hemlockshelf::measure_convergence},
     named_measurement{"control_bytes", hemlockshelf::measure_control_bytes},
     named_measurement{"profiles", hemlockshelf::measure_profiles},
+    named_measurement{"slopes", hemlockshelf::measure_slopes},
     named_measurement{"added_latency", hemlockshelf::measure_added_latency},
     named_measurement{"goodput", hemlockshelf::measure_goodput},
 };
--- a/experiment/measurement.cpp
+++ b/experiment/measurement.cpp
@@ -28,4 +28,23 @@
         quantile(values, 0.99), values.back()};
 }
 
+double slope_of(const std::vector<slope_point>& points)
+{
+    const auto count = static_cast<double>(points.size());
+    slope_point mean;
+    for (const auto& point : points)
+    {
+        mean.x_ += point.x_ / count;
+        mean.y_ += point.y_ / count;
+    }
+    double products = 0;
+    double squares = 0;
+    for (const auto& point : points)
+    {
+        products += (point.x_ - mean.x_) * (point.y_ - mean.y_);
+        squares += (point.x_ - mean.x_) * (point.x_ - mean.x_);
+    }
+    return squares > 0 ? products / squares : 0;
+}
+
 } // namespace hemlockshelf
--- a/experiment/measurement.hpp
+++ b/experiment/measurement.hpp
@@ -21,6 +21,17 @@
 /// Summarizes exact values; all zero if there are none.
 summary summarize(std::vector<double> values);
 
+/// A measured value `y_` at the size `x_`.
+struct slope_point
+{
+    double x_ = 0;
+    double y_ = 0;
+};
+
+/// Returns the slope of the least-squares line through the points; 0 if fewer
+/// than two sizes were measured.
+double slope_of(const std::vector<slope_point>& points);
+
 /// One measured quantity.
 struct measurement
 {
@@ -45,6 +56,10 @@
 /// `bytes`, on two meshes that run at the same time and take edits in turn.
 measurements measure_profiles(const cluster_options& base);
 
+/// Slopes of the configuration traffic and of the time of one apply with the
+/// number of rows and with the rate of edits.
+measurements measure_slopes(const cluster_options& base);
+
 /// Latency of calls through the mesh and directly to the upstream, interleaved
 /// in one run.
 measurements measure_added_latency(const cluster_options& base);
