experiment: count the platform's load

docs/CAPACITY.md estimated that a failure domain that comes back asks peers first and the platform at most once a node.

--- a/experiment/cluster.hpp
+++ b/experiment/cluster.hpp
@@ -87,6 +87,8 @@
     /// Sets a fault of the links. Returns whether it was accepted.
     bool set_link_fault(const nlohmann::json& fault) const;
     [[nodiscard]] nlohmann::json link_counters() const;
+    /// Returns the counts of the platform's requests, or null.
+    [[nodiscard]] nlohmann::json platform_counters() const;
 
     /// Reads all changes from the platform itself.
     [[nodiscard]] std::vector<committed_change> committed_changes() const;
--- a/experiment/cluster_queries.cpp
+++ b/experiment/cluster_queries.cpp
@@ -162,6 +162,17 @@
     return send(call).body_;
 }
 
+nlohmann::json cluster::platform_counters() const
+{
+    const json_call call{
+        platform_endpoint(block_),
+        http::verb::get,
+        "/v1/counters",
+        nullptr,
+        {}};
+    return send(call).body_;
+}
+
 std::vector<committed_change> cluster::committed_changes() const
 {
     std::vector<committed_change> changes;
--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -36,6 +36,7 @@
     named_measurement{"control_bytes", hemlockshelf::measure_control_bytes},
     named_measurement{"profiles", hemlockshelf::measure_profiles},
     named_measurement{"slopes", hemlockshelf::measure_slopes},
+    named_measurement{"platform_load", hemlockshelf::measure_platform_load},
     named_measurement{"added_latency", hemlockshelf::measure_added_latency},
     named_measurement{"goodput", hemlockshelf::measure_goodput},
 };
--- a/experiment/measurement.hpp
+++ b/experiment/measurement.hpp
@@ -60,6 +60,10 @@
 /// number of rows and with the rate of edits.
 measurements measure_slopes(const cluster_options& base);
 
+/// Reads and writes of the platform: quiet, per edit, and while a failure
+/// domain returns.
+measurements measure_platform_load(const cluster_options& base);
+
 /// Latency of calls through the mesh and directly to the upstream, interleaved
 /// in one run.
 measurements measure_added_latency(const cluster_options& base);
