--- a/experiment/measured_edits.cpp
+++ b/experiment/measured_edits.cpp
@@ -34,6 +34,11 @@
     return index;
 }
 
+double milliseconds_between(event_time from, event_time to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
 std::optional<event_time>
 last_reached(const cluster& mesh, revision_watcher& watcher, revision number)
 {
@@ -57,6 +62,14 @@
 
 } // namespace
 
+edit_record
+submit_round(const cluster& mesh, const std::string& name, std::size_t round)
+{
+    return submit_edit(
+        mesh, node_for(mesh, round), fmt::format("{}-{}", name, round),
+        small_edit(mesh.options().deployment_, round));
+}
+
 std::vector<edit_record> submit_series(
     const cluster& mesh,
     const std::string& name,
@@ -69,9 +82,7 @@
     {
         std::this_thread::sleep_until(next);
         next += gap;
-        auto record = submit_edit(
-            mesh, node_for(mesh, round), fmt::format("{}-{}", name, round),
-            small_edit(mesh.options().deployment_, round));
+        auto record = submit_round(mesh, name, round);
         if (record.result_ == edit_result::accepted)
         {
             accepted.push_back(std::move(record));
@@ -80,15 +91,17 @@
     return accepted;
 }
 
-std::vector<double> convergence_times(
+edit_times times_of(
     const cluster& mesh,
     revision_watcher& watcher,
     const std::vector<edit_record>& edits,
     std::chrono::milliseconds timeout)
 {
-    std::vector<double> times;
+    edit_times times;
     for (const auto& edit : edits)
     {
+        times.acceptance_.push_back(
+            milliseconds_between(edit.invoked_at_, edit.answered_at_));
         std::optional<event_time> reached;
         wait_until(
             timeout,
@@ -97,12 +110,14 @@
                 reached = last_reached(mesh, watcher, edit.revision_);
                 return reached.has_value();
             });
-        if (reached)
+        if (!reached)
         {
-            const std::chrono::duration<double, std::milli> elapsed =
-                *reached - edit.invoked_at_;
-            times.push_back(elapsed.count());
+            continue;
         }
+        times.spread_.push_back(
+            std::max(0.0, milliseconds_between(edit.answered_at_, *reached)));
+        times.whole_.push_back(
+            milliseconds_between(edit.invoked_at_, *reached));
     }
     return times;
 }
