node: contact peers often just after joining

A router that was made to log its members showed the cause: the node served with 8 of 16 members, none of them of the pool, and still held the same 8 more than 3 s later. Nodes that start together get records from peers that know few members themselves, and the push of each announcement only reaches members that its sender knows. A node whose neighbours missed the same members, or that knew none of its own failure domain, was repaired by the contact with another failure domain only, 3.75 to 6.25 s later.

A node that has joined now contacts a random peer of its own and of another failure domain after 200 ms and then at intervals that double up to the usual ones. These contacts are no longer held back by the limit of 2 s between exchanges with neighbours, because their schedule bounds them.

Ruled out: failed connections from gates to upstreams (every refusal seen was `no_candidate` at the entry), ejections, and members held to be down.

--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -337,6 +337,7 @@
         lifecycle_.caught_up();
         publish_state();
         records_.announce();
+        repairs_.hasten();
         choose_poll_mode();
         spdlog::info(
             "serving with revision {} and {} members", keeper_.held().value(),
--- a/adapters/node/repair_agent.cpp
+++ b/adapters/node/repair_agent.cpp
@@ -59,6 +59,11 @@
     }
 }
 
+void repair_agent::hasten()
+{
+    hemlockshelf::hasten(schedule_, context_.time_.now());
+}
+
 void repair_agent::contact_local()
 {
     const auto peers = peers_in(context_, context_.self_.failure_domain_);
@@ -148,7 +153,12 @@
             }
             if (answer)
             {
-                note_peer(peer, *answer);
+                compare_revision(peer, answer->revision_);
+                // The schedule bounds these exchanges.
+                if (records_differ(*answer))
+                {
+                    exchange_records(peer, [](bool) {});
+                }
                 return;
             }
             // A failure is soon confirmed or refuted by another contact.
@@ -176,30 +186,40 @@
 void repair_agent::note_peer(
     const peer_address& peer, const heartbeat_message& held)
 {
-    note_revision(held.revision_);
-    if (held.revision_ > context_.keeper_.held() && !fetch_planned_)
-    {
-        fetch_planned_ = true;
-        context_.network_.after(
-            context_.settings_.dissemination_.repair_grace_,
-            [this, peer, seen = held.revision_]
-            {
-                fetch_planned_ = false;
-                if (seen > context_.keeper_.held())
-                {
-                    fetch_from(peer, [](bool) {});
-                }
-            });
-    }
+    compare_revision(peer, held.revision_);
     const auto now = context_.time_.now();
-    if (held.membership_root_ != root_of(context_.members_.digest()) &&
-        now >= next_exchange_)
+    if (now >= next_exchange_ && records_differ(held))
     {
         next_exchange_ = now + exchange_interval;
         exchange_records(peer, [](bool) {});
     }
 }
 
+void repair_agent::compare_revision(const peer_address& peer, revision held)
+{
+    note_revision(held);
+    if (held <= context_.keeper_.held() || fetch_planned_)
+    {
+        return;
+    }
+    fetch_planned_ = true;
+    context_.network_.after(
+        context_.settings_.dissemination_.repair_grace_,
+        [this, peer, held]
+        {
+            fetch_planned_ = false;
+            if (held > context_.keeper_.held())
+            {
+                fetch_from(peer, [](bool) {});
+            }
+        });
+}
+
+bool repair_agent::records_differ(const heartbeat_message& held) const
+{
+    return held.membership_root_ != root_of(context_.members_.digest());
+}
+
 void repair_agent::fetch_from(const peer_address& peer, const finished& done)
 {
     if (fetching_)
--- a/adapters/node/repair_agent.hpp
+++ b/adapters/node/repair_agent.hpp
@@ -29,7 +29,11 @@
     /// Contacts random peers when that is due.
     void tick();
 
-    /// Compares what a peer holds and begins a repair where it differs.
+    /// Contacts random peers soon and often for a while, because this node has
+    /// just joined.
+    void hasten();
+
+    /// Compares what a neighbour holds and begins a repair where it differs.
     void note_peer(const peer_address& peer, const heartbeat_message& held);
 
     /// Fetches newer revisions from a peer.
@@ -50,6 +54,8 @@
     void note_revision(revision seen);
 
 private:
+    void compare_revision(const peer_address& peer, revision held);
+    [[nodiscard]] bool records_differ(const heartbeat_message& held) const;
     void contact(const peer_address& peer, std::optional<tree_member> member);
     void contact_member(const vm_id& vm);
     void contact_local();
--- a/include/hemlockshelf/dissemination/repair_schedule.hpp
+++ b/include/hemlockshelf/dissemination/repair_schedule.hpp
@@ -18,8 +18,18 @@
 {
     steady_time next_local_;
     steady_time next_cross_;
+    /// Longest time until the contact after the next one. It doubles with each
+    /// contact after `hasten` and then has no effect.
+    std::chrono::milliseconds local_limit_ = std::chrono::milliseconds::max();
+    std::chrono::milliseconds cross_limit_ = std::chrono::milliseconds::max();
 };
 
+/// Makes both kinds due soon, and then at intervals that double up to the
+/// ordinary ones. Nodes that join together each get records from peers that do
+/// not know the others yet, and the announcement of each misses those that its
+/// sender does not know.
+void hasten(repair_schedule& schedule, steady_time now);
+
 /// Returns a time near `interval` from now; `random` spreads it over 0.75 to
 /// 1.25 of the interval, so that nodes started together do not act together.
 steady_time jittered(
