--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -350,6 +350,7 @@
         lifecycle_.caught_up();
         publish_state();
         records_.announce();
+        repairs_.hasten();
         choose_poll_mode();
         log_event<log_event_id::node_serving>(
             log_fields::revision(keeper_.held()),
