test: bound what a delta costs over a used connection

Guards the change of: over a connection that has carried two deltas, a push has to cost less than zstd makes of its delta alone (205 bytes).

--- a/test/rpc/test_control_network.cpp
+++ b/test/rpc/test_control_network.cpp
@@ -17,6 +17,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "adapters/rpc/config_payload.hpp"
+
 #include <criterion/criterion.h>
 
 using namespace hemlockshelf;
@@ -415,3 +417,55 @@
     caller self;
     cr_assert(self.heartbeat(2s).has_value());
 }
+
+namespace {
+
+push_message one_delta(std::uint64_t number)
+{
+    std::mt19937_64 random{number};
+    accepted_delta accepted;
+    accepted.delta_.to_ = revision{number};
+    pool_row pool;
+    pool.service_ = service_name{"catalogue"};
+    pool.max_concurrent_calls_ = 100;
+    accepted.delta_.changes_ = {
+        {table_id::pools, row_key{"regie/measured"}, pool}};
+    accepted.delta_.result_hash_ = content_hash{random(), random()};
+    accepted.accepted_at_ = wall_time{std::chrono::milliseconds{
+        1'796'368'000'000 + static_cast<std::int64_t>(number) * 733}};
+    push_message message;
+    message.sender_ = {
+        vm_id{"order-desk-2"}, failure_domain_id{"salle-belair"},
+        region_id{"quebec-centre"}};
+    message.origin_ = vm_id{"order-desk-2"};
+    message.duty_ = {push_scope::region, random(), {random(), random()}};
+    message.revision_ = revision{number};
+    message.deltas_ = encode_deltas({accepted});
+    return message;
+}
+
+} // namespace
+
+// Guards against a delta that costs its full size over a connection that has
+// carried others: the stream has to find in them what it repeats. About 205
+// bytes are what zstd makes of this delta alone.
+Test(control_network, deltas_are_compressed_with_those_before)
+{
+    constexpr double compressed_alone = 205;
+    constexpr std::uint64_t pushes = 8;
+    const server remote;
+    caller local;
+    const auto sent = [&local]
+    {
+        return local.metrics_.total(metric_id::control_sent_bytes, "domain");
+    };
+    cr_assert(local.push(one_delta(1)).has_value());
+    cr_assert(local.push(one_delta(2)).has_value());
+    const auto before = sent();
+    for (std::uint64_t number = 3; number < 3 + pushes; ++number)
+    {
+        cr_assert(local.push(one_delta(number)).has_value());
+    }
+    const auto bytes = (sent() - before) / pushes;
+    cr_assert_lt(bytes, compressed_alone, "%f bytes a push", bytes);
+}
