test: cut one direction of a link in system scenarios

No scenario dropped what goes one way while the other way still delivers. Both heal and end with the usual checks of recovery and history. They fail if the cut dropped no byte or let none pass against it, so that they cannot pass without the fault.

link_standin: counts dropped bytes, and no longer passes the reset of a receiver that can't be heard on to its sender.

--- a/experiment/disturbance.cpp
+++ b/experiment/disturbance.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <csignal>
 #include <stdexcept>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -216,6 +217,105 @@
                   {"to", domains.back().region_}});
 }
 
+/// Sums a counter of the link over all traffic from one side to another.
+std::uint64_t link_bytes(
+    const trial_context& context,
+    const char* counter,
+    const std::string& from,
+    const std::string& to)
+{
+    const auto is_at = [](const std::string& side, const nlohmann::json& pair,
+                          const char* domain, const char* region)
+    {
+        return side == "*" || pair.at(domain) == side ||
+               pair.at(region) == side;
+    };
+    std::uint64_t sum = 0;
+    const auto counters = context.mesh_->link_counters();
+    for (const auto& pair : counters.value("pairs", nlohmann::json::array()))
+    {
+        if (pair.at("from") != pair.at("to") &&
+            is_at(from, pair, "from", "from_region") &&
+            is_at(to, pair, "to", "to_region"))
+        {
+            sum += pair.at(counter).get<std::uint64_t>();
+        }
+    }
+    return sum;
+}
+
+/// Drops what goes from one place to another; the opposite direction delivers.
+void cut_way(
+    trial_context& context,
+    const char* name,
+    const std::string& from,
+    const std::string& to)
+{
+    context.one_way_cuts_[name] = {
+        from, to, link_bytes(context, "bytes", to, from)};
+    set_link(
+        context,
+        {{"mode", "silent"}, {"from", from}, {"to", to}, {"both", false}});
+}
+
+/// The seed chooses the direction, since the platform is in one of the regions.
+void cut_one_way(trial_context& context)
+{
+    const auto& domains = context.mesh_->options().deployment_.domains_;
+    const auto& first = domains.front().region_;
+    const auto& last = domains.back().region_;
+    if (context.random_() % 2 == 0)
+    {
+        cut_way(context, "cut_one_way", first, last);
+        return;
+    }
+    cut_way(context, "cut_one_way", last, first);
+}
+
+/// A failure domain that sends without being heard, or hears without sending.
+void cut_domain_one_way(trial_context& context)
+{
+    const auto& domain = random_domain(context);
+    if (context.random_() % 2 == 0)
+    {
+        cut_way(context, "cut_domain_one_way", domain, "*");
+        return;
+    }
+    cut_way(context, "cut_domain_one_way", "*", domain);
+}
+
+/// A cut that dropped nothing, or that stopped both directions, would test
+/// another failure.
+void restore_way(trial_context& context, const char* name)
+{
+    const auto cut = context.one_way_cuts_.at(name);
+    const auto dropped =
+        link_bytes(context, "dropped_bytes", cut.from_, cut.to_);
+    const auto delivered =
+        link_bytes(context, "bytes", cut.to_, cut.from_) - cut.delivered_back_;
+    restore_links(context);
+    const auto way = fmt::format("from {} to {}", cut.from_, cut.to_);
+    context.counts_["bytes dropped " + way] = dropped;
+    context.counts_["bytes delivered against the cut " + way] = delivered;
+    if (!context.is_combined_ && (dropped == 0 || delivered == 0))
+    {
+        context.problems_.push_back(fmt::format(
+            "the cut {} dropped {} bytes and let {} bytes pass in the "
+            "opposite direction, expected more than 0 of both",
+            way, dropped, delivered));
+    }
+}
+
+void restore_one_way(trial_context& context)
+{
+    restore_way(context, "cut_one_way");
+}
+
+void restore_domain_one_way(trial_context& context)
+{
+    restore_way(context, "cut_domain_one_way");
+}
+
 void silence_open_connections(trial_context& context)
 {
     set_link(context, {{"mode", "silent_open"}});
@@ -301,6 +401,9 @@
     disturbance{"pause_upstream", pause_upstream, resume_upstream},
     disturbance{"kill_upstream", kill_upstream, return_upstream},
     disturbance{"cut_regions", cut_regions, restore_links},
+    disturbance{"cut_one_way", cut_one_way, restore_one_way},
+    disturbance{
+        "cut_domain_one_way", cut_domain_one_way, restore_domain_one_way},
     disturbance{"silence_regions", silence_regions, restore_links},
     disturbance{"silence_open", silence_open_connections, restore_links},
     disturbance{"cut_domain", cut_domain, restore_links},
--- a/experiment/trial.cpp
+++ b/experiment/trial.cpp
@@ -69,6 +69,7 @@
         context_.mesh_ = &mesh_;
         context_.load_ = &load_;
         context_.random_.seed(options.seed_);
+        context_.is_combined_ = options.disturbances_.size() > 1;
     }
 
     trial_result run()
@@ -185,7 +186,7 @@
 
     std::map<std::string, std::size_t> counts() const
     {
-        std::map<std::string, std::size_t> counted;
+        auto counted = context_.counts_;
         for (const auto& request : history_.requests_)
         {
             switch (request.result_)
--- a/experiment/trial_context.hpp
+++ b/experiment/trial_context.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_EXPERIMENT_TRIAL_CONTEXT_HPP
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <random>
 #include <string>
@@ -13,6 +14,16 @@
 
 namespace hemlockshelf {
 
+/// A cut of one direction of a link. A side is a failure domain, a region or
+/// "*".
+struct one_way_cut
+{
+    std::string from_;
+    std::string to_;
+    /// Bytes that the opposite direction had delivered when the cut began.
+    std::uint64_t delivered_back_ = 0;
+};
+
 /// What a disturbance works on.
 struct trial_context
 {
@@ -21,6 +32,13 @@
     std::mt19937_64 random_;
     /// Nodes that each disturbance affects, by its name.
     std::map<std::string, std::vector<std::size_t>> affected_;
+    /// Cuts in force, by the name of their disturbance.
+    std::map<std::string, one_way_cut> one_way_cuts_;
+    /// Whether the trial has several disturbances, each of which may hide what
+    /// another one causes.
+    bool is_combined_ = false;
+    /// What disturbances counted or measured, for the report of the trial.
+    std::map<std::string, std::size_t> counts_;
     /// Edits that disturbances made.
     std::vector<edit_record> edits_;
     /// What went wrong besides the rules of the history.
--- a/standins/link/link_handler.cpp
+++ b/standins/link/link_handler.cpp
@@ -61,6 +61,7 @@
              {"from_region", links.network().place_of(from).region_},
              {"to_region", links.network().place_of(to).region_},
              {"bytes", counter.bytes_},
+             {"dropped_bytes", counter.dropped_bytes_},
              {"connections", counter.connections_}});
     }
     return json_response(200, {{"pairs", std::move(pairs)}});
--- a/standins/link/link_handler.hpp
+++ b/standins/link/link_handler.hpp
@@ -10,7 +10,7 @@
 ///
 /// The body of a fault is `{"mode","from","to","both"}` with the mode `ok`,
 /// `cut`, `silent` or `silent_open`; the last makes only the connections that
-/// are open now silent.
+/// are open now silent. Without `both` the rule holds in both directions.
 http_response handle_link_request(relay& links, const http_request& request);
 
 } // namespace hemlockshelf
--- a/standins/link/link_network.hpp
+++ b/standins/link/link_network.hpp
@@ -18,7 +18,10 @@
 /// Bytes and connections of one kind of traffic between two failure domains.
 struct link_counter
 {
+    /// Bytes that were forwarded.
     std::uint64_t bytes_ = 0;
+    /// Bytes that were dropped because the direction was silent.
+    std::uint64_t dropped_bytes_ = 0;
     std::uint64_t connections_ = 0;
 };
 
--- a/standins/link/relayed_connection.cpp
+++ b/standins/link/relayed_connection.cpp
@@ -161,7 +161,12 @@
             }
             co_return;
         }
-        if (!way.silent_)
+        if (way.silent_)
+        {
+            network_.counter(listener_.kind_, way.from_, way.to_)
+                .dropped_bytes_ += size;
+        }
+        else
         {
             enqueue(way, std::string(buffer.data(), size));
         }
@@ -203,11 +208,24 @@
         way.changed_.cancel();
         if (failure)
         {
-            reset();
+            on_sink_lost(way);
         }
     }
 }
 
+void relayed_connection::on_sink_lost(direction& way)
+{
+    const auto& back = &way == &forward_ ? backward_ : forward_;
+    if (!back.silent_)
+    {
+        reset();
+        return;
+    }
+    // The reset of this receiver is itself dropped on its way to the sender.
+    way.silent_ = true;
+    way.changed_.cancel();
+}
+
 asio::awaitable<void> relayed_connection::wait_for_room(direction& way)
 {
     while (!broken_ && way.queued_bytes_ > max_queued_bytes && !way.silent_)
--- a/standins/link/relayed_connection.hpp
+++ b/standins/link/relayed_connection.hpp
@@ -72,6 +72,9 @@
     wait_until(direction& way, link_network::time_point until);
     void spawn_loops(direction& way);
     void enqueue(direction& way, std::string bytes);
+    /// Ends the connection, or only drops what goes one way if the sender can
+    /// hear nothing from the lost receiver.
+    void on_sink_lost(direction& way);
     void reset();
 
     link_network& network_;
--- a/test/system/scenarios.cpp
+++ b/test/system/scenarios.cpp
@@ -21,6 +21,10 @@
         {"silence_open", "regie", {"silence_open"}},
         {"cut_domain", "guild", {"cut_domain"}},
         {"silence_domain", "regie", {"silence_domain"}},
+        // Guard against a mesh that takes a link for whole because one of its
+        // directions delivers, or that loses an edit in the other direction.
+        {"cut_one_way", "guild", {"cut_one_way"}},
+        {"cut_domain_one_way", "regie", {"cut_domain_one_way"}},
         // Guard against a platform whose faults stop the mesh or lose edits.
         {"platform_down", "regie", {"platform_down"}},
         {"platform_slow", "guild", {"platform_slow"}},
