http: share the connection loop of the two servers

`call_server` and `json_server` each had the accept loop and the loop over the requests of a connection, which differed in the limit of the body, in TCP_NODELAY and in where the handler runs. `http_listener` now has both loops and takes these as options and as a handler that may give no answer.

The connections of `json_server` run on a strand of their own, as those of `call_server` did; its handlers still run on its pool of threads. Tests of both servers cover the order of requests, the limit of the body, blocked and failed handlers and withheld answers, of which there were none before.

--- a/adapters/http/call_server.cpp
+++ b/adapters/http/call_server.cpp
@@ -1,104 +1,46 @@
 #include "adapters/http/call_server.hpp"
 
-#include <chrono>
-#include <cstdint>
+#include <optional>
+#include <string>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
-
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
 
 namespace {
 
-constexpr std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
-constexpr std::uint32_t max_header_bytes = 16 * 1024;
-constexpr std::chrono::seconds idle_timeout{60};
+constexpr byte_count max_body{64ULL * 1024 * 1024};
+// An answer that waited for an earlier segment's acknowledgement would add to
+// the latency of the call.
+constexpr http_listener_options options{max_body, true};
 
 } // namespace
 
 call_server::call_server(
     asio::io_context& context, const endpoint& where, handler handle)
-    : context_(context),
-      acceptor_(
+    : handle_(std::move(handle)),
+      listener_(
           context,
-          tcp::endpoint(
-              asio::ip::make_address_v4(where.address_), where.port_)),
-      handle_(std::move(handle))
-{
-    asio::co_spawn(context_, accept_loop(), asio::detached);
-}
+          where,
+          options,
+          [this](http_request request, const std::string&)
+          {
+              return answer(std::move(request));
+          })
+{}
 
 void call_server::stop()
 {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-}
-
-asio::awaitable<void> call_server::accept_loop()
-{
-    while (acceptor_.is_open())
-    {
-        boost::system::error_code failure;
-        tcp::socket socket(asio::make_strand(context_));
-        co_await acceptor_.async_accept(
-            socket, asio::redirect_error(asio::use_awaitable, failure));
-        if (!failure)
-        {
-            auto executor = socket.get_executor();
-            asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
-        }
-    }
+    listener_.stop();
 }
 
-asio::awaitable<void> call_server::serve(tcp::socket socket)
+asio::awaitable<std::optional<http_response>>
+call_server::answer(http_request request)
 {
-    boost::system::error_code failure;
-    socket.set_option(tcp::no_delay(true), failure);
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    while (!failure)
-    {
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(max_body_bytes);
-        parser.header_limit(max_header_bytes);
-        stream.expires_after(idle_timeout);
-        co_await http::async_read(
-            stream, buffer, parser,
-            asio::redirect_error(asio::use_awaitable, failure));
-        if (failure)
-        {
-            break;
-        }
-        auto request = parser.release();
-        const bool keep_alive = request.keep_alive();
-        stream.expires_never();
-        auto response = co_await handle_(std::move(request));
-        response.keep_alive(keep_alive);
-        response.prepare_payload();
-        stream.expires_after(idle_timeout);
-        co_await http::async_write(
-            stream, response,
-            asio::redirect_error(asio::use_awaitable, failure));
-        if (!keep_alive)
-        {
-            break;
-        }
-    }
-    stream.socket().shutdown(tcp::socket::shutdown_both, failure);
+    std::optional<http_response> response =
+        co_await handle_(std::move(request));
+    co_return response;
 }
 
 } // namespace hemlockshelf
--- a/adapters/http/call_server.hpp
+++ b/adapters/http/call_server.hpp
@@ -2,12 +2,13 @@
 #define HEMLOCKSHELF_ADAPTERS_HTTP_CALL_SERVER_HPP
 
 #include <functional>
+#include <optional>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include "adapters/http/endpoint.hpp"
+#include "adapters/http/http_listener.hpp"
 #include "adapters/http/http_message.hpp"
 
 namespace hemlockshelf {
@@ -30,12 +31,12 @@
     void stop();
 
 private:
-    boost::asio::awaitable<void> accept_loop();
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<std::optional<http_response>>
+    answer(http_request request);
 
-    boost::asio::io_context& context_;
-    boost::asio::ip::tcp::acceptor acceptor_;
     handler handle_;
+    /// Last, because it calls the other members.
+    http_listener listener_;
 };
 
 } // namespace hemlockshelf
--- a/adapters/http/json_server.cpp
+++ b/adapters/http/json_server.cpp
@@ -1,23 +1,15 @@
 #include "adapters/http/json_server.hpp"
 
-#include <charconv>
 #include <chrono>
 #include <exception>
 #include <optional>
 #include <utility>
 
 #include <boost/asio/bind_executor.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 
 #include "adapters/http/headers.hpp"
@@ -27,20 +19,11 @@
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
 
 namespace {
 
-constexpr std::uint64_t max_body_bytes = 16ULL * 1024 * 1024;
-constexpr std::uint32_t max_header_bytes = 16 * 1024;
-constexpr std::chrono::seconds idle_timeout{60};
-
-tcp::endpoint to_tcp(const endpoint& where)
-{
-    return {asio::ip::make_address_v4(where.address_), where.port_};
-}
+constexpr byte_count max_body{16ULL * 1024 * 1024};
 
 } // namespace
 
@@ -49,11 +32,16 @@
     const endpoint& where,
     std::size_t threads,
     handler handle)
-    : context_(context), acceptor_(context, to_tcp(where)), workers_(threads),
-      handle_(std::move(handle))
-{
-    asio::co_spawn(context_, accept_loop(), asio::detached);
-}
+    : context_(context), workers_(threads), handle_(std::move(handle)),
+      listener_(
+          context,
+          where,
+          http_listener_options{max_body},
+          [this](http_request request, std::string peer)
+          {
+              return answer(std::move(request), std::move(peer));
+          })
+{}
 
 json_server::~json_server()
 {
@@ -63,84 +51,39 @@
 
 void json_server::stop()
 {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
+    listener_.stop();
 }
 
-asio::awaitable<void> json_server::accept_loop()
+asio::awaitable<std::optional<http_response>>
+json_server::answer(http_request request, std::string peer)
 {
-    while (acceptor_.is_open())
+    // Without the bound executor, the coroutine would resume on its own
+    // executor and handlers would block the thread of the context.
+    co_await asio::post(
+        asio::bind_executor(workers_.get_executor(), asio::use_awaitable));
+    std::optional<http_response> response;
+    std::optional<std::chrono::milliseconds> withheld;
+    try
     {
-        boost::system::error_code failure;
-        tcp::socket socket(context_);
-        co_await acceptor_.async_accept(
-            socket, asio::redirect_error(asio::use_awaitable, failure));
-        if (!failure)
-        {
-            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
-        }
+        response = handle_(request, peer);
     }
-}
-
-asio::awaitable<void> json_server::serve(tcp::socket socket)
-{
-    boost::system::error_code failure;
-    const auto peer = socket.remote_endpoint(failure).address().to_string();
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    while (!failure)
+    catch (const no_answer& lost)
     {
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(max_body_bytes);
-        parser.header_limit(max_header_bytes);
-        stream.expires_after(idle_timeout);
-        co_await http::async_read(
-            stream, buffer, parser,
-            asio::redirect_error(asio::use_awaitable, failure));
-        if (failure)
-        {
-            break;
-        }
-        const auto request = parser.release();
-        stream.expires_never();
-        // Without the bound executor, the coroutine would resume on its own
-        // executor and handlers would block the thread of the context.
-        co_await asio::post(
-            asio::bind_executor(workers_.get_executor(), asio::use_awaitable));
-        http_response response;
-        std::optional<std::chrono::milliseconds> withheld;
-        try
-        {
-            response = handle_(request, peer);
-        }
-        catch (const no_answer& lost)
-        {
-            withheld = lost.wait();
-        }
-        catch (const std::exception& thrown)
-        {
-            response = error_response({error_kind::internal, thrown.what()});
-        }
-        co_await asio::post(context_, asio::use_awaitable);
-        if (withheld)
-        {
-            asio::steady_timer timer(context_, *withheld);
-            co_await timer.async_wait(
-                asio::redirect_error(asio::use_awaitable, failure));
-            break;
-        }
-        response.keep_alive(request.keep_alive());
-        response.prepare_payload();
-        stream.expires_after(idle_timeout);
-        co_await http::async_write(
-            stream, response,
-            asio::redirect_error(asio::use_awaitable, failure));
-        if (!request.keep_alive())
-        {
-            break;
-        }
+        withheld = lost.wait();
+    }
+    catch (const std::exception& thrown)
+    {
+        response = error_response({error_kind::internal, thrown.what()});
+    }
+    co_await asio::post(context_, asio::use_awaitable);
+    if (withheld)
+    {
+        boost::system::error_code ignored;
+        asio::steady_timer timer(context_, *withheld);
+        co_await timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
     }
-    stream.socket().shutdown(tcp::socket::shutdown_both, failure);
+    co_return response;
 }
 
 http_response json_response(unsigned status, const nlohmann::json& body)
--- a/adapters/http/json_server.hpp
+++ b/adapters/http/json_server.hpp
@@ -4,15 +4,16 @@
 #include <chrono>
 #include <exception>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <nlohmann/json.hpp>
 
 #include "adapters/http/endpoint.hpp"
+#include "adapters/http/http_listener.hpp"
 #include "adapters/http/http_message.hpp"
 #include "hemlockshelf/core/error.hpp"
 
@@ -59,13 +60,14 @@
     void stop();
 
 private:
-    boost::asio::awaitable<void> accept_loop();
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<std::optional<http_response>>
+    answer(http_request request, std::string peer);
 
     boost::asio::io_context& context_;
-    boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::thread_pool workers_;
     handler handle_;
+    /// Last, because it calls the other members.
+    http_listener listener_;
 };
 
 /// Makes an answer with a JSON body.
--- /dev/null
+++ b/test/http/test_http_listener.cpp
@@ -0,0 +1,180 @@
+#include "adapters/http/http_listener.hpp"
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include "adapters/http/call_server.hpp"
+#include "adapters/http/json_server.hpp"
+#include "scripted_server.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace hemlockshelf::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint16_t port = 7000;
+
+/// Each test runs in a process of its own, so that its id gives an address
+/// that no other test uses.
+endpoint own_address()
+{
+    const auto id = static_cast<unsigned>(getpid());
+    return {
+        fmt::format("127.43.{}.{}", (id >> 8U) % 256, 1 + (id % 250)), port};
+}
+
+/// Runs a server on one thread.
+template <class Server>
+class running
+{
+public:
+    template <class... Arguments>
+    explicit running(Arguments... arguments)
+        : server_(context_, own_address(), std::move(arguments)...),
+          thread_(
+              [this]
+              {
+                  context_.run();
+              })
+    {}
+
+    ~running()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    running(const running&) = delete;
+    running& operator=(const running&) = delete;
+
+private:
+    boost::asio::io_context context_;
+    Server server_;
+    std::thread thread_;
+};
+
+std::string get(const std::string& path, const std::string& header = "")
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + header + "\r\n";
+}
+
+bool ends_with_body(const std::string& answer, const std::string& body)
+{
+    return answer.starts_with("HTTP/1.1 200 ") && answer.ends_with(body);
+}
+
+http_response text_response(const std::string& text)
+{
+    http_response response{boost::beast::http::status::ok, 11};
+    response.body() = text;
+    return response;
+}
+
+boost::asio::awaitable<http_response> echo_path(http_request request)
+{
+    auto response = text_response(path_of(request));
+    co_return response;
+}
+
+http_response answer_by_path(const http_request& request, const std::string&)
+{
+    const auto path = path_of(request);
+    if (path == "/lose")
+    {
+        throw no_answer(milliseconds{50});
+    }
+    if (path == "/fail")
+    {
+        throw std::runtime_error("broken handler");
+    }
+    return text_response(path);
+}
+
+} // namespace
+
+// Guards against a connection that serves one request only, or goes on after
+// the client asked for its end.
+Test(http_listener, requests_of_a_connection_are_served_in_order)
+{
+    const running<call_server> server(call_server::handler{echo_path});
+    raw_connection client(own_address());
+    client.send(get("/1") + get("/2"));
+    cr_assert(ends_with_body(client.read_message(), "/1"));
+    cr_assert(ends_with_body(client.read_message(), "/2"));
+    client.send(get("/3", "Connection: close\r\n") + get("/4"));
+    cr_assert(ends_with_body(client.read_all(), "/3"));
+}
+
+// Guards against a body that fills the memory.
+Test(http_listener, a_body_beyond_the_limit_closes_the_connection)
+{
+    const running<json_server> server(
+        std::size_t{1}, json_server::handler{answer_by_path});
+    raw_connection client(own_address());
+    client.send(
+        "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 16777217\r\n\r\n");
+    cr_assert(client.read_all().empty());
+}
+
+// Guards against handlers that run on the thread of the context, where one
+// that blocks would stop every connection.
+Test(json_server, a_blocked_handler_does_not_stop_the_others)
+{
+    auto released = std::make_shared<std::promise<void>>();
+    const running<json_server> server(
+        std::size_t{2},
+        json_server::handler{
+            [released](const http_request& request, const std::string&)
+            {
+                const auto path = path_of(request);
+                if (path == "/blocked")
+                {
+                    released->get_future().wait();
+                }
+                return text_response(path);
+            }});
+    raw_connection blocked(own_address());
+    blocked.send(get("/blocked"));
+    raw_connection other(own_address());
+    other.send(get("/other"));
+    cr_assert(ends_with_body(other.read_message(), "/other"));
+    released->set_value();
+    cr_assert(ends_with_body(blocked.read_message(), "/blocked"));
+}
+
+// Guards against a withheld answer that is sent after all, or that is not
+// waited for.
+Test(json_server, a_withheld_answer_closes_the_connection_after_the_wait)
+{
+    const running<json_server> server(
+        std::size_t{1}, json_server::handler{answer_by_path});
+    raw_connection client(own_address());
+    const auto before = std::chrono::steady_clock::now();
+    client.send(get("/lose"));
+    cr_assert(client.read_all().empty());
+    cr_assert(std::chrono::steady_clock::now() - before >= milliseconds{50});
+}
+
+// Guards against an exception of a handler that ends the connection or the
+// process.
+Test(json_server, a_failed_handler_is_an_internal_error)
+{
+    const running<json_server> server(
+        std::size_t{1}, json_server::handler{answer_by_path});
+    raw_connection client(own_address());
+    client.send(get("/fail") + get("/1"));
+    cr_assert(
+        client.read_message().find("broken handler") != std::string::npos);
+    cr_assert(ends_with_body(client.read_message(), "/1"));
+}
