http: write to a connection without the event loop

A call took about 15 system calls at the entry and 15 at the gate, 3.4 to 4.5 of them an epoll_wait that does not wait. An asynchronous write that completes at once still goes through the queue of the loop, and the loop asks for events before it goes on. Connections now write what the system takes without waiting, and only the rest asynchronously.

Ruled out as the cause at 50 calls/s: new connections (one per peer in the window), timers (0.2 to 0.6 settings of a timer per call) and contended locks (0.01 futex calls per call).

--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <sys/socket.h>
 
 namespace hemlockshelf {
@@ -59,11 +60,41 @@
     }
     const std::array<asio::const_buffer, 4> buffers{
         first, second, third, fourth};
+    const auto written = write_at_once(buffers, failure);
+    if (failure || written == asio::buffer_size(buffers))
+    {
+        co_return failure;
+    }
+    boost::beast::buffers_suffix<std::array<asio::const_buffer, 4>> rest(
+        buffers);
+    rest.consume(written);
     co_await asio::async_write(
-        socket_, buffers, asio::redirect_error(asio::use_awaitable, failure));
+        socket_, rest, asio::redirect_error(asio::use_awaitable, failure));
     co_return failure;
 }
 
+// An asynchronous write that completes at once goes through the loop's queue,
+// which asks the system for other events (one system call) before the
+// coroutine goes on.
+std::size_t http_connection::write_at_once(
+    const std::array<asio::const_buffer, 4>& buffers, error_code& failure)
+{
+    if (!socket_.non_blocking())
+    {
+        socket_.non_blocking(true, failure);
+    }
+    if (failure)
+    {
+        return 0;
+    }
+    const auto written = socket_.write_some(buffers, failure);
+    if (failure == asio::error::would_block)
+    {
+        failure = {};
+    }
+    return written;
+}
+
 void http_connection::interrupt()
 {
     interrupted_ = true;
--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_HTTP_CONNECTION_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_HTTP_CONNECTION_HPP
 
+#include <array>
 #include <cstddef>
 
 #include <boost/asio/awaitable.hpp>
@@ -64,6 +65,12 @@
     [[nodiscard]] connection_look look();
 
 private:
+    /// Writes what the system takes without waiting and returns the number of
+    /// bytes, 0 if it takes none now.
+    std::size_t write_at_once(
+        const std::array<boost::asio::const_buffer, 4>& buffers,
+        boost::system::error_code& failure);
+
     socket_type socket_;
     boost::beast::flat_buffer buffer_;
     bool interrupted_ = false;
