http: move an idle connection to the loop of its next call

A call on one thread took an idle connection of the other thread's loop if its own had none, and kept using it there: each read woke the other thread, which woke the first one again. At low rates there are few connections, so that this lasted for as long as the only caller stayed on its thread. The idle connection now moves to the loop of the call that takes it.

The test connection_pool, a_reused_connection_belongs_to_the_loop_of_its_call fails without the change.

An alternative is to open a connection for each thread.

--- a/adapters/http/call_threads.hpp
+++ b/adapters/http/call_threads.hpp
@@ -13,8 +13,8 @@
 namespace hemlockshelf {
 
 /// Threads that carry calls, each with an event loop of its own. A connection
-/// stays on one loop, which serves as its strand: a call that uses connections
-/// of one loop needs no wakeup of another thread.
+/// in use stays on one loop, which serves as its strand: a call that uses
+/// connections of one loop needs no wakeup of another thread.
 class call_threads
 {
 public:
--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace hemlockshelf {
 
@@ -120,6 +121,23 @@
     socket_.close(ignored);
 }
 
+void http_connection::move_to(const asio::any_io_executor& executor)
+{
+    error_code failure;
+    const auto protocol = asio::ip::tcp::v4();
+    const auto handle = socket_.release(failure);
+    socket_ = socket_type(executor);
+    if (failure)
+    {
+        return;
+    }
+    socket_.assign(protocol, handle, failure);
+    if (failure)
+    {
+        ::close(handle);
+    }
+}
+
 connection_look http_connection::look()
 {
     if (buffer_.size() > 0)
--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -55,6 +56,10 @@
     void interrupt();
     void resume() noexcept;
 
+    /// Moves an open connection without operations in progress to another
+    /// loop. It is closed if that fails.
+    void move_to(const boost::asio::any_io_executor& executor);
+
     void close();
     /// Closes with a reset, so that the peer can't take a cut message whose
     /// end is marked by the end of the connection for a whole one.
--- a/adapters/http/idle_connections.cpp
+++ b/adapters/http/idle_connections.cpp
@@ -21,13 +21,17 @@
         {
             return idle.connection_->socket().get_executor() == executor;
         });
-    auto at =
-        own == held_.rend() ? std::prev(held_.end()) : std::prev(own.base());
+    const bool foreign = own == held_.rend();
+    const auto at = foreign ? std::prev(held_.end()) : std::prev(own.base());
     auto connection = std::move(at->connection_);
     held_.erase(at);
     if (connection->look() != connection_look::quiet)
     {
-        connection.reset();
+        return nullptr;
+    }
+    if (foreign)
+    {
+        connection->move_to(executor);
     }
     return connection;
 }
--- a/adapters/http/idle_connections.hpp
+++ b/adapters/http/idle_connections.hpp
@@ -23,9 +23,10 @@
 class idle_connections
 {
 public:
-    /// Removes a connection and returns it, preferably one of `executor`,
-    /// whose use needs no other thread. Null if the connection showed bytes or
-    /// its end, in which case it is closed. Not to be called if empty.
+    /// Removes a connection and returns it, preferably one of `executor`. One
+    /// of another loop is moved to `executor`, so that its use needs no other
+    /// thread. Null if the connection showed bytes or its end, in which case
+    /// it is closed. Not to be called if empty.
     std::unique_ptr<http_connection>
     take(const boost::asio::any_io_executor& executor);
 
--- a/test/http/test_connection_pool.cpp
+++ b/test/http/test_connection_pool.cpp
@@ -54,3 +54,38 @@
     cr_assert(!pool.take(server.where(), 1, executor, time.now())->reused());
     cr_assert_eq(pool.open(server.where()), 0);
 }
+
+// Guards against a call that uses a connection of another thread's loop: each
+// of its reads and writes then wakes that thread and waits for it.
+Test(connection_pool, a_reused_connection_belongs_to_the_loop_of_its_call)
+{
+    scripted_server server(
+        [](raw_connection& peer)
+        {
+            peer.send(peer.read_until("ping"));
+            peer.read_all();
+        });
+    boost::asio::io_context first;
+    boost::asio::io_context second;
+    manual_clock time;
+    const call_settings settings;
+    connection_pool pool(settings);
+    {
+        auto lease =
+            pool.take(server.where(), 1, first.get_executor(), time.now());
+        connect(first, *lease);
+        lease->give_back(time.now());
+    }
+    auto lease =
+        pool.take(server.where(), 1, second.get_executor(), time.now());
+    auto& connection = lease->connection();
+    cr_assert(lease->reused());
+    cr_assert(connection.socket().get_executor() == second.get_executor());
+    const std::string ping = "ping";
+    boost::asio::co_spawn(
+        second, connection.write(boost::asio::buffer(ping)),
+        boost::asio::detached);
+    boost::asio::co_spawn(second, connection.fill(), boost::asio::detached);
+    second.run();
+    cr_assert_eq(connection.buffer().size(), ping.size());
+}
