--- a/test/http/call_fixture.cpp
+++ b/test/http/call_fixture.cpp
@@ -100,8 +100,9 @@
 entry_under_test::entry_under_test(
     std::vector<endpoint> gates,
     std::chrono::milliseconds timeout,
-    std::uint32_t max_concurrent_calls)
-    : router_(std::move(gates)), gates_(settings_),
+    std::uint32_t max_concurrent_calls,
+    const call_settings& settings)
+    : settings_(settings), router_(std::move(gates)), gates_(settings_),
       environment_{
           settings_,
           retry_,
@@ -158,7 +159,7 @@
           time_,
           [this]
           {
-              return announced_;
+              return announced();
           },
           metrics_),
       environment_{
@@ -195,6 +196,19 @@
     return {loopback, listener_.port()};
 }
 
+void gate_under_test::announce_draining(bool draining)
+{
+    draining_ = draining;
+    gate_.refresh();
+}
+
+upstream_announcement gate_under_test::announced() const
+{
+    auto announcement = announced_;
+    announcement.draining_ = draining_;
+    return announcement;
+}
+
 std::string caller_request(
     const std::string& method,
     const std::string& body,
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -68,7 +68,8 @@
     explicit entry_under_test(
         std::vector<endpoint> gates,
         std::chrono::milliseconds timeout = std::chrono::seconds{20},
-        std::uint32_t max_concurrent_calls = 200);
+        std::uint32_t max_concurrent_calls = 200,
+        const call_settings& settings = test_settings());
     ~entry_under_test();
 
     entry_under_test(const entry_under_test&) = delete;
@@ -92,7 +93,7 @@
 
 private:
     std::atomic<bool> ready_ = true;
-    call_settings settings_ = test_settings();
+    call_settings settings_;
     retry_settings retry_;
     real_clock time_;
     null_metrics metrics_;
@@ -126,13 +127,19 @@
         return gate_;
     }
 
+    /// Lets the upstream announce that it drains, or that it serves again.
+    void announce_draining(bool draining);
+
     std::atomic<bool> shed_is_not_run_ = false;
 
 private:
+    upstream_announcement announced() const;
+
     call_settings settings_ = test_settings();
     real_clock time_;
     null_metrics metrics_;
-    upstream_announcement announced_;
+    const upstream_announcement announced_;
+    std::atomic<bool> draining_ = false;
     session_group group_;
     upstream_gate gate_;
     gate_environment environment_;
--- a/test/http/test_gate.cpp
+++ b/test/http/test_gate.cpp
@@ -29,11 +29,9 @@
     };
 }
 
-/// Sends a request to a gate and returns the answer, without interim ones.
-std::string call(const gate_under_test& gate, const std::string& request)
+/// Reads an answer and drops the interim ones before it.
+std::string final_answer(raw_connection& entry)
 {
-    raw_connection entry(gate.where());
-    entry.send(request);
     auto answer = entry.read_message();
     while (contains(answer, "102 Processing"))
     {
@@ -42,6 +40,14 @@
     return answer;
 }
 
+/// Sends a request to a gate and returns the answer, without interim ones.
+std::string call(const gate_under_test& gate, const std::string& request)
+{
+    raw_connection entry(gate.where());
+    entry.send(request);
+    return final_answer(entry);
+}
+
 } // namespace
 
 // Guards against a dispatch before the entry has released the body: an entry
@@ -264,6 +270,46 @@
     cr_assert_eq(executions.load(), 0);
 }
 
+// Guards against a drain that cuts a running request, that leaves a waiting one
+// to its deadline, or whose refusals don't say that the request was not run.
+Test(gate, draining_upstream_finishes_what_runs_and_gets_nothing_new)
+{
+    std::atomic<int> executions = 0;
+    std::atomic<bool> released = false;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            while (!gate.read_message().empty())
+            {
+                ++executions;
+                released.wait(false);
+                gate.send(ok_answer);
+            }
+        });
+    gate_under_test gate(upstream.where(), 1);
+    const auto request =
+        gate_request_text("GET", "Hemlockshelf-Class: lookup\r\n");
+    raw_connection running(gate.where());
+    running.send(request);
+    cr_assert(contains(running.read_until("\r\n\r\n"), "102 Processing"));
+    cr_assert_eq(executions.load(), 1);
+    raw_connection waiting(gate.where());
+    waiting.send(request);
+    cr_assert(contains(waiting.read_until("\r\n\r\n"), "102 Processing"));
+    gate.announce_draining(true);
+    for (const auto& answer : {final_answer(waiting), call(gate, request)})
+    {
+        cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "draining");
+        cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    }
+    released = true;
+    released.notify_all();
+    cr_assert(contains(final_answer(running), "served"));
+    cr_assert_eq(executions.load(), 1);
+    gate.announce_draining(false);
+    cr_assert(contains(call(gate, request), "served"));
+}
+
 // Guards against an entry that takes a slow upstream for a silent gate.
 Test(gate, slow_upstream_is_reported_as_progress)
 {
