--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -1,8 +1,10 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_HTTP_CONNECTION_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_HTTP_CONNECTION_HPP
 
+#include <array>
 #include <cstddef>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -54,6 +56,10 @@
     void interrupt();
     void resume() noexcept;
 
+    /// Moves an open connection without operations in progress to another
+    /// loop. It is closed if that fails.
+    void move_to(const boost::asio::any_io_executor& executor);
+
     void close();
     /// Closes with a reset, so that the peer can't take a cut message whose
     /// end is marked by the end of the connection for a whole one.
@@ -64,6 +70,12 @@
     [[nodiscard]] connection_look look();
 
 private:
+    /// Writes what the system takes without waiting and returns the number of
+    /// bytes, 0 if it takes none now.
+    std::size_t write_at_once(
+        const std::array<boost::asio::const_buffer, 4>& buffers,
+        boost::system::error_code& failure);
+
     socket_type socket_;
     boost::beast::flat_buffer buffer_;
     bool interrupted_ = false;
