--- a/experiment/cluster.hpp
+++ b/experiment/cluster.hpp
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -78,10 +77,6 @@
     [[nodiscard]] std::optional<revision>
     node_revision(std::size_t index) const;
 
-    /// Returns the sums over the nodes that are up of their metrics, by name
-    /// with label as in `GET /metrics`.
-    [[nodiscard]] std::map<std::string, double> metric_sums() const;
-
     /// Waits until every node that is up runs at least `number`. Returns the
     /// names of those that do not.
     std::vector<std::string>
--- a/experiment/cluster_queries.cpp
+++ b/experiment/cluster_queries.cpp
@@ -1,13 +1,10 @@
 // The part of `cluster` that asks its processes.
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 #include <fmt/format.h>
 
-#include "adapters/http/http_client.hpp"
 #include "experiment/cluster.hpp"
 #include "experiment/wait.hpp"
 
@@ -64,22 +61,6 @@
     }
 }
 
-/// Adds the samples of a Prometheus text, lines of "<name and labels> <value>".
-void add_samples(const std::string& text, std::map<std::string, double>& sums)
-{
-    std::istringstream lines(text);
-    for (std::string line; std::getline(lines, line);)
-    {
-        const auto space = line.rfind(' ');
-        if (line.starts_with('#') || space == std::string::npos)
-        {
-            continue;
-        }
-        sums[line.substr(0, space)] +=
-            std::strtod(line.c_str() + space + 1, nullptr);
-    }
-}
-
 bool add_rows(const json_answer& answer, table_id table, rows_report& report)
 {
     if (answer.status_ != 200 || !answer.body_.contains("rows"))
@@ -117,26 +98,6 @@
     return revision{answer.body_.at("revision").get<std::uint64_t>()};
 }
 
-std::map<std::string, double> cluster::metric_sums() const
-{
-    std::map<std::string, double> sums;
-    for (std::size_t index = 0; index < size(); ++index)
-    {
-        if (!node_is_up(index))
-        {
-            continue;
-        }
-        const auto answer = blocking_exchange(
-            {places_.at(index).admin_, {}, std::chrono::seconds{2}},
-            make_request(http::verb::get, "/metrics", {}));
-        if (answer && answer->result_int() == 200)
-        {
-            add_samples(answer->body(), sums);
-        }
-    }
-    return sums;
-}
-
 std::vector<std::string> cluster::wait_for_revision(
     revision number, std::chrono::milliseconds timeout) const
 {
--- a/experiment/measure_control_bytes.cpp
+++ b/experiment/measure_control_bytes.cpp
@@ -1,9 +1,11 @@
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstddef>
-#include <map>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -11,6 +13,7 @@
 #include "experiment/measured_edits.hpp"
 #include "experiment/measured_mesh.hpp"
 #include "experiment/measurement.hpp"
+#include "experiment/node_metrics.hpp"
 
 namespace hemlockshelf {
 
@@ -20,28 +23,32 @@
 constexpr std::chrono::seconds settle_time{15};
 constexpr std::size_t measured_edits = 20;
 
-using counts = std::map<std::string, double>;
+constexpr std::array counted_metrics{
+    std::string_view{"hemlockshelf_control_messages_total"},
+    std::string_view{"hemlockshelf_config_applies_total"},
+    std::string_view{"hemlockshelf_config_rejections_total"}};
 
-/// Messages, applied revisions and rejections of all nodes, and connections
-/// that were made, since their start.
-counts read_counts(const cluster& mesh)
+/// Messages, applied revisions and rejections of the nodes, and the control
+/// connections that were made, since their start.
+struct traffic_counts
 {
-    counts found;
-    for (const auto& [name, value] : mesh.metric_sums())
+    std::array<std::vector<metric_values>, counted_metrics.size()> metrics_;
+    double connections_ = 0;
+};
+
+traffic_counts read_counts(const cluster& mesh)
+{
+    traffic_counts found;
+    for (std::size_t index = 0; index < counted_metrics.size(); ++index)
     {
-        if (name.starts_with("hemlockshelf_control_messages_total") ||
-            name.starts_with("hemlockshelf_config_applies_total") ||
-            name.starts_with("hemlockshelf_config_rejections_total"))
-        {
-            found[name] = value;
-        }
+        found.metrics_.at(index) = read_metric(mesh, counted_metrics.at(index));
     }
     const auto counters = mesh.link_counters();
     for (const auto& pair : counters.at("pairs"))
     {
         if (pair.at("kind") == "control")
         {
-            found["new connections"] += pair.at("connections").get<double>();
+            found.connections_ += pair.at("connections").get<double>();
         }
     }
     return found;
@@ -50,20 +57,29 @@
 void add_counts(
     measurements& found,
     const cluster& mesh,
-    const counts& before,
-    const counts& after,
+    const traffic_counts& before,
+    const traffic_counts& after,
     std::size_t edits)
 {
     const auto divisor = static_cast<double>(mesh.size() * edits);
-    for (const auto& [name, value] : after)
+    const auto add_count = [&](const std::string& name, double rise)
     {
-        const auto old = before.find(name);
-        const auto rise = value - (old == before.end() ? 0 : old->second);
         found.push_back(
             {fmt::format("counts, {} nodes, per edit, {}", mesh.size(), name),
              "per node", summarize({rise / divisor}),
              "of the whole series, idle messages included"});
+    };
+    for (std::size_t index = 0; index < counted_metrics.size(); ++index)
+    {
+        const auto rises =
+            increase(before.metrics_.at(index), after.metrics_.at(index));
+        for (const auto& [label, rise] : rises)
+        {
+            add_count(
+                fmt::format("{} {}", counted_metrics.at(index), label), rise);
+        }
     }
+    add_count("new connections", after.connections_ - before.connections_);
 }
 
 /// Bytes per second during the window, while `act` runs each second.
