test: race operators with expected_version in system scenarios

Operators who replace the same version of a row were tested in memory only. Four operators now read one row and edit it at the same time through different nodes; edits without a version and deletions join in. `expected_version` runs without a fault and `expected_version_lost_answers` while the platform loses half of its answers. A run without edits that won and edits that lost fails.

--- a/experiment/trial.cpp
+++ b/experiment/trial.cpp
@@ -12,6 +12,7 @@
 #include "experiment/operators.hpp"
 #include "experiment/revision_watcher.hpp"
 #include "experiment/settings_files.hpp"
+#include "experiment/versioned_operators.hpp"
 #include "hemlockshelf/history/checkers.hpp"
 
 namespace hemlockshelf {
@@ -64,6 +65,7 @@
         : options_(options), mesh_(options.cluster_),
           load_(load_for(options, mesh_)),
           operators_(mesh_, operators_for(options)),
+          versioned_(mesh_, options.versioned_operators_, options.seed_),
           watcher_(mesh_, watch_interval)
     {
         context_.mesh_ = &mesh_;
@@ -106,6 +108,7 @@
     {
         load_.start();
         operators_.start();
+        versioned_.start();
         std::this_thread::sleep_for(settle_time);
         for (const auto& name : options_.disturbances_)
         {
@@ -124,9 +127,11 @@
     void finish()
     {
         append(history_.edits_, operators_.stop());
+        append(history_.edits_, versioned_.stop());
         append(history_.requests_, load_.stop());
         append(history_.edits_, context_.edits_);
         check_shares();
+        check_versioned_race();
         check_accounts_known();
         check_recovery(mesh_, history_, context_.problems_);
         append(history_.revisions_, watcher_.stop());
@@ -167,6 +172,32 @@
         }
     }
 
+    /// Without edits that won and edits that lost, no race took place.
+    void check_versioned_race()
+    {
+        std::size_t won = 0;
+        std::size_t lost = 0;
+        for (const auto& edit : history_.edits_)
+        {
+            const bool versioned = !edit.expected_.empty();
+            won += versioned && edit.result_ == edit_result::accepted ? 1 : 0;
+            lost += versioned && edit.result_ == edit_result::refused ? 1 : 0;
+        }
+        if (options_.versioned_operators_ == 0)
+        {
+            return;
+        }
+        context_.counts_["edits with expected_version accepted"] = won;
+        context_.counts_["edits with expected_version refused"] = lost;
+        if (won == 0 || lost == 0)
+        {
+            context_.problems_.push_back(fmt::format(
+                "{} edits with expected_version were accepted and {} refused, "
+                "expected some of both",
+                won, lost));
+        }
+    }
+
     /// The tables are in force before the load starts, so that a node which
     /// does not know a caller's account or route serves from older ones.
     void check_accounts_known()
@@ -227,6 +258,7 @@
     cluster mesh_;
     load_generator load_;
     racing_operators operators_;
+    versioned_operators versioned_;
     revision_watcher watcher_;
     trial_context context_;
     run_history history_;
--- a/experiment/trial.hpp
+++ b/experiment/trial.hpp
@@ -26,6 +26,8 @@
     /// Services that are called; empty means all.
     std::vector<std::string> services_;
     std::size_t operators_ = 3;
+    /// Operators that race with `expected_version`.
+    std::size_t versioned_operators_ = 0;
     /// How long a disturbance lasts; longer than the detection of a failure.
     std::chrono::milliseconds hold_{3500};
     /// Whether every call has to get a definite answer, since nothing breaks.
--- a/test/system/main.cpp
+++ b/test/system/main.cpp
@@ -40,6 +40,8 @@
         hemlockshelf::load_deployment(FLAGS_examples + "/" + chosen.user_);
     options.cluster_.bin_folder_ = FLAGS_bin;
     options.cluster_.nodes_ = FLAGS_nodes;
+    options.operators_ = chosen.operators_;
+    options.versioned_operators_ = chosen.versioned_operators_;
     options.seed_ = seed;
     options.disturbances_ = chosen.disturbances_;
     options.every_outcome_known_ = chosen.every_outcome_known_;
--- a/test/system/scenarios.cpp
+++ b/test/system/scenarios.cpp
@@ -35,6 +35,16 @@
         // Guard against a mesh that serves little once it is overloaded, or
         // whose refusals are untrue then.
         {"overload", "guild", {}, false, true},
+        // Guard against two operators who replace the same version of a row,
+        // also when the answer to the first one is lost.
+        {"expected_version", "regie", {}, true, false, 3, 4},
+        {"expected_version_lost_answers",
+         "guild",
+         {"platform_lost_answers"},
+         false,
+         false,
+         3,
+         4},
         // Guard against pairs of faults whose repairs hinder each other.
         {"pair_kill_and_cut", "regie", {"kill_quarter", "cut_regions"}},
         {"pair_pause_and_silence", "guild", {"pause_node", "silence_domain"}},
--- a/test/system/scenarios.hpp
+++ b/test/system/scenarios.hpp
@@ -18,6 +18,10 @@
     bool every_outcome_known_ = false;
     /// Whether one service is called at twice its capacity.
     bool overload_ = false;
+    /// Operators that edit without `expected_version`.
+    std::size_t operators_ = 3;
+    /// Operators that race with `expected_version`.
+    std::size_t versioned_operators_ = 0;
 };
 
 /// Returns every scenario.
