experiment: add the slopes with the number of nodes

The slopes with rows and with the rate of edits were listed, that with the number of nodes had to be worked out from the figures at 16, 64 and 128 nodes. The lines move into `slope_lines`, and `--only control_bytes` adds the slope of each quantity for 100 nodes.

--- a/experiment/measure_control_bytes.cpp
+++ b/experiment/measure_control_bytes.cpp
@@ -6,6 +6,7 @@
 #include "experiment/measured_edits.hpp"
 #include "experiment/measured_mesh.hpp"
 #include "experiment/measurement.hpp"
+#include "experiment/slope_lines.hpp"
 
 namespace hemlockshelf {
 
@@ -29,8 +30,15 @@
     return counted.rates();
 }
 
+/// Figures of all sizes, and their lines over the number of nodes.
+struct sized_figures
+{
+    measurements found_;
+    slope_lines drawn_;
+};
+
 void add(
-    measurements& found,
+    sized_figures& figures,
     const cluster& mesh,
     const std::string& what,
     const bytes_by_scope& bytes,
@@ -39,26 +47,30 @@
 {
     for (const auto& [scope, amount] : bytes)
     {
-        found.push_back(
+        const auto value = amount / divisor;
+        figures.found_.push_back(
             {fmt::format(
                  "control bytes, {} nodes, {}, {}", mesh.size(), what, scope),
-             unit, summarize({amount / divisor}), "TCP payload"});
+             unit, summarize({value}), "TCP payload"});
+        figures.drawn_.add(
+            fmt::format("control bytes, {}, {}", what, scope), unit,
+            {static_cast<double>(mesh.size()), value});
     }
 }
 
-void measure_size(cluster& mesh, measurements& found)
+void measure_size(cluster& mesh, sized_figures& figures)
 {
     const auto nodes = static_cast<double>(mesh.size());
     // The members of a new mesh are still spreading and warming up.
     std::this_thread::sleep_for(settle_time);
     const auto idle = measure_rate(mesh, [](std::size_t) {});
-    add(found, mesh, "idle", idle, "bytes/s per node", nodes);
+    add(figures, mesh, "idle", idle, "bytes/s per node", nodes);
     const traffic_window edited(mesh);
     const auto accepted = submit_series(
         mesh, "bytes", measured_edits, std::chrono::milliseconds{300});
     std::this_thread::sleep_for(std::chrono::seconds{1});
     const auto bytes = edited.bytes_above(idle);
-    add(found, mesh, "per edit, idle traffic subtracted", bytes, "bytes",
+    add(figures, mesh, "per edit, idle traffic subtracted", bytes, "bytes",
         static_cast<double>(std::max<std::size_t>(1, accepted.size())));
     const auto churn = measure_rate(
         mesh,
@@ -72,26 +84,29 @@
             }
             mesh.start_upstream(index);
         });
-    add(found, mesh, "churn of one upstream", churn, "bytes/s per node", nodes);
+    add(figures, mesh, "churn of one upstream", churn, "bytes/s per node",
+        nodes);
 }
 
 } // namespace
 
 measurements measure_control_bytes(const cluster_options& base)
 {
-    measurements found;
+    sized_figures figures;
     for (const std::size_t nodes : {16, 64, 128})
     {
         auto options = base;
         options.nodes_ = nodes;
         cluster mesh(options);
         if (start_with_tables(
-                mesh, fmt::format("control bytes, {} nodes", nodes), found))
+                mesh, fmt::format("control bytes, {} nodes", nodes),
+                figures.found_))
         {
-            measure_size(mesh, found);
+            measure_size(mesh, figures);
         }
     }
-    return found;
+    figures.drawn_.report("100 nodes", 100, figures.found_);
+    return std::move(figures.found_);
 }
 
 } // namespace hemlockshelf
--- a/experiment/measure_slopes.cpp
+++ b/experiment/measure_slopes.cpp
@@ -1,5 +1,3 @@
-#include <array>
-#include <map>
 #include <thread>
 
 #include <fmt/format.h>
@@ -9,6 +7,7 @@
 #include "experiment/measurement.hpp"
 #include "experiment/node_metrics.hpp"
 #include "experiment/operators.hpp"
+#include "experiment/slope_lines.hpp"
 
 namespace hemlockshelf {
 
@@ -32,14 +31,6 @@
 constexpr std::chrono::seconds repair_time{1};
 constexpr std::chrono::seconds convergence_timeout{20};
 
-/// Points of each line by the name of its quantity.
-struct line
-{
-    std::string unit_;
-    std::vector<slope_point> points_;
-};
-using lines = std::map<std::string, line>;
-
 /// What a series of edits cost.
 struct edit_cost
 {
@@ -185,7 +176,7 @@
 }
 
 void add_bytes(
-    lines& drawn,
+    slope_lines& drawn,
     measurements& found,
     const std::string& what,
     const std::string& step,
@@ -201,14 +192,12 @@
         found.push_back(
             {fmt::format("{}, {}", name, step), unit, summarize({value}),
              fmt::format("{} nodes, TCP payload", nodes)});
-        auto& into = drawn[name];
-        into.unit_ = unit;
-        into.points_.push_back({size, value});
+        drawn.add(name, unit, {size, value});
     }
 }
 
 void add_applies(
-    lines& drawn,
+    slope_lines& drawn,
     measurements& found,
     const std::string& step,
     double size,
@@ -218,32 +207,13 @@
     found.push_back(
         {"one apply, " + step, "ms", values,
          fmt::format("mean of each of {} nodes", values.count_)});
-    auto& into = drawn["one apply"];
-    into.unit_ = "ms";
-    into.points_.push_back({size, values.median_});
-}
-
-void add_slopes(
-    const lines& drawn,
-    const std::string& unit,
-    double per,
-    measurements& found)
-{
-    for (const auto& [name, drawn_line] : drawn)
-    {
-        found.push_back(
-            {fmt::format("slope of {}", name),
-             fmt::format("{} per {}", drawn_line.unit_, unit),
-             summarize({slope_of(drawn_line.points_) * per}),
-             fmt::format(
-                 "least squares over {} points", drawn_line.points_.size())});
-    }
+    drawn.add("one apply", "ms", {size, values.median_});
 }
 
 /// Measures at rates of edits up to what one operator can submit in a row.
 void measure_rates(const cluster& mesh, measurements& found)
 {
-    lines drawn;
+    slope_lines drawn;
     warm_takers(mesh, "rates");
     for (const std::size_t rate : {1, 2, 5})
     {
@@ -259,12 +229,12 @@
             cost.bytes_, cost.seconds_ * static_cast<double>(mesh.size()));
         add_applies(drawn, found, step, reached, cost.applies_);
     }
-    add_slopes(drawn, "edit/s", 1, found);
+    drawn.report("edit/s", 1, found);
 }
 
 void measure_rows(const cluster& mesh, measurements& found)
 {
-    lines drawn;
+    slope_lines drawn;
     std::size_t loaded = 0;
     for (const std::size_t rows : {100, 1000, 10'000})
     {
@@ -292,7 +262,7 @@
             static_cast<double>(std::max<std::size_t>(1, cost.accepted_)));
         add_applies(drawn, found, step, size, cost.applies_);
     }
-    add_slopes(drawn, "1000 rows", 1000, found);
+    drawn.report("1000 rows", 1000, found);
 }
 
 } // namespace
