editing: retry an edit that met the platform's rate limit

A 429 ended an edit as `platform_unavailable` although it comes before the execution. The platform client now answers `rate_limited` for reads and commits and keeps the time of `Retry-After`. The editor starts the attempt again after that time plus the random delay of a lost race while its deadline allows it; then the edit ends as `platform_unavailable` as before. The new attempt reads the head again and checks the change id in its transaction, so that nothing is written twice. Refusals do not count as lost races, because only the first attempt whose commit was answered looks for an old use of the change id.

An error that carries the time was ruled out for now: `error` is used by every library, while the time belongs to the client of one service.

--- a/adapters/platform/platform_client.cpp
+++ b/adapters/platform/platform_client.cpp
@@ -1,7 +1,10 @@
 #include "adapters/platform/platform_client.hpp"
 
+#include <charconv>
+#include <chrono>
 #include <cstdint>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 #include <fmt/format.h>
@@ -31,6 +34,13 @@
     return tl::unexpected<error>(std::move(failure));
 }
 
+tl::unexpected<error> failed_read(const error& failure)
+{
+    return failure.kind_ == error_kind::rate_limited
+               ? tl::unexpected<error>(failure)
+               : without_effect(failure);
+}
+
 nlohmann::json to_json(const transaction& writes)
 {
     auto checks = nlohmann::json::array();
@@ -77,6 +87,19 @@
     return row_from_json(json, json.at("key").get<std::string>());
 }
 
+/// Returns the time of `Retry-After` in seconds; 0 if the answer names none or
+/// a date.
+std::chrono::milliseconds retry_after_of(const http_response& answer)
+{
+    const auto named = answer[http::field::retry_after];
+    std::uint32_t seconds = 0;
+    const auto read =
+        std::from_chars(named.data(), named.data() + named.size(), seconds);
+    const bool whole =
+        read.ec == std::errc{} && read.ptr == named.data() + named.size();
+    return std::chrono::seconds{whole ? seconds : 0};
+}
+
 result<void> expect_success(const http_response& answer)
 {
     if (answer.result_int() / 100 == 2)
@@ -110,7 +133,7 @@
     const auto answer = send(make_request(http::verb::get, path));
     if (!answer)
     {
-        return without_effect(answer.error());
+        return failed_read(answer.error());
     }
     if (answer->result() == http::status::not_found)
     {
@@ -137,7 +160,7 @@
     const auto answer = send(make_request(http::verb::get, path));
     if (!answer)
     {
-        return without_effect(answer.error());
+        return failed_read(answer.error());
     }
     const auto json = json_of(*answer);
     if (!json)
@@ -209,6 +232,11 @@
         });
 }
 
+std::chrono::milliseconds platform_client::named_wait() const
+{
+    return named_wait_;
+}
+
 result<http_response> platform_client::send(const http_request& request)
 {
     auto answer = receive(request);
@@ -241,6 +269,16 @@
     {
         return answer;
     }
+    if (answer->result() == http::status::too_many_requests)
+    {
+        named_wait_ = retry_after_of(*answer);
+        return make_error(
+            error_kind::rate_limited,
+            fmt::format(
+                "platform: {} {}: status {}",
+                std::string(request.method_string()),
+                std::string(request.target()), status));
+    }
     // A refusal of the request itself and 503 come before the execution;
     // other failures of the server can come after it.
     const bool not_executed =
--- a/adapters/platform/platform_client.hpp
+++ b/adapters/platform/platform_client.hpp
@@ -1,6 +1,9 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_PLATFORM_PLATFORM_CLIENT_HPP
 #define HEMLOCKSHELF_ADAPTERS_PLATFORM_PLATFORM_CLIENT_HPP
 
+#include <atomic>
+#include <chrono>
+
 #include "adapters/http/http_client.hpp"
 #include "hemlockshelf/core/metric_sink.hpp"
 #include "hemlockshelf/editing/object_store.hpp"
@@ -24,15 +27,19 @@
     result<void>
     put(const std::string& name, const std::string& content) override;
     result<std::optional<std::string>> get(const std::string& name) override;
+    [[nodiscard]] std::chrono::milliseconds named_wait() const override;
 
 private:
     /// Sends a request. The errors are `platform_unavailable` if it certainly
-    /// was not executed, and `outcome_unknown`.
+    /// was not executed, `rate_limited` for status 429, which was not
+    /// executed either, and `outcome_unknown`.
     result<http_response> send(const http_request& request);
     result<http_response> receive(const http_request& request);
 
     http_target platform_;
     metric_sink* metrics_;
+    /// Time that the last status 429 named.
+    std::atomic<std::chrono::milliseconds> named_wait_{};
 };
 
 } // namespace hemlockshelf
--- a/include/hemlockshelf/editing/editor.hpp
+++ b/include/hemlockshelf/editing/editor.hpp
@@ -58,7 +58,9 @@
     ///   id belongs to another edit;
     /// - `rate_limited` and `quota_exceeded` by the account's limits;
     /// - `busy` if other edits won every attempt;
-    /// - `platform_unavailable` if it certainly was not committed;
+    /// - `platform_unavailable` if it certainly was not committed; a refusal
+    ///   for the platform's rate ends the edit only when no time is left to
+    ///   try again;
     /// - `outcome_unknown`, with the change id, if the platform's answer was
     ///   lost and could not be read back.
     result<edit_outcome> submit(const edit_request& request);
@@ -93,7 +95,9 @@
     attempt_result find_same(const edit_request& request);
     result<void> check_expected_versions(const edit_request& request);
     edit_outcome accept(const edit_plan& plan, const edit_base& base);
-    void wait_before(int attempt, const change_id& id) const;
+    /// Returns the random delay before an attempt, by the failed ones so far.
+    [[nodiscard]] std::chrono::milliseconds
+    backoff(int failed, const change_id& id) const;
     void pause(std::chrono::milliseconds time) const;
 
     editor_ports ports_;
--- a/include/hemlockshelf/editing/table_service.hpp
+++ b/include/hemlockshelf/editing/table_service.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_EDITING_TABLE_SERVICE_HPP
 #define HEMLOCKSHELF_EDITING_TABLE_SERVICE_HPP
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -55,7 +56,9 @@
 };
 
 /// Port to the platform's transactional tables. Calls block, up to the
-/// adapter's timeout, and may be made from several threads.
+/// adapter's timeout, and may be made from several threads. Besides the errors
+/// named below, each call has the error `rate_limited` if the service refused
+/// it for the rate of requests; it certainly was not executed.
 class table_service
 {
 public:
@@ -74,6 +77,13 @@
     /// `outcome_unknown` if the answer was lost.
     virtual result<void> commit(const transaction& writes) = 0;
 
+    /// Returns the time to wait that the service named with its last
+    /// `rate_limited`, to any thread; 0 if it named none.
+    [[nodiscard]] virtual std::chrono::milliseconds named_wait() const
+    {
+        return std::chrono::milliseconds{0};
+    }
+
 protected:
     table_service() = default;
     table_service(const table_service&) = default;
--- a/src/editing/editor.cpp
+++ b/src/editing/editor.cpp
@@ -58,6 +58,26 @@
             request.id_.value()));
 }
 
+tl::unexpected<error> lost_races(const edit_request& request, int count)
+{
+    return make_error(
+        error_kind::busy,
+        fmt::format(
+            "edit \"{}\": not committed, other edits won {} times in a row",
+            request.id_.value(), count));
+}
+
+/// The editor's own `rate_limited` is about the operator's account.
+tl::unexpected<error> beyond_platform_rate(const error& refusal)
+{
+    return make_error(error_kind::platform_unavailable, refusal.message_);
+}
+
+bool is_rate_limit(const error& failure)
+{
+    return failure.kind_ == error_kind::rate_limited;
+}
+
 result<void>
 check_version(const row_edit& edit, const std::optional<stored_row>& row)
 {
@@ -125,27 +145,34 @@
         return tl::unexpected<error>(checked.error());
     }
     const auto give_up = ports_.time_->now() + settings_.retry_.give_up_after_;
-    int attempts = 0;
-    do
+    constexpr std::chrono::milliseconds no_wait{0};
+    int lost = 0;
+    int limited = 0;
+    while (true)
     {
-        wait_before(attempts, request.id_);
-        ++attempts;
-        const auto outcome = attempt(request, attempts, give_up);
-        if (!outcome)
+        const auto outcome = attempt(request, lost + 1, give_up);
+        if (outcome && *outcome)
+        {
+            return **outcome;
+        }
+        if (!outcome && !is_rate_limit(outcome.error()))
         {
             return tl::unexpected<error>(outcome.error());
         }
-        if (*outcome)
+        // Only lost races count as attempts: a refusal for the rate says
+        // nothing about other edits.
+        lost += outcome ? 1 : 0;
+        limited += outcome ? 0 : 1;
+        const auto delay = backoff(lost + limited, request.id_) +
+                           (outcome ? no_wait : ports_.tables_->named_wait());
+        if (lost >= settings_.retry_.max_attempts_ ||
+            ports_.time_->now() + delay >= give_up)
         {
-            return **outcome;
+            return outcome ? lost_races(request, lost)
+                           : beyond_platform_rate(outcome.error());
         }
-    } while (attempts < settings_.retry_.max_attempts_ &&
-             ports_.time_->now() < give_up);
-    return make_error(
-        error_kind::busy,
-        fmt::format(
-            "edit \"{}\": not committed, other edits won {} times in a row",
-            request.id_.value(), attempts));
+        pause(delay);
+    }
 }
 
 editor::attempt_result
@@ -346,23 +373,19 @@
     return {record.id_, record.delta_.to_};
 }
 
-void editor::wait_before(int attempt, const change_id& id) const
+std::chrono::milliseconds editor::backoff(int failed, const change_id& id) const
 {
-    if (attempt == 0)
-    {
-        return;
-    }
     // The delay is uniform between 0 and a limit that doubles, so that racing
     // editors spread out. Hashing the id gives each edit its own sequence.
     constexpr int max_doublings = 16;
     const auto& retry = settings_.retry_;
     const auto limit = std::min(
         retry.max_delay_,
-        retry.first_delay_ * (1 << std::min(attempt - 1, max_doublings)));
+        retry.first_delay_ * (1 << std::min(failed - 1, max_doublings)));
     const auto random =
-        hash_text(id.value() + vm_.value(), static_cast<unsigned>(attempt));
+        hash_text(id.value() + vm_.value(), static_cast<unsigned>(failed));
     const auto span = static_cast<std::uint64_t>(limit.count()) + 1;
-    pause(std::chrono::milliseconds{random % span});
+    return std::chrono::milliseconds{random % span};
 }
 
 void editor::pause(std::chrono::milliseconds time) const
--- a/test/editing/test_concurrent_editors.cpp
+++ b/test/editing/test_concurrent_editors.cpp
@@ -253,3 +253,13 @@
         expect_no_violations(run_editors({0, 0, 0, 0.4}, seed));
     }
 }
+
+// Guards against an edit that commits twice when requests are refused for the
+// platform's rate among lost ones.
+Test(concurrent_editors, rate_limits_commit_at_most_once)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed)
+    {
+        expect_no_violations(run_editors({0, 0.1, 0.05, 0.1, 0.2}, seed));
+    }
+}
--- a/test/editing/test_editor.cpp
+++ b/test/editing/test_editor.cpp
@@ -285,3 +285,99 @@
     under_test.time_.advance(std::chrono::milliseconds{1001});
     cr_assert(under_test.editor_.submit(edit("c3")).has_value());
 }
+
+// Guards against an edit that ends because the platform is at its rate limit,
+// and against a second request before the time that the platform named.
+Test(editor, a_rate_limit_is_retried_after_the_named_time)
+{
+    constexpr std::chrono::milliseconds named{700};
+    fixture under_test;
+    under_test.faulty_.limit_commits(2, named);
+    const auto before = under_test.time_.now();
+    const auto outcome = under_test.editor_.submit(
+        request_of("c1", {pool_edit("regie/a", "s")}));
+    cr_assert(outcome.has_value());
+    cr_assert(outcome->revision_ == revision{1});
+    cr_assert(under_test.faulty_.commits() == 3);
+    cr_assert(under_test.time_.now() - before >= 2 * named);
+    cr_assert(read_changes(under_test.tables_, revision{0}, 10)->size() == 1);
+}
+
+// Guards against a retry that covers the commit only.
+Test(editor, a_rate_limit_of_reads_is_retried)
+{
+    fixture under_test;
+    under_test.faulty_.limit_reads(2, {});
+    const auto outcome = under_test.submit("c1", {pool_edit("regie/a", "s")});
+    cr_assert(outcome.has_value());
+    cr_assert(under_test.faulty_.commits() == 1);
+}
+
+// Guards against an edit that is retried beyond its deadline, or that waits
+// for a time after which it may not start again.
+Test(editor, a_rate_limit_is_not_retried_beyond_the_deadline)
+{
+    const editing_settings settings;
+    fixture under_test;
+    for (const auto named :
+         {std::chrono::milliseconds{0}, 2 * settings.retry_.give_up_after_})
+    {
+        under_test.faulty_.limit_commits(1'000'000, named);
+        const auto before = under_test.time_.now();
+        const auto outcome = under_test.editor_.submit(
+            request_of("c1", {pool_edit("regie/a", "s")}));
+        cr_assert(!outcome.has_value());
+        cr_assert(outcome.error().kind_ == error_kind::platform_unavailable);
+        const auto taken = under_test.time_.now() - before;
+        cr_assert(taken < settings.retry_.give_up_after_);
+        cr_assert(named.count() == 0 || taken.count() == 0);
+    }
+    cr_assert(read_changes(under_test.tables_, revision{0}, 10)->empty());
+}
+
+// Guards against a second write when the answer to the retry is lost.
+Test(editor, a_rate_limit_after_a_lost_answer_writes_once)
+{
+    fixture under_test;
+    under_test.faulty_.limit_commits(1, {});
+    under_test.faulty_.lose_next_answer();
+    const auto outcome = under_test.submit("c1", {pool_edit("regie/a", "s")});
+    cr_assert(outcome.has_value());
+    cr_assert(under_test.faulty_.commits() == 2);
+    cr_assert(read_changes(under_test.tables_, revision{0}, 10)->size() == 1);
+}
+
+// Guards against a lost answer that is taken for a refusal because the reads
+// by change id are beyond the rate.
+Test(editor, a_rate_limit_of_every_read_back_leaves_the_outcome_unknown)
+{
+    const editing_settings settings;
+    fixture under_test;
+    cr_assert(under_test.submit("c0", {pool_edit("regie/b", "s")}).has_value());
+    under_test.faulty_.lose_next_answer();
+    under_test.faulty_.limit_reads_after_commit(
+        settings.retry_.max_read_backs_);
+    cr_assert(
+        under_test.refusal("c1", {pool_edit("regie/a", "s")}) ==
+        error_kind::outcome_unknown);
+    cr_assert(under_test.faulty_.commits() == 2);
+    cr_assert(read_changes(under_test.tables_, revision{0}, 10)->size() == 2);
+}
+
+// Guards against a change id that is long in use and is not recognized because
+// the first commit was beyond the rate.
+Test(editor, a_rate_limit_does_not_hide_an_old_change_id)
+{
+    fixture under_test;
+    cr_assert(under_test.submit("c1", {pool_edit("regie/a", "s")}).has_value());
+    for (std::size_t count = 0; count <= recent_change_limit; ++count)
+    {
+        const auto id = "other-" + std::to_string(count);
+        cr_assert(under_test.submit(id.c_str(), {pool_edit("regie/b", id)})
+                      .has_value());
+    }
+    under_test.faulty_.limit_commits(1, {});
+    cr_assert(
+        under_test.refusal("c1", {pool_edit("regie/a", "t")}) ==
+        error_kind::conflict);
+}
