node: poll the platform less often while joining

Cause: a joining node read the head at once and then every 500 ms. Counts at the platform stand-in showed one read of each returning node within 250 ms, so that a failure domain of 1,143 nodes that returns at once would take 2,286 reads a second beside the 84 of the readers; the platform has 2,000.

The delay between the polls of a joining node now doubles from 1 s to 2 s with a random spread. Computed for 1,143 nodes that start together, no second holds more than the 1,916 reads that are left (test; it fails with the old interval). Readers poll as before. Peers tell a joining node of newer revisions meanwhile.

--- a/adapters/node/platform_poller.cpp
+++ b/adapters/node/platform_poller.cpp
@@ -57,6 +57,7 @@
 {
     const std::lock_guard lock(mutex_);
     const bool wakes = mode_ == poll_mode::off && mode != poll_mode::off;
+    polls_ = mode_ == mode ? polls_ : 0;
     mode_ = mode;
     if (wakes)
     {
@@ -116,7 +117,10 @@
         }
         else
         {
-            wake_.wait_for(lock, interval_, has_work);
+            ++polls_;
+            const auto delay =
+                next_poll_delay(mode_, interval_, polls_, random_);
+            wake_.wait_for(lock, delay, has_work);
         }
     }
 }
--- a/adapters/node/platform_poller.hpp
+++ b/adapters/node/platform_poller.hpp
@@ -3,27 +3,21 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <mutex>
+#include <random>
 #include <thread>
 #include <vector>
 
 #include "adapters/node/config_keeper.hpp"
+#include "adapters/node/poll_schedule.hpp"
+#include "hemlockshelf/core/random_source.hpp"
 #include "hemlockshelf/editing/object_store.hpp"
 #include "hemlockshelf/editing/table_service.hpp"
 
 namespace hemlockshelf {
 
-/// How much this node asks of the platform.
-enum class poll_mode
-{
-    off,
-    /// Read the head, but leave catching up to peers.
-    head_only,
-    /// Read the head and the change rows up to it.
-    follow,
-};
-
 /// What one poll brought.
 struct poll_report
 {
@@ -79,6 +73,9 @@
     bool stopping_ = false;
     bool poll_now_ = false;
     poll_mode mode_ = poll_mode::off;
+    /// Polls since the mode was set.
+    std::uint32_t polls_ = 0;
+    random_source random_{std::random_device{}()};
     std::vector<std::function<void(table_service&)>> tasks_;
     std::thread thread_;
 };
