node: take back the second announcement after a join

It and the contacts soon after a join were made at the same time for one cause: nodes that start together know only some members when they announce themselves. The contacts have tests and exchange records in both directions; two mechanisms for one cause are not needed.

--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -34,10 +34,6 @@
 constexpr std::chrono::milliseconds polled_push_delay{150};
 // A joining node leaves it to peers for this long to send what it misses.
 constexpr std::chrono::milliseconds join_grace{1000};
-// Peers that were asked while they joined themselves knew only some members; a
-// node compares again after this long, and at most so many times.
-constexpr std::chrono::milliseconds view_check_delay{1000};
-constexpr int view_checks = 2;
 // Time for the last record to reach the first nodes of its tree.
 constexpr std::chrono::milliseconds leave_notice_time{250};
 
@@ -355,39 +351,12 @@
         publish_state();
         records_.announce();
         repairs_.hasten();
-        plan_view_check(view_checks);
         choose_poll_mode();
         log_event<log_event_id::node_serving>(
             log_fields::revision(keeper_.held()),
             log_fields::members(context_.members_.size()));
     }
 
-    /// Announces this node again if it knew only some members when it did so
-    /// before: the others are not reached by an announcement.
-    void plan_view_check(int checks_left)
-    {
-        if (checks_left == 0)
-        {
-            return;
-        }
-        const auto announced_to = context_.members_.size();
-        network_.after(
-            view_check_delay,
-            [this, checks_left, announced_to]
-            {
-                joins_.refresh(
-                    [this, checks_left, announced_to](bool)
-                    {
-                        if (context_.members_.size() <= announced_to)
-                        {
-                            return;
-                        }
-                        records_.announce();
-                        plan_view_check(checks_left - 1);
-                    });
-            });
-    }
-
     void publish_state()
     {
         state_ = lifecycle_.state();
--- a/adapters/node/join_agent.cpp
+++ b/adapters/node/join_agent.cpp
@@ -74,17 +74,6 @@
     return is_complete();
 }
 
-void join_agent::refresh(const std::function<void(bool)>& done)
-{
-    if (contacts_.empty())
-    {
-        done(false);
-        return;
-    }
-    const auto chosen = context_.random_() % contacts_.size();
-    repairs_.exchange_records({contacts_.at(chosen), {}}, done);
-}
-
 void join_agent::ask_peers()
 {
     if (contacts_.empty())
--- a/adapters/node/join_agent.hpp
+++ b/adapters/node/join_agent.hpp
@@ -28,9 +28,6 @@
     /// Goes on with the exchange. Returns true once the node is up to date.
     bool tick();
 
-    /// Exchanges records with a random contact once more.
-    void refresh(const std::function<void(bool)>& done);
-
     void add_contacts(const std::vector<endpoint>& contacts);
     void note_platform(revision head);
 
