node: move the directory's upkeep out of the control plane

`control_plane.cpp` wires the agents and also read and wrote the platform's directory. `directory_agent` now does this; the control plane calls it while the node serves, as before.

--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -13,7 +13,7 @@
 #include "adapters/node/config_keeper.hpp"
 #include "adapters/node/contact_tracker.hpp"
 #include "adapters/node/control_context.hpp"
-#include "adapters/node/directory.hpp"
+#include "adapters/node/directory_agent.hpp"
 #include "adapters/node/heartbeat_agent.hpp"
 #include "adapters/node/join_agent.hpp"
 #include "adapters/node/platform_poller.hpp"
@@ -94,7 +94,11 @@
               repairs_,
               [this]
               {
-                  look_up_directory();
+                  directory_.look_up(
+                      [this](const std::vector<endpoint>& contacts)
+                      {
+                          joins_.add_contacts(contacts);
+                      });
               }),
           poller_(
               tables,
@@ -108,7 +112,8 @@
                       {
                           on_polled(held);
                       });
-              })
+              }),
+          directory_(context_, poller_)
     {}
 
     void start()
@@ -407,7 +412,10 @@
         context_.members_.remove_expired(time_.now(), settings_.membership_);
         choose_poll_mode();
         report_members();
-        maintain_directory();
+        if (lifecycle_.state() == node_state::serving)
+        {
+            directory_.maintain();
+        }
     }
 
     void choose_poll_mode()
@@ -437,49 +445,6 @@
         }
     }
 
-    void look_up_directory()
-    {
-        poller_.run_task(
-            [this](table_service& tables)
-            {
-                network_.post(
-                    [this, contacts = read_directory(tables)]
-                    {
-                        joins_.add_contacts(contacts);
-                    });
-            });
-    }
-
-    /// The first members of the rendezvous order hold the directory's rows.
-    void maintain_directory()
-    {
-        const auto now = time_.now();
-        if (lifecycle_.state() != node_state::serving || now < next_directory_)
-        {
-            return;
-        }
-        next_directory_ = now + settings_.membership_.directory_interval_;
-        auto live = peers_in(context_, settings_.failure_domain_);
-        live.push_back(settings_.vm_);
-        const auto holders = choose_readers(
-            settings_.failure_domain_, std::move(live),
-            settings_.membership_.directory_rows_);
-        const auto found = std::ranges::find(holders, settings_.vm_);
-        if (found == holders.end())
-        {
-            return;
-        }
-        const directory_row row{
-            settings_.failure_domain_,
-            static_cast<std::size_t>(found - holders.begin()), settings_.vm_,
-            settings_.advertised_control_};
-        poller_.run_task(
-            [row](table_service& tables)
-            {
-                write_directory_row(tables, row);
-            });
-    }
-
     const node_settings& settings_;
     const clock& time_;
     metric_sink& metrics_;
@@ -493,12 +458,12 @@
     heartbeat_agent heartbeats_;
     join_agent joins_;
     platform_poller poller_;
+    directory_agent directory_;
     node_lifecycle lifecycle_;
     std::atomic<node_state> state_ = node_state::starting;
     std::atomic<std::uint64_t> highest_known_ = 0;
     /// Written by the control thread, read by call threads as well.
     std::atomic<steady_time> last_tick_;
-    steady_time next_directory_;
     steady_time join_grace_until_;
     revision last_pushed_;
     bool running_ = false;
