node: move the intake of revisions out of the control plane

`push_intake` takes the deltas of pushes, edits and polls, remembers the highest revision that was pushed and logs what is malformed or rejected.

--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -18,6 +18,7 @@
 #include "adapters/node/join_agent.hpp"
 #include "adapters/node/platform_poller.hpp"
 #include "adapters/node/push_agent.hpp"
+#include "adapters/node/push_intake.hpp"
 #include "adapters/node/record_keeper.hpp"
 #include "adapters/node/repair_agent.hpp"
 #include "adapters/telemetry/event_log.hpp"
@@ -29,9 +30,6 @@
 
 constexpr std::chrono::milliseconds tick_interval{100};
 constexpr std::chrono::seconds housekeeping_interval{5};
-// Readers wait this long for the accepting node's push before they push a
-// revision that they polled.
-constexpr std::chrono::milliseconds polled_push_delay{150};
 // A joining node leaves it to peers for this long to send what it misses.
 constexpr std::chrono::milliseconds join_grace{1000};
 // Time for the last record to reach the first nodes of its tree.
@@ -46,20 +44,6 @@
     return rpc;
 }
 
-void log_malformed(
-    const push_message& request,
-    const result<std::vector<accepted_delta>>& deltas)
-{
-    const auto failure =
-        deltas ? error{error_kind::bad_request, "expected deltas, given none"}
-               : deltas.error();
-    log_event<log_event_id::push_malformed>(
-        log_fields::peer(request.sender_.vm_),
-        log_fields::origin(request.origin_),
-        log_fields::error_kind(failure.kind_),
-        log_fields::detail(failure.message_));
-}
-
 } // namespace
 
 class control_plane::parts final : public control_handler
@@ -88,6 +72,7 @@
           contacts_(context_), pushes_(context_, contacts_),
           records_(context_, pushes_, upstream),
           repairs_(context_, pushes_, records_, contacts_),
+          intake_(context_, pushes_, repairs_),
           heartbeats_(context_, pushes_, repairs_, contacts_),
           joins_(
               context_,
@@ -198,9 +183,7 @@
         network_.post(
             [this, deltas]
             {
-                repairs_.note_revision(deltas.back().delta_.to_);
-                note_pushed(deltas.back().delta_.to_);
-                pushes_.push_deltas(deltas, push_scope::global);
+                intake_.push_accepted(deltas);
             });
     }
 
@@ -244,7 +227,7 @@
         }
         if (!request.deltas_.empty())
         {
-            take_deltas(request);
+            intake_.take(request);
         }
         if (!request.deltas_.empty() || !request.records_.empty())
         {
@@ -271,33 +254,6 @@
         heartbeats_.on_probe(request, std::move(answer));
     }
 
-    void take_deltas(const push_message& request)
-    {
-        const auto deltas = decode_deltas(request.deltas_);
-        if (!deltas || deltas->empty())
-        {
-            log_malformed(request, deltas);
-            return;
-        }
-        repairs_.note_revision(request.revision_);
-        note_pushed(request.revision_);
-        const auto applied = keeper_.apply(*deltas, apply_source::push);
-        if (applied)
-        {
-            return;
-        }
-        log_event<log_event_id::push_rejected>(
-            log_fields::peer(request.sender_.vm_),
-            log_fields::origin(request.origin_),
-            log_fields::revision(request.revision_),
-            log_fields::error_kind(applied.error().kind_),
-            log_fields::detail(applied.error().message_));
-        if (const auto peer = address_of(context_, request.sender_.vm_))
-        {
-            repairs_.fetch_from(*peer, [](bool) {});
-        }
-    }
-
     void every(std::chrono::milliseconds interval, std::function<void()> task)
     {
         network_.after(
@@ -386,25 +342,10 @@
             }
             return;
         }
-        if (report.deltas_.empty())
+        if (!report.deltas_.empty())
         {
-            return;
+            intake_.push_polled(report.deltas_);
         }
-        network_.after(
-            polled_push_delay,
-            [this, deltas = report.deltas_]
-            {
-                if (deltas.back().delta_.to_ > last_pushed_)
-                {
-                    note_pushed(deltas.back().delta_.to_);
-                    pushes_.push_deltas(deltas, push_scope::domain);
-                }
-            });
-    }
-
-    void note_pushed(revision number)
-    {
-        last_pushed_ = std::max(last_pushed_, number);
     }
 
     void keep_house()
@@ -455,6 +396,7 @@
     push_agent pushes_;
     record_keeper records_;
     repair_agent repairs_;
+    push_intake intake_;
     heartbeat_agent heartbeats_;
     join_agent joins_;
     platform_poller poller_;
@@ -465,7 +407,6 @@
     /// Written by the control thread, read by call threads as well.
     std::atomic<steady_time> last_tick_;
     steady_time join_grace_until_;
-    revision last_pushed_;
     bool running_ = false;
 };
 
--- /dev/null
+++ b/adapters/node/push_intake.cpp
@@ -0,0 +1,95 @@
+#include "adapters/node/push_intake.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include "adapters/telemetry/event_log.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+// Readers wait this long for the accepting node's push before they push a
+// revision that they polled.
+constexpr std::chrono::milliseconds polled_push_delay{150};
+
+void log_malformed(
+    const push_message& request,
+    const result<std::vector<accepted_delta>>& deltas)
+{
+    const auto failure =
+        deltas ? error{error_kind::bad_request, "expected deltas, given none"}
+               : deltas.error();
+    log_event<log_event_id::push_malformed>(
+        log_fields::peer(request.sender_.vm_),
+        log_fields::origin(request.origin_),
+        log_fields::error_kind(failure.kind_),
+        log_fields::detail(failure.message_));
+}
+
+void log_rejected(const push_message& request, const error& failure)
+{
+    log_event<log_event_id::push_rejected>(
+        log_fields::peer(request.sender_.vm_),
+        log_fields::origin(request.origin_),
+        log_fields::revision(request.revision_),
+        log_fields::error_kind(failure.kind_),
+        log_fields::detail(failure.message_));
+}
+
+} // namespace
+
+push_intake::push_intake(
+    control_context& context, push_agent& pushes, repair_agent& repairs)
+    : context_(context), pushes_(pushes), repairs_(repairs)
+{}
+
+void push_intake::take(const push_message& request)
+{
+    const auto deltas = decode_deltas(request.deltas_);
+    if (!deltas || deltas->empty())
+    {
+        log_malformed(request, deltas);
+        return;
+    }
+    repairs_.note_revision(request.revision_);
+    note(request.revision_);
+    const auto applied = context_.keeper_.apply(*deltas, apply_source::push);
+    if (applied)
+    {
+        return;
+    }
+    log_rejected(request, applied.error());
+    if (const auto peer = address_of(context_, request.sender_.vm_))
+    {
+        repairs_.fetch_from(*peer, [](bool) {});
+    }
+}
+
+void push_intake::push_accepted(const std::vector<accepted_delta>& deltas)
+{
+    repairs_.note_revision(deltas.back().delta_.to_);
+    note(deltas.back().delta_.to_);
+    pushes_.push_deltas(deltas, push_scope::global);
+}
+
+void push_intake::push_polled(const std::vector<accepted_delta>& deltas)
+{
+    context_.network_.after(
+        polled_push_delay,
+        [this, deltas]
+        {
+            if (deltas.back().delta_.to_ > last_pushed_)
+            {
+                note(deltas.back().delta_.to_);
+                pushes_.push_deltas(deltas, push_scope::domain);
+            }
+        });
+}
+
+void push_intake::note(revision number)
+{
+    last_pushed_ = std::max(last_pushed_, number);
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/adapters/node/push_intake.hpp
@@ -0,0 +1,46 @@
+#ifndef HEMLOCKSHELF_ADAPTERS_NODE_PUSH_INTAKE_HPP
+#define HEMLOCKSHELF_ADAPTERS_NODE_PUSH_INTAKE_HPP
+
+#include <vector>
+
+#include "adapters/node/control_context.hpp"
+#include "adapters/node/push_agent.hpp"
+#include "adapters/node/repair_agent.hpp"
+#include "adapters/rpc/config_payload.hpp"
+#include "adapters/rpc/control_messages.hpp"
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// Takes revisions that arrive by push, by edit or by poll, and pushes on those
+/// that start here. Used on the control loop only.
+class push_intake
+{
+public:
+    push_intake(
+        control_context& context, push_agent& pushes, repair_agent& repairs);
+
+    /// Applies the deltas of a push. Fetches from its sender if they do not
+    /// apply.
+    void take(const push_message& request);
+
+    /// Pushes deltas of an edit that this node accepted to the whole fleet.
+    void push_accepted(const std::vector<accepted_delta>& deltas);
+
+    /// Pushes polled deltas within the failure domain, unless the accepting
+    /// node's push arrives first.
+    void push_polled(const std::vector<accepted_delta>& deltas);
+
+private:
+    void note(revision number);
+
+    control_context& context_;
+    push_agent& pushes_;
+    repair_agent& repairs_;
+    /// Highest revision that was pushed to or by this node.
+    revision last_pushed_;
+};
+
+} // namespace hemlockshelf
+
+#endif
