--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -13,11 +13,12 @@
 #include "adapters/node/config_keeper.hpp"
 #include "adapters/node/contact_tracker.hpp"
 #include "adapters/node/control_context.hpp"
-#include "adapters/node/directory.hpp"
+#include "adapters/node/directory_agent.hpp"
 #include "adapters/node/heartbeat_agent.hpp"
 #include "adapters/node/join_agent.hpp"
 #include "adapters/node/platform_poller.hpp"
 #include "adapters/node/push_agent.hpp"
+#include "adapters/node/push_intake.hpp"
 #include "adapters/node/record_keeper.hpp"
 #include "adapters/node/repair_agent.hpp"
 #include "adapters/telemetry/event_log.hpp"
@@ -29,9 +30,6 @@
 
 constexpr std::chrono::milliseconds tick_interval{100};
 constexpr std::chrono::seconds housekeeping_interval{5};
-// Readers wait this long for the accepting node's push before they push a
-// revision that they polled.
-constexpr std::chrono::milliseconds polled_push_delay{150};
 // A joining node leaves it to peers for this long to send what it misses.
 constexpr std::chrono::milliseconds join_grace{1000};
 // Time for the last record to reach the first nodes of its tree.
@@ -46,20 +44,6 @@
     return rpc;
 }
 
-void log_malformed(
-    const push_message& request,
-    const result<std::vector<accepted_delta>>& deltas)
-{
-    const auto failure =
-        deltas ? error{error_kind::bad_request, "expected deltas, given none"}
-               : deltas.error();
-    log_event<log_event_id::push_malformed>(
-        log_fields::peer(request.sender_.vm_),
-        log_fields::origin(request.origin_),
-        log_fields::error_kind(failure.kind_),
-        log_fields::detail(failure.message_));
-}
-
 } // namespace
 
 class control_plane::parts final : public control_handler
@@ -88,13 +72,18 @@
           contacts_(context_), pushes_(context_, contacts_),
           records_(context_, pushes_, upstream),
           repairs_(context_, pushes_, records_, contacts_),
+          intake_(context_, pushes_, repairs_),
           heartbeats_(context_, pushes_, repairs_, contacts_),
           joins_(
               context_,
               repairs_,
               [this]
               {
-                  look_up_directory();
+                  directory_.look_up(
+                      [this](const std::vector<endpoint>& contacts)
+                      {
+                          joins_.add_contacts(contacts);
+                      });
               }),
           poller_(
               tables,
@@ -108,7 +97,8 @@
                       {
                           on_polled(held);
                       });
-              })
+              }),
+          directory_(context_, poller_)
     {}
 
     void start()
@@ -193,9 +183,7 @@
         network_.post(
             [this, deltas]
             {
-                repairs_.note_revision(deltas.back().delta_.to_);
-                note_pushed(deltas.back().delta_.to_);
-                pushes_.push_deltas(deltas, push_scope::global);
+                intake_.push_accepted(deltas);
             });
     }
 
@@ -239,7 +227,7 @@
         }
         if (!request.deltas_.empty())
         {
-            take_deltas(request);
+            intake_.take(request);
         }
         if (!request.deltas_.empty() || !request.records_.empty())
         {
@@ -266,33 +254,6 @@
         heartbeats_.on_probe(request, std::move(answer));
     }
 
-    void take_deltas(const push_message& request)
-    {
-        const auto deltas = decode_deltas(request.deltas_);
-        if (!deltas || deltas->empty())
-        {
-            log_malformed(request, deltas);
-            return;
-        }
-        repairs_.note_revision(request.revision_);
-        note_pushed(request.revision_);
-        const auto applied = keeper_.apply(*deltas, apply_source::push);
-        if (applied)
-        {
-            return;
-        }
-        log_event<log_event_id::push_rejected>(
-            log_fields::peer(request.sender_.vm_),
-            log_fields::origin(request.origin_),
-            log_fields::revision(request.revision_),
-            log_fields::error_kind(applied.error().kind_),
-            log_fields::detail(applied.error().message_));
-        if (const auto peer = address_of(context_, request.sender_.vm_))
-        {
-            repairs_.fetch_from(*peer, [](bool) {});
-        }
-    }
-
     void every(std::chrono::milliseconds interval, std::function<void()> task)
     {
         network_.after(
@@ -382,25 +343,10 @@
             }
             return;
         }
-        if (report.deltas_.empty())
+        if (!report.deltas_.empty())
         {
-            return;
+            intake_.push_polled(report.deltas_);
         }
-        network_.after(
-            polled_push_delay,
-            [this, deltas = report.deltas_]
-            {
-                if (deltas.back().delta_.to_ > last_pushed_)
-                {
-                    note_pushed(deltas.back().delta_.to_);
-                    pushes_.push_deltas(deltas, push_scope::domain);
-                }
-            });
-    }
-
-    void note_pushed(revision number)
-    {
-        last_pushed_ = std::max(last_pushed_, number);
     }
 
     void keep_house()
@@ -408,7 +354,10 @@
         context_.members_.remove_expired(time_.now(), settings_.membership_);
         choose_poll_mode();
         report_members();
-        maintain_directory();
+        if (lifecycle_.state() == node_state::serving)
+        {
+            directory_.maintain();
+        }
     }
 
     void choose_poll_mode()
@@ -438,49 +387,6 @@
         }
     }
 
-    void look_up_directory()
-    {
-        poller_.run_task(
-            [this](table_service& tables)
-            {
-                network_.post(
-                    [this, contacts = read_directory(tables)]
-                    {
-                        joins_.add_contacts(contacts);
-                    });
-            });
-    }
-
-    /// The first members of the rendezvous order hold the directory's rows.
-    void maintain_directory()
-    {
-        const auto now = time_.now();
-        if (lifecycle_.state() != node_state::serving || now < next_directory_)
-        {
-            return;
-        }
-        next_directory_ = now + settings_.membership_.directory_interval_;
-        auto live = peers_in(context_, settings_.failure_domain_);
-        live.push_back(settings_.vm_);
-        const auto holders = choose_readers(
-            settings_.failure_domain_, std::move(live),
-            settings_.membership_.directory_rows_);
-        const auto found = std::ranges::find(holders, settings_.vm_);
-        if (found == holders.end())
-        {
-            return;
-        }
-        const directory_row row{
-            settings_.failure_domain_,
-            static_cast<std::size_t>(found - holders.begin()), settings_.vm_,
-            settings_.advertised_control_};
-        poller_.run_task(
-            [row](table_service& tables)
-            {
-                write_directory_row(tables, row);
-            });
-    }
-
     const node_settings& settings_;
     const clock& time_;
     metric_sink& metrics_;
@@ -491,17 +397,17 @@
     push_agent pushes_;
     record_keeper records_;
     repair_agent repairs_;
+    push_intake intake_;
     heartbeat_agent heartbeats_;
     join_agent joins_;
     platform_poller poller_;
+    directory_agent directory_;
     node_lifecycle lifecycle_;
     std::atomic<node_state> state_ = node_state::starting;
     std::atomic<std::uint64_t> highest_known_ = 0;
     /// Written by the control thread, read by call threads as well.
     std::atomic<steady_time> last_tick_;
-    steady_time next_directory_;
     steady_time join_grace_until_;
-    revision last_pushed_;
     bool running_ = false;
 };
 
