membership: spread the end of the warm-up

Cause: every upstream was reported as ready exactly 10 s after it announced itself, so that the nodes of a mesh or a failure domain that started together all pushed a record at the same moment.

The end is now spread over 10 to 15 s by a hash of the vm.

--- a/adapters/node/record_keeper.cpp
+++ b/adapters/node/record_keeper.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "adapters/telemetry/event_log.hpp"
+#include "hemlockshelf/membership/warm_up.hpp"
 
 namespace hemlockshelf {
 
@@ -33,12 +34,21 @@
     return record;
 }
 
+membership_settings lifecycle_settings(const node_settings& settings)
+{
+    auto membership = settings.membership_;
+    membership.warm_up_time_ =
+        spread_warm_up(membership.warm_up_time_, settings.vm_);
+    return membership;
+}
+
 } // namespace
 
 record_keeper::record_keeper(
     control_context& context, push_agent& pushes, const own_upstream& upstream)
     : context_(context), pushes_(pushes), upstream_(upstream),
-      lifecycle_(context.settings_.membership_), record_(make_record(context))
+      lifecycle_(lifecycle_settings(context.settings_)),
+      record_(make_record(context))
 {
     context_.members_.merge(record_);
 }
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -435,7 +435,9 @@
         settings.probe_deadline_);
     read_duration(
         section,
-        {"warm_up_time", "How long a new upstream is reported as warming."},
+        {"warm_up_time",
+         "How long a new upstream is at least reported as warming; each node "
+         "adds up to half of it."},
         settings.warm_up_time_);
     read_duration(
         section,
--- a/include/hemlockshelf/membership/membership_settings.hpp
+++ b/include/hemlockshelf/membership/membership_settings.hpp
@@ -23,7 +23,8 @@
     std::size_t confirming_nodes_ = 3;
     /// Deadline of a request to confirm; it contains a heartbeat.
     std::chrono::milliseconds probe_deadline_{900};
-    /// How long a new upstream is reported as warming.
+    /// How long a new upstream is at least reported as warming; each node adds
+    /// up to half of it.
     std::chrono::milliseconds warm_up_time_{10'000};
     /// After this time, members that left or are down are no longer listed.
     std::chrono::seconds removal_delay_{600};
