http: wait after a failed accept

Cause: the accept loop of the admin and stand-in servers went on at once after a failed accept, so that a lack of file descriptors would have kept its thread busy. The call path's listener waits 50 ms; this one does so now. The test fails with a pause of 0.

--- a/adapters/http/http_listener.cpp
+++ b/adapters/http/http_listener.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -26,6 +27,9 @@
 
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 constexpr std::chrono::seconds idle_timeout{60};
+// Wait after a failed accept; without it, a lack of file descriptors would
+// keep the thread busy.
+constexpr std::chrono::milliseconds accept_pause{50};
 
 tcp::endpoint to_tcp(const endpoint& where)
 {
@@ -63,7 +67,11 @@
         {
             auto executor = socket.get_executor();
             asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+            continue;
         }
+        asio::steady_timer timer(context_, accept_pause);
+        co_await timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, failure));
     }
 }
 
--- a/test/http/test_http_listener.cpp
+++ b/test/http/test_http_listener.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http/http_listener.hpp"
 
 #include <chrono>
+#include <ctime>
 #include <future>
 #include <memory>
 #include <stdexcept>
@@ -9,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <fmt/format.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "adapters/http/call_server.hpp"
@@ -178,3 +180,28 @@
         client.read_message().find("broken handler") != std::string::npos);
     cr_assert(ends_with_body(client.read_message(), "/1"));
 }
+
+// Guards against an accept that fails for a lack of file descriptors and is
+// repeated without a pause.
+Test(http_listener, a_failed_accept_keeps_no_thread_busy)
+{
+    const running<call_server> server(call_server::handler{echo_path});
+    raw_connection first(own_address());
+    first.send(get("/1"));
+    cr_assert(ends_with_body(first.read_message(), "/1"));
+    // Leaves one descriptor, which the second client takes.
+    const int next = dup(STDIN_FILENO);
+    close(next);
+    rlimit limit{};
+    cr_assert(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    const rlimit scarce{static_cast<rlim_t>(next) + 1, limit.rlim_max};
+    cr_assert(setrlimit(RLIMIT_NOFILE, &scarce) == 0);
+    raw_connection second(own_address());
+    const auto before = std::clock();
+    std::this_thread::sleep_for(milliseconds{400});
+    const auto used = std::clock() - before;
+    cr_assert(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    cr_assert_lt(used, CLOCKS_PER_SEC / 10);
+    second.send(get("/2"));
+    cr_assert(ends_with_body(second.read_message(), "/2"));
+}
