--- a/test/editing/test_editor.cpp
+++ b/test/editing/test_editor.cpp
@@ -13,6 +13,7 @@
 #include "standins/platform/memory_tables.hpp"
 #include "test/editing/edit_samples.hpp"
 #include "test/editing/faulty_tables.hpp"
+#include "test/editing/observed_tables.hpp"
 
 #include <criterion/criterion.h>
 
@@ -68,42 +69,6 @@
     editor editor_;
 };
 
-/// Counts the change rows that are scanned and calls `before_commit_` first
-/// for each commit.
-class observed_tables final : public table_service
-{
-public:
-    explicit observed_tables(table_service& tables) : tables_(tables) {}
-
-    result<std::optional<stored_row>>
-    read(const std::string& table, const std::string& key) override
-    {
-        return tables_.read(table, key);
-    }
-
-    result<std::vector<stored_row>> scan(const scan_range& range) override
-    {
-        auto rows = tables_.scan(range);
-        scanned_ += rows->size();
-        return rows;
-    }
-
-    result<void> commit(const transaction& writes) override
-    {
-        if (before_commit_)
-        {
-            before_commit_();
-        }
-        return tables_.commit(writes);
-    }
-
-    std::size_t scanned_ = 0;
-    std::function<void()> before_commit_;
-
-private:
-    table_service& tables_;
-};
-
 bool contains(const std::string& text, const char* part)
 {
     return text.find(part) != std::string::npos;
--- a/test/editing/test_snapshot_blob.cpp
+++ b/test/editing/test_snapshot_blob.cpp
@@ -13,6 +13,7 @@
 #include "hemlockshelf/editing/editor.hpp"
 #include "standins/platform/memory_tables.hpp"
 #include "test/editing/edit_samples.hpp"
+#include "test/editing/observed_tables.hpp"
 
 #include <criterion/criterion.h>
 
@@ -20,36 +21,6 @@
 
 namespace {
 
-/// Counts the change rows that are read.
-class counting_tables final : public table_service
-{
-public:
-    explicit counting_tables(table_service& tables) : tables_(tables) {}
-
-    result<std::optional<stored_row>>
-    read(const std::string& table, const std::string& key) override
-    {
-        return tables_.read(table, key);
-    }
-
-    result<std::vector<stored_row>> scan(const scan_range& range) override
-    {
-        auto rows = tables_.scan(range);
-        scanned_ += rows->size();
-        return rows;
-    }
-
-    result<void> commit(const transaction& writes) override
-    {
-        return tables_.commit(writes);
-    }
-
-    std::size_t scanned_ = 0;
-
-private:
-    table_service& tables_;
-};
-
 /// Returns the revisions up to `last` that have a blob.
 std::vector<std::uint64_t>
 stored_blobs(memory_tables& platform, std::uint64_t last)
@@ -154,7 +125,7 @@
 {
     memory_tables platform;
     const auto last = make_revisions(platform, 230);
-    counting_tables counted(platform);
+    observed_tables counted(platform);
     const auto started =
         catch_up(counted, platform, config_snapshot::empty(), last->number());
     cr_assert(started.has_value());
@@ -169,7 +140,7 @@
     memory_tables platform;
     cr_assert(platform.put("snapshots/200", "{\"revision\":200").has_value());
     const auto last = make_revisions(platform, 210);
-    counting_tables counted(platform);
+    observed_tables counted(platform);
     const auto started =
         catch_up(counted, platform, config_snapshot::empty(), last->number());
     cr_assert((*started)->tables().hash_ == last->tables().hash_);
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -43,6 +43,15 @@
     };
 }
 
+/// Closes the connection when a request has arrived, which may have run.
+scripted_server::script losing_gate()
+{
+    return [](raw_connection& entry)
+    {
+        entry.read_until("\r\n\r\n");
+    };
+}
+
 /// Refuses every request as a gate does that has not run it.
 scripted_server::script refusing_gate(const std::string& kind)
 {
@@ -145,11 +154,7 @@
 // request that an earlier attempt may have run.
 Test(entry, refusal_after_a_lost_answer_leaves_the_outcome_unknown)
 {
-    scripted_server losing(
-        [](raw_connection& entry)
-        {
-            entry.read_until("\r\n\r\n");
-        });
+    scripted_server losing(losing_gate());
     scripted_server refusing(refusing_gate("overloaded"));
     entry_under_test entry({losing.where(), refusing.where()});
     const auto answer = entry.call(caller_request("GET"));
@@ -163,11 +168,7 @@
 // gate's answer would be passed on as it is.
 Test(entry, final_refusal_after_a_lost_answer_is_not_passed_on)
 {
-    scripted_server losing(
-        [](raw_connection& entry)
-        {
-            entry.read_until("\r\n\r\n");
-        });
+    scripted_server losing(losing_gate());
     scripted_server refusing(refusing_gate("deadline_exceeded"));
     entry_under_test entry({losing.where(), refusing.where()});
     const auto answer = entry.call(caller_request("GET"));
@@ -180,11 +181,7 @@
 // failure of the whole call look like one without an execution.
 Test(entry, lost_gate_after_a_lost_answer_leaves_the_outcome_unknown)
 {
-    scripted_server losing(
-        [](raw_connection& entry)
-        {
-            entry.read_until("\r\n\r\n");
-        });
+    scripted_server losing(losing_gate());
     entry_under_test entry({losing.where(), closed_endpoint()});
     const auto answer = entry.call(caller_request("GET"));
     cr_assert_eq(losing.connections(), 1);
