--- a/adapters/http/connection_lease.cpp
+++ b/adapters/http/connection_lease.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 
+#include "adapters/http/tcp_endpoint.hpp"
+
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
@@ -81,8 +83,7 @@
 {
     auto& socket = connection_->socket();
     error_code failure = open_socket(socket, source);
-    const tcp::endpoint server(
-        asio::ip::make_address_v4(peer_.address_), peer_.port_);
+    const auto server = to_tcp(peer_);
     if (!failure)
     {
         co_await socket.async_connect(
--- a/adapters/http/http_client.cpp
+++ b/adapters/http/http_client.cpp
@@ -17,6 +17,8 @@
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 
+#include "adapters/http/tcp_endpoint.hpp"
+
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
@@ -83,9 +85,7 @@
         co_return exchange_error(
             error_kind::unreachable, target.server_, failure);
     }
-    const tcp::endpoint server(
-        asio::ip::make_address_v4(target.server_.address_),
-        target.server_.port_);
+    const auto server = to_tcp(target.server_);
     co_await stream.async_connect(
         server, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
--- a/adapters/http/http_listener.cpp
+++ b/adapters/http/http_listener.cpp
@@ -16,6 +16,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "adapters/http/tcp_endpoint.hpp"
+
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
@@ -31,11 +33,6 @@
 // keep the thread busy.
 constexpr std::chrono::milliseconds accept_pause{50};
 
-tcp::endpoint to_tcp(const endpoint& where)
-{
-    return {asio::ip::make_address_v4(where.address_), where.port_};
-}
-
 } // namespace
 
 http_listener::http_listener(
--- a/adapters/http/relay_listener.cpp
+++ b/adapters/http/relay_listener.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "adapters/http/tcp_endpoint.hpp"
+
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
@@ -25,11 +27,7 @@
 
 relay_listener::relay_listener(
     call_threads& threads, const endpoint& where, session_factory make)
-    : threads_(threads),
-      acceptor_(
-          threads.first(),
-          tcp::endpoint(
-              asio::ip::make_address_v4(where.address_), where.port_)),
+    : threads_(threads), acceptor_(threads.first(), to_tcp(where)),
       make_(std::move(make))
 {
     asio::co_spawn(threads_.first(), accept_loop(), asio::detached);
--- a/experiment/load_generator.cpp
+++ b/experiment/load_generator.cpp
@@ -18,6 +18,7 @@
 #include <sys/socket.h>
 
 #include "adapters/http/headers.hpp"
+#include "adapters/http/tcp_endpoint.hpp"
 #include "experiment/call_answer.hpp"
 #include "experiment/wait.hpp"
 
@@ -198,8 +199,7 @@
     auto stream = std::make_unique<beast::tcp_stream>(context_);
     stream->expires_after(options_.timeout_);
     boost::system::error_code failure;
-    const tcp::endpoint server(
-        asio::ip::make_address_v4(where.where_.address_), where.where_.port_);
+    const auto server = to_tcp(where.where_);
     co_await stream->async_connect(
         server, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
--- a/experiment/revision_watcher.cpp
+++ b/experiment/revision_watcher.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -14,6 +13,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "adapters/http/http_client.hpp"
+#include "adapters/http/tcp_endpoint.hpp"
 #include "experiment/wait.hpp"
 
 namespace hemlockshelf {
@@ -21,7 +21,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
 
 namespace {
 
@@ -98,8 +97,7 @@
     beast::tcp_stream stream(context_);
     asio::steady_timer timer(context_);
     boost::system::error_code failure;
-    const tcp::endpoint server(
-        asio::ip::make_address_v4(place.admin_.address_), place.admin_.port_);
+    const auto server = to_tcp(place.admin_);
     stream.expires_after(status_timeout);
     co_await stream.async_connect(
         server, asio::redirect_error(asio::use_awaitable, failure));
--- a/standins/link/relay.cpp
+++ b/standins/link/relay.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "adapters/http/tcp_endpoint.hpp"
+
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
@@ -24,10 +26,7 @@
 {
     for (const auto& listener : settings.listeners_)
     {
-        const tcp::endpoint where(
-            asio::ip::make_address_v4(listener.listen_.address_),
-            listener.listen_.port_);
-        acceptors_.emplace_back(context, where);
+        acceptors_.emplace_back(context, to_tcp(listener.listen_));
         asio::co_spawn(
             context, accept_loop(acceptors_.back(), listener), asio::detached);
     }
--- a/standins/link/relayed_connection.cpp
+++ b/standins/link/relayed_connection.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "adapters/http/tcp_endpoint.hpp"
+
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
@@ -110,9 +112,7 @@
     asio::steady_timer handshake(caller_.get_executor(), round_trip);
     co_await handshake.async_wait(asio::use_awaitable);
     boost::system::error_code failure;
-    const tcp::endpoint target(
-        asio::ip::make_address_v4(listener_.target_.address_),
-        listener_.target_.port_);
+    const auto target = to_tcp(listener_.target_);
     co_await target_.async_connect(
         target, asio::redirect_error(asio::use_awaitable, failure));
     if (failure || broken_)
--- a/standins/upstream/upstream_server.cpp
+++ b/standins/upstream/upstream_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "adapters/http/tcp_endpoint.hpp"
 #include "standins/upstream/upstream_connection.hpp"
 
 namespace hemlockshelf {
@@ -38,12 +39,7 @@
       logs_{
           execution_log(settings.execution_log_),
           outcome_log(settings.outcome_log_)},
-      acceptor_(
-          context,
-          tcp::endpoint(
-              asio::ip::make_address_v4(settings.listen_.address_),
-              settings.listen_.port_)),
-      announcer_(context, state_)
+      acceptor_(context, to_tcp(settings.listen_)), announcer_(context, state_)
 {
     asio::co_spawn(context_, accept_loop(), asio::detached);
 }
