node: compute the own place in the rendezvous order once

The choice of the platform's readers and that of the directory's holders built the same list of live members and looked for this node in it. Both call rendezvous_place now. No change of behaviour.

--- a/adapters/node/control_context.cpp
+++ b/adapters/node/control_context.cpp
@@ -1,5 +1,10 @@
 #include "adapters/node/control_context.hpp"
 
+#include <algorithm>
+#include <utility>
+
+#include "hemlockshelf/dissemination/readers.hpp"
+
 namespace hemlockshelf {
 
 bool may_answer(const member_entry& entry)
@@ -47,6 +52,22 @@
     return vms;
 }
 
+std::optional<std::size_t>
+rendezvous_place(const control_context& context, std::size_t count)
+{
+    const auto& self = context.self_;
+    auto live = peers_in(context, self.failure_domain_);
+    live.push_back(self.vm_);
+    const auto first =
+        choose_readers(self.failure_domain_, std::move(live), count);
+    const auto found = std::ranges::find(first, self.vm_);
+    if (found == first.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - first.begin());
+}
+
 heartbeat_message own_heartbeat(const control_context& context)
 {
     const auto own = context.members_.find(context.self_.vm_);
--- a/adapters/node/control_context.hpp
+++ b/adapters/node/control_context.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_NODE_CONTROL_CONTEXT_HPP
 #define HEMLOCKSHELF_ADAPTERS_NODE_CONTROL_CONTEXT_HPP
 
+#include <cstddef>
 #include <optional>
 #include <random>
 #include <vector>
@@ -43,6 +44,11 @@
 std::vector<vm_id>
 peers_in(const control_context& context, const failure_domain_id& domain);
 
+/// Returns this node's place, from 0, among the first `count` of its failure
+/// domain in rendezvous order; nothing if it is not among them.
+std::optional<std::size_t>
+rendezvous_place(const control_context& context, std::size_t count);
+
 /// Returns what this node holds.
 heartbeat_message own_heartbeat(const control_context& context);
 
--- a/adapters/node/control_plane.cpp
+++ b/adapters/node/control_plane.cpp
@@ -22,7 +22,6 @@
 #include "adapters/node/record_keeper.hpp"
 #include "adapters/node/repair_agent.hpp"
 #include "adapters/telemetry/event_log.hpp"
-#include "hemlockshelf/dissemination/readers.hpp"
 
 namespace hemlockshelf {
 
@@ -366,13 +365,10 @@
         {
             return;
         }
-        auto live = peers_in(context_, settings_.failure_domain_);
-        live.push_back(settings_.vm_);
-        const auto readers = choose_readers(
-            settings_.failure_domain_, std::move(live),
-            settings_.dissemination_.readers_per_domain_);
         const bool is_reader =
-            std::ranges::find(readers, settings_.vm_) != readers.end();
+            rendezvous_place(
+                context_, settings_.dissemination_.readers_per_domain_)
+                .has_value();
         poller_.set_mode(is_reader ? poll_mode::follow : poll_mode::off);
     }
 
--- a/adapters/node/directory_agent.cpp
+++ b/adapters/node/directory_agent.cpp
@@ -1,11 +1,8 @@
 #include "adapters/node/directory_agent.hpp"
 
-#include <algorithm>
-#include <cstddef>
 #include <utility>
 
 #include "adapters/node/directory.hpp"
-#include "hemlockshelf/dissemination/readers.hpp"
 
 namespace hemlockshelf {
 
@@ -38,19 +35,14 @@
     }
     const auto& settings = context_.settings_;
     next_write_ = now + settings.membership_.directory_interval_;
-    auto live = peers_in(context_, settings.failure_domain_);
-    live.push_back(settings.vm_);
-    const auto holders = choose_readers(
-        settings.failure_domain_, std::move(live),
-        settings.membership_.directory_rows_);
-    const auto found = std::ranges::find(holders, settings.vm_);
-    if (found == holders.end())
+    const auto slot =
+        rendezvous_place(context_, settings.membership_.directory_rows_);
+    if (!slot)
     {
         return;
     }
     const directory_row row{
-        settings.failure_domain_,
-        static_cast<std::size_t>(found - holders.begin()), settings.vm_,
+        settings.failure_domain_, *slot, settings.vm_,
         settings.advertised_control_};
     poller_.run_task(
         [row](table_service& tables)
