dissemination: use one jitter for polls and repairs

The delay of a joining node's poll repeated the spread over 0.75 to 1.25 of an interval that repairs and reconnects already have.

--- a/include/hemlockshelf/dissemination/repair_schedule.hpp
+++ b/include/hemlockshelf/dissemination/repair_schedule.hpp
@@ -30,8 +30,12 @@
 /// sender does not know.
 void hasten(repair_schedule& schedule, steady_time now);
 
-/// Returns a time near `interval` from now; `random` spreads it over 0.75 to
-/// 1.25 of the interval, so that nodes started together do not act together.
+/// Returns a time near `interval`; `random` spreads it over 0.75 to 1.25 of the
+/// interval, so that nodes started together do not act together.
+std::chrono::nanoseconds
+jittered(std::chrono::milliseconds interval, std::uint64_t random);
+
+/// Returns a time near `interval` from now, spread in the same way.
 steady_time jittered(
     steady_time now, std::chrono::milliseconds interval, std::uint64_t random);
 
--- a/src/dissemination/repair_schedule.cpp
+++ b/src/dissemination/repair_schedule.cpp
@@ -32,15 +32,21 @@
     schedule.cross_limit_ = 2 * first_interval;
 }
 
-steady_time jittered(
-    steady_time now, std::chrono::milliseconds interval, std::uint64_t random)
+std::chrono::nanoseconds
+jittered(std::chrono::milliseconds interval, std::uint64_t random)
 {
     const auto step = static_cast<std::int64_t>(random % jitter_steps);
     const std::chrono::nanoseconds whole = interval;
-    return now + whole * 3 / 4 +
+    return whole * 3 / 4 +
            whole / 2 * step / static_cast<std::int64_t>(jitter_steps);
 }
 
+steady_time jittered(
+    steady_time now, std::chrono::milliseconds interval, std::uint64_t random)
+{
+    return now + jittered(interval, random);
+}
+
 due_repairs take_due(
     repair_schedule& schedule,
     steady_time now,
