--- a/src/editing/snapshot_blob.cpp
+++ b/src/editing/snapshot_blob.cpp
@@ -68,19 +68,15 @@
 
 result<void> remove_old_blobs(object_store& objects, revision written)
 {
-    auto number = written.value();
-    for (std::uint64_t age = 1; age < 2 * blobs_kept; ++age)
+    for (std::uint64_t age = blobs_kept; age < 2 * blobs_kept; ++age)
     {
-        if (number <= revisions_per_blob)
+        const auto distance = age * revisions_per_blob;
+        if (written.value() <= distance)
         {
             return {};
         }
-        number -= revisions_per_blob;
-        if (age < blobs_kept)
-        {
-            continue;
-        }
-        auto removed = objects.remove(blob_name(revision{number}));
+        const revision old{written.value() - distance};
+        auto removed = objects.remove(blob_name(old));
         if (!removed)
         {
             return removed;
