http: send no body again that outgrew the held part

Cause: the retry was decided while the body was still being read. Ruled out: two readers of the caller's connection (the read-ahead is off while a body is due) and a reused upstream connection after a partial write (such a connection is discarded). Before: test a_body_that_outgrows_the_held_part_is_not_sent_again failed, the second gate served 'PUT' with 2,000 of 6,000 bytes missing. A server error that comes before the whole body is now passed on instead of being retried, since the rest of the body may outgrow the held part.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -323,6 +323,15 @@
     co_await exchange.close_request();
     on_stop({});
     exchange.finish(now());
+    // Until the request was closed, more of the body may have come than can be
+    // held, so that another attempt would start in its middle.
+    const auto reason = end.decision_.reason_;
+    const bool would_go_on =
+        reason == retry_reason::retry || reason == retry_reason::gates_used;
+    if (!end.answered_ && would_go_on && !state.body_.resendable())
+    {
+        end.decision_ = {retry_reason::body_gone};
+    }
 }
 
 asio::awaitable<void> entry_session::use_gate(
@@ -460,8 +469,9 @@
         decide(state, end);
     }
     else if (
-        state.call_.idempotent_ && http::to_status_class(head.result()) ==
-                                       http::status_class::server_error)
+        state.call_.idempotent_ && state.body_.received() &&
+        http::to_status_class(head.result()) ==
+            http::status_class::server_error)
     {
         end.failure_ = {
             error_kind::upstream_failed,
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -305,6 +305,43 @@
     cr_assert(contains(received, body));
 }
 
+// Guards against a second attempt that starts in the middle of a body: the rest
+// of the body outgrew what is held after the retry had been decided, and the
+// next request on the gate's connection was taken for the missing bytes.
+Test(entry, a_body_that_outgrows_the_held_part_is_not_sent_again)
+{
+    scripted_server refusing(
+        [](raw_connection& entry)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            entry.send(
+                "HTTP/1.1 503 Busy\r\nHemlockshelf-Error: overloaded\r\n"
+                "Hemlockshelf-Not-Run: true\r\nContent-Length: 4\r\n"
+                "Hemlockshelf-Request-Id: " +
+                header_of(head, "Hemlockshelf-Request-Id") + "\r\n\r\n");
+            std::this_thread::sleep_for(std::chrono::milliseconds{200});
+            entry.send("busy");
+            entry.read_all();
+        });
+    std::atomic<int> executions = 0;
+    scripted_server gate(honest_gate(executions));
+    auto settings = test_settings();
+    settings.retry_body_limit_ = std::size_t{4} * 1024;
+    settings.relay_buffer_bytes_ = std::size_t{4} * 1024;
+    entry_under_test entry(
+        {refusing.where(), gate.where()}, std::chrono::seconds{20}, 200,
+        settings);
+    const auto request = caller_request("PUT", std::string(6000, 'x'));
+    raw_connection caller(entry.where());
+    caller.send(request.substr(0, 2000));
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    caller.send(request.substr(2000));
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(executions, 0);
+    cr_assert_eq(gate.connections(), 0);
+}
+
 // Guards against one account that takes every slot of a pool.
 Test(entry, calls_beyond_the_limit_are_refused)
 {
--- a/test/http/test_gate.cpp
+++ b/test/http/test_gate.cpp
@@ -205,6 +205,32 @@
     cr_assert(contains(call(gate, gate_request_text("GET")), "answer2"));
 }
 
+// Guards against a next request whose bytes an upstream takes for the rest of a
+// body that ended before its announced length.
+Test(gate, a_short_body_ends_the_upstream_connection)
+{
+    scripted_server upstream(
+        [](raw_connection& gate)
+        {
+            while (!gate.read_until("\r\n\r\n").empty())
+            {
+                gate.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            }
+        });
+    gate_under_test gate(upstream.where());
+    for (int call = 1; call <= 2; ++call)
+    {
+        raw_connection entry(gate.where());
+        entry.send(gate_request_text(
+            "POST", "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n"
+                    "Hemlockshelf-Body-Length: 100\r\n"));
+        cr_assert(contains(entry.read_until("\r\n\r\n"), "100"));
+        entry.send("4\r\nhalf\r\n0\r\n\r\n");
+        cr_assert(contains(entry.read_message(), "HTTP/1.1 200"));
+        cr_assert_eq(upstream.connections(), call);
+    }
+}
+
 // Guards against a cut answer that reads as a whole one.
 Test(gate, cut_answer_ends_the_entry_connection)
 {
