gate: refuse a call that is meant for another service

The gate asked only whether it had a slot, so that its upstream of another service ran the calls. Ruled out: a wrong configuration (the entry's route named the right pool) and the instance's own check (the gate names the instance that it has itself). The entry now names the pool's service; the gate compares it with its upstream's when a call is offered and when a connection is taken, and says not-run otherwise. Before: test a_call_for_another_service_is_refused_as_not_run fails (the call runs).

--- a/adapters/http/entry_call.cpp
+++ b/adapters/http/entry_call.cpp
@@ -216,6 +216,8 @@
     append_head(call.head_, head);
     append_field(call.head_, headers::account, call.account_.value());
     append_field(call.head_, headers::pool, call.route_->pool_key_.value());
+    append_field(
+        call.head_, headers::service, call.route_->pool_->service_.value());
     append_field(
         call.head_, headers::traffic_class,
         to_string(call.route_->route_->class_));
--- a/adapters/http/gate_call_head.cpp
+++ b/adapters/http/gate_call_head.cpp
@@ -86,6 +86,8 @@
         client_account_id{std::string(field_value(head, headers::account))};
     read.call_.entry_vm_ =
         vm_id{std::string(field_value(head, headers::entry_vm))};
+    read.call_.service_ =
+        service_name{std::string(field_value(head, headers::service))};
     read.call_.class_ =
         find_traffic_class(field_value(head, headers::traffic_class))
             .value_or(traffic_class::standard);
--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -267,7 +267,7 @@
     while (stopped() == stop_reason::none && !late(state))
     {
         auto offer = environment_.gate_.take_connection(
-            client().socket().get_executor());
+            state.request_.call_.service_, client().socket().get_executor());
         if (!offer)
         {
             co_return tl::unexpected<error>(std::move(offer.error()));
--- a/adapters/http/headers.hpp
+++ b/adapters/http/headers.hpp
@@ -14,6 +14,8 @@
 /// Name of the error kind of a refusal.
 inline constexpr auto error = "Hemlockshelf-Error";
 inline constexpr auto pool = "Hemlockshelf-Pool";
+/// Service of the pool; a gate refuses what is meant for another one.
+inline constexpr auto service = "Hemlockshelf-Service";
 inline constexpr auto traffic_class = "Hemlockshelf-Class";
 inline constexpr auto entry_vm = "Hemlockshelf-Entry-Vm";
 inline constexpr auto attempt = "Hemlockshelf-Attempt";
--- a/adapters/http/upstream_gate.cpp
+++ b/adapters/http/upstream_gate.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http/upstream_gate.hpp"
 
+#include <fmt/format.h>
+
 #include "hemlockshelf/config/traffic_class.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 
@@ -14,6 +16,7 @@
     return left.address_ == right.address_ && left.slots_ == right.slots_ &&
            left.connections_ == right.connections_ &&
            left.draining_ == right.draining_ &&
+           left.service_ == right.service_ &&
            same_start(left.order_, right.order_);
 }
 
@@ -39,7 +42,14 @@
     {
         const std::lock_guard lock(mutex_);
         follow_upstream(now, others);
-        answer = offer_call(state_, call, now);
+        if (serves(call.service_))
+        {
+            answer = offer_call(state_, call, now);
+        }
+        else
+        {
+            answer.reason_ = refusal_reason::other_service;
+        }
         if (answer.admission_ == admission::queued)
         {
             waiting_.emplace(answer.id_, std::move(decided));
@@ -78,8 +88,8 @@
     release_slot(id);
 }
 
-result<upstream_gate::connection_offer>
-upstream_gate::take_connection(const boost::asio::any_io_executor& executor)
+result<upstream_gate::connection_offer> upstream_gate::take_connection(
+    const service_name& service, const boost::asio::any_io_executor& executor)
 {
     const auto now = time_.now();
     const std::lock_guard lock(mutex_);
@@ -88,6 +98,15 @@
         return make_error(
             error_kind::no_upstream, "gate: no upstream is announced");
     }
+    // The upstream may have been replaced while the call waited.
+    if (!serves(service))
+    {
+        return make_error(
+            error_kind::no_upstream,
+            fmt::format(
+                "gate: expected a call for service \"{}\", given \"{}\"",
+                followed_->service_.value(), service.value()));
+    }
     drop_idle(idle_.drop_aged(now, settings_.pool_idle_age_));
     while (true)
     {
@@ -204,6 +223,12 @@
     return ledger_.in_use_ + ledger_.idle_;
 }
 
+bool upstream_gate::serves(const service_name& service) const
+{
+    return service.value().empty() || !followed_ ||
+           followed_->service_ == service;
+}
+
 void upstream_gate::follow_upstream(steady_time now, decision_list& decided)
 {
     auto announced = upstream_();
--- a/adapters/http/upstream_gate.hpp
+++ b/adapters/http/upstream_gate.hpp
@@ -62,10 +62,12 @@
     /// the meantime.
     void withdraw(gate_call_id id);
 
-    /// Hands out a connection to the upstream. `no_upstream` if there is no
-    /// upstream, `overloaded` if every connection is in use.
-    result<connection_offer>
-    take_connection(const boost::asio::any_io_executor& executor);
+    /// Hands out a connection to the upstream for a call to `service`, empty if
+    /// the entry names none. `no_upstream` if there is no upstream of that
+    /// service, `overloaded` if every connection is in use.
+    result<connection_offer> take_connection(
+        const service_name& service,
+        const boost::asio::any_io_executor& executor);
 
     void release(
         const endpoint& peer,
@@ -98,6 +100,7 @@
     using decision = std::pair<decision_handler, std::optional<refusal_reason>>;
     using decision_list = std::vector<decision>;
 
+    bool serves(const service_name& service) const;
     void follow_upstream(steady_time now, decision_list& decided);
     void apply(
         const upstream_announcement& announcement,
--- a/include/hemlockshelf/gate/gate_call.hpp
+++ b/include/hemlockshelf/gate/gate_call.hpp
@@ -45,6 +45,8 @@
     /// Longest time that the call may be expected to wait, because its entry
     /// rather asks another gate.
     std::chrono::nanoseconds max_wait_ = std::chrono::nanoseconds::max();
+    /// Service that the call is for; empty if the entry names none.
+    service_name service_{};
 };
 
 /// Returns the kind of work that a call is.
@@ -55,6 +57,8 @@
 {
     /// The upstream has announced no slots or connections.
     no_capacity,
+    /// The upstream runs another service: an address has been used again.
+    other_service,
     draining,
     /// The deadline has passed.
     expired,
--- a/src/gate/gate_call.cpp
+++ b/src/gate/gate_call.cpp
@@ -13,6 +13,8 @@
     {
     case refusal_reason::no_capacity:
         return "no_capacity";
+    case refusal_reason::other_service:
+        return "other_service";
     case refusal_reason::draining:
         return "draining";
     case refusal_reason::expired:
@@ -33,6 +35,8 @@
     {
     case refusal_reason::no_capacity:
         return error_kind::not_ready;
+    case refusal_reason::other_service:
+        return error_kind::no_upstream;
     case refusal_reason::draining:
         return error_kind::draining;
     case refusal_reason::expired:
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -270,6 +270,7 @@
     cr_assert(contains(answer, "served"));
     cr_assert(!contains(seen, "not-run") && !contains(seen, "forged"));
     cr_assert_eq(header_of(seen, "Hemlockshelf-Pool"), "regie/catalogue");
+    cr_assert_eq(header_of(seen, "Hemlockshelf-Service"), "catalogue");
 }
 
 // Guards against a second attempt that sends only the rest of a body.
--- a/test/http/test_gate.cpp
+++ b/test/http/test_gate.cpp
@@ -104,6 +104,32 @@
     cr_assert(contains(answer, "0\r\n\r\n"));
 }
 
+// Guards against a request that an upstream of another service runs: the entry
+// still knows a VM that is gone, whose address a new VM uses.
+Test(gate, a_call_for_another_service_is_refused_as_not_run)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(
+        [&executions](raw_connection& gate)
+        {
+            while (!gate.read_until("\r\n\r\n").empty())
+            {
+                ++executions;
+                gate.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            }
+        });
+    gate_under_test gate(upstream.where());
+    const auto refused = call(
+        gate, gate_request_text("GET", "Hemlockshelf-Service: ledger\r\n"));
+    cr_assert(contains(refused, "HTTP/1.1 503"));
+    cr_assert_eq(header_of(refused, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(executions, 0);
+    const auto served = call(
+        gate, gate_request_text("GET", "Hemlockshelf-Service: catalogue\r\n"));
+    cr_assert(contains(served, "HTTP/1.1 200"));
+    cr_assert_eq(executions, 1);
+}
+
 // Guards against a shed request that counts as run where the pool's row says
 // otherwise.
 Test(gate, shedding_is_proof_only_where_the_pool_says_so)
