node: log changed members; read Retry-After in one place

member_changed was listed and never written: it is now, bounded like the lines about requests, when a record changes a member's state or incarnation. The setting provider.instance was read and never used. The two readers of Retry-After differed (whole seconds, fractions up to a minute); one reader in http_client keeps both and refuses values that are not a plain number.

--- a/adapters/http/http_client.cpp
+++ b/adapters/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/http_client.hpp"
 
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -171,4 +172,21 @@
     return std::move(*answer);
 }
 
+std::chrono::milliseconds retry_after_of(const http_response& answer)
+{
+    constexpr double longest_seconds = 3600;
+    const auto named = answer[boost::beast::http::field::retry_after];
+    const auto* const end = named.data() + named.size();
+    double seconds = 0;
+    const auto read =
+        std::from_chars(named.data(), end, seconds, std::chars_format::fixed);
+    const bool whole = read.ec == std::errc{} && read.ptr == end;
+    if (!whole || !(seconds >= 0 && seconds <= longest_seconds))
+    {
+        return std::chrono::milliseconds{0};
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(seconds));
+}
+
 } // namespace hemlockshelf
--- a/adapters/http/http_client.hpp
+++ b/adapters/http/http_client.hpp
@@ -56,6 +56,10 @@
     const http_request& request,
     exchange_canceller* canceller = nullptr);
 
+/// Returns the wait of a whole or decimal number of seconds in `Retry-After`;
+/// 0 if the answer names none, a date, or a wait of more than an hour.
+std::chrono::milliseconds retry_after_of(const http_response& answer);
+
 /// Makes a request with the headers that the project's servers expect.
 http_request make_request(
     boost::beast::http::verb method,
--- a/adapters/tables/table_client.cpp
+++ b/adapters/tables/table_client.cpp
@@ -1,6 +1,5 @@
 #include "adapters/tables/table_client.hpp"
 
-#include <charconv>
 #include <chrono>
 #include <cstdint>
 #include <string_view>
@@ -87,19 +86,6 @@
     return row_from_json(json, json.at("key").get<std::string>());
 }
 
-/// Returns the time of `Retry-After` in seconds; 0 if the answer names none or
-/// a date.
-std::chrono::milliseconds retry_after_of(const http_response& answer)
-{
-    const auto named = answer[http::field::retry_after];
-    std::uint32_t seconds = 0;
-    const auto read =
-        std::from_chars(named.data(), named.data() + named.size(), seconds);
-    const bool whole =
-        read.ec == std::errc{} && read.ptr == named.data() + named.size();
-    return std::chrono::seconds{whole ? seconds : 0};
-}
-
 result<void> expect_success(const http_response& answer)
 {
     if (answer.result_int() / 100 == 2)
--- a/node/directory.hpp
+++ b/node/directory.hpp
@@ -1,7 +1,6 @@
 #ifndef HEMLOCKSHELF_NODE_DIRECTORY_HPP
 #define HEMLOCKSHELF_NODE_DIRECTORY_HPP
 
-#include <set>
 #include <vector>
 
 #include "adapters/http/endpoint.hpp"
--- a/node/record_keeper.cpp
+++ b/node/record_keeper.cpp
@@ -96,7 +96,7 @@
         {
             refute(update);
         }
-        else if (context_.members_.merge(update))
+        else if (merge_other(update))
         {
             newer.push_back(update);
         }
@@ -104,6 +104,27 @@
     return newer;
 }
 
+bool record_keeper::merge_other(const member_update& update)
+{
+    const auto& vm = update.record_.vm_;
+    const auto before = context_.members_.find(vm);
+    if (!context_.members_.merge(update))
+    {
+        return false;
+    }
+    const auto after = context_.members_.find(vm);
+    if (after && (!before || before->record_.state_ != after->record_.state_ ||
+                  before->record_.incarnation_ != after->record_.incarnation_))
+    {
+        // Bounded, since a change of one node reaches every node.
+        log_request_event<log_event_id::member_changed>(
+            log_fields::peer(vm),
+            log_fields::state(to_string(after->record_.state_)),
+            log_fields::incarnation(after->record_.incarnation_));
+    }
+    return true;
+}
+
 void record_keeper::drain()
 {
     lifecycle_.drain();
--- a/node/record_keeper.hpp
+++ b/node/record_keeper.hpp
@@ -38,6 +38,7 @@
     }
 
 private:
+    bool merge_other(const member_update& update);
     void publish(member_record next);
     void refute(const member_update& claim);
 
--- a/test/platform/test_instance_listeners.cpp
+++ b/test/platform/test_instance_listeners.cpp
@@ -19,10 +19,7 @@
 {
     fixture()
         : listeners_(
-              {own_address(readiness_port),
-               own_address(instances_port),
-               {},
-               {}},
+              {own_address(readiness_port), own_address(instances_port), {}},
               {context_, upstream_, snapshots_,
                [this]
                {
