node: answer every request that was read before the node stops

Under steady load the count also stayed above zero until drain_limit, and the listeners were closed only after that, so that requests accepted late were cut. Now the wait for calls ends with drain_notice, then the listeners close, connections without a request end one by one on their own thread, and the others end with their answer. Ruled out: the idle timeout and the close after an answer (a request that crosses a close has not been passed on).

--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -119,6 +119,21 @@
         });
 }
 
+void relay_session::end_if_idle()
+{
+    asio::post(
+        client_.socket().get_executor(),
+        [self = shared_from_this()]
+        {
+            const bool idle = !self->in_call_ && !self->has_ahead() &&
+                              self->stop_ == stop_reason::none;
+            if (idle && self->client_.look() != connection_look::readable)
+            {
+                self->stop(stop_reason::drained);
+            }
+        });
+}
+
 asio::awaitable<void> relay_session::run()
 {
     bool usable = true;
@@ -158,6 +173,11 @@
     {
         co_return false;
     }
+    if (stop_ == stop_reason::drained)
+    {
+        // The request had been read when the end was decided.
+        resume();
+    }
     group_.begin_call();
     in_call_ = true;
     const bool usable = co_await serve(request);
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -24,6 +24,8 @@
     time_limit,
     client_gone,
     node_stops,
+    /// The node drains and the connection carried no request.
+    drained,
 };
 
 /// Whether a refusal may say that the request was not run.
@@ -36,7 +38,7 @@
 };
 
 /// A client's connection, which carries one request after another. Everything
-/// but `cut` runs on the thread of the connection.
+/// but `cut` and `end_if_idle` runs on the thread of the connection.
 class relay_session : public std::enable_shared_from_this<relay_session>
 {
 public:
@@ -57,6 +59,10 @@
     /// Ends the connection. May be called from any thread.
     void cut();
 
+    /// Ends the connection unless a request is served on it or has begun to
+    /// arrive. May be called from any thread.
+    void end_if_idle();
+
 protected:
     /// Serves one request whose head has been read. Returns whether the
     /// connection can carry another one.
--- a/adapters/http/session_group.cpp
+++ b/adapters/http/session_group.cpp
@@ -1,7 +1,6 @@
 #include "adapters/http/session_group.hpp"
 
 #include <chrono>
-#include <vector>
 
 #include "adapters/http/relay_session.hpp"
 
@@ -51,20 +50,17 @@
         });
 }
 
-void session_group::cut_all()
+void session_group::end_idle()
 {
-    std::vector<std::shared_ptr<relay_session>> held;
+    for (const auto& session : all())
     {
-        const std::lock_guard lock(mutex_);
-        for (const auto& entry : sessions_)
-        {
-            if (auto session = entry.second.lock())
-            {
-                held.push_back(std::move(session));
-            }
-        }
+        session->end_if_idle();
     }
-    for (const auto& session : held)
+}
+
+void session_group::cut_all()
+{
+    for (const auto& session : all())
     {
         session->cut();
     }
@@ -81,4 +77,19 @@
         });
 }
 
+std::vector<std::shared_ptr<relay_session>> session_group::all() const
+{
+    std::vector<std::shared_ptr<relay_session>> held;
+    const std::lock_guard lock(mutex_);
+    held.reserve(sessions_.size());
+    for (const auto& entry : sessions_)
+    {
+        if (auto session = entry.second.lock())
+        {
+            held.push_back(std::move(session));
+        }
+    }
+    return held;
+}
+
 } // namespace hemlockshelf
--- a/adapters/http/session_group.hpp
+++ b/adapters/http/session_group.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <unordered_map>
+#include <vector>
 
 #include "hemlockshelf/core/clock.hpp"
 
@@ -40,6 +41,10 @@
     /// Waits until no call is in progress. False if `limit` came first.
     bool wait_for_calls(steady_time limit);
 
+    /// Ends the connections that carry no request; those that carry one end
+    /// with its answer if the group drains.
+    void end_idle();
+
     /// Cuts every connection.
     void cut_all();
 
@@ -47,9 +52,11 @@
     bool wait_for_sessions(steady_time limit);
 
 private:
+    std::vector<std::shared_ptr<relay_session>> all() const;
+
     std::atomic<bool> draining_ = false;
     std::atomic<std::size_t> calls_ = 0;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::unordered_map<const relay_session*, std::weak_ptr<relay_session>>
         sessions_;
--- a/node/call_plane.cpp
+++ b/node/call_plane.cpp
@@ -141,6 +141,13 @@
         gate_listener_.close();
     }
 
+    bool finish(steady_time deadline)
+    {
+        close_listeners();
+        group_.end_idle();
+        return group_.wait_for_sessions(deadline);
+    }
+
     void stop()
     {
         if (running_.exchange(false))
@@ -242,9 +249,9 @@
     return parts_->drain(deadline);
 }
 
-void call_plane::close_listeners()
+bool call_plane::finish(steady_time deadline)
 {
-    parts_->close_listeners();
+    return parts_->finish(deadline);
 }
 
 void call_plane::stop()
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -169,13 +169,14 @@
             log_fields::revision(snapshots_.current()->number()),
             log_fields::members(members_.size()));
         control_.drain();
-        calls_.drain(started + limits.drain_limit_);
+        // New connections come until the others have learned of the drain, so
+        // that there may be calls all the time.
+        calls_.drain(started + limits.drain_notice_);
         if (upstream_.current())
         {
             std::this_thread::sleep_until(started + limits.drain_notice_);
         }
-        calls_.close_listeners();
-        calls_.drain(started + limits.drain_limit_);
+        calls_.finish(started + limits.drain_limit_);
         log_event<log_event_id::node_stopped>(
             log_fields::revision(snapshots_.current()->number()));
         context_.stop();
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "call_fixture.hpp"
 
@@ -408,6 +409,72 @@
     cr_assert_eq(caller.read_all(), "");
 }
 
+// Guards against a request that a stopping node reads and passes on before it
+// cuts its connection: the calls in progress were counted once, and kept
+// connections could begin new ones after that.
+Test(entry, a_draining_node_answers_every_request_that_it_has_passed_on)
+{
+    constexpr int callers = 8;
+    std::atomic<int> executions = 0;
+    std::atomic<int> answers = 0;
+    scripted_server gate(honest_gate(executions));
+    entry_under_test entry({gate.where()});
+    std::vector<std::thread> threads;
+    std::atomic<int> connected = 0;
+    for (int number = 0; number < callers; ++number)
+    {
+        threads.emplace_back(
+            [&]
+            {
+                raw_connection caller(entry.where());
+                ++connected;
+                while (true)
+                {
+                    caller.send(caller_request("GET"));
+                    if (!contains(caller.read_message(), "served"))
+                    {
+                        return;
+                    }
+                    ++answers;
+                }
+            });
+    }
+    while (connected < callers || answers < callers)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    raw_connection idle(entry.where());
+    idle.send(caller_request("GET"));
+    idle.read_message();
+    entry.group().drain();
+    entry.group().end_idle();
+    const auto limit = std::chrono::steady_clock::now();
+    cr_assert(entry.group().wait_for_sessions(limit + std::chrono::seconds{5}));
+    cr_assert_eq(idle.read_all(), "");
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    cr_assert_eq(executions, answers + 1);
+}
+
+// Guards against a connection that a draining node ends although a request has
+// begun to arrive on it.
+Test(entry, a_draining_node_serves_a_request_that_has_begun_to_arrive)
+{
+    std::atomic<int> executions = 0;
+    scripted_server gate(honest_gate(executions));
+    entry_under_test entry({gate.where()});
+    raw_connection caller(entry.where());
+    const auto request = caller_request("GET");
+    caller.send(request.substr(0, 10));
+    std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    entry.group().drain();
+    entry.group().end_idle();
+    caller.send(request.substr(10));
+    cr_assert(contains(caller.read_message(), "served"));
+}
+
 // Guards against a request that waits for the work on those before it on its
 // connection, and against answers in another order than the requests: the gate
 // answers the first request only after it has run the second.
