node: keep a leaving node's upstream in use until shortly before its end

Cause: with SIGTERM a node withdrew its healthy upstream at once and kept it out for drain_notice (2.5 s) and its restart. Now the upstream is withdrawn for the last gate_drain_notice (0.5 s) only; the gate's connections stay open until the node ends. plan_shutdown holds the steps; test_shutdown_plan names the load. Ruled out: a shorter drain_notice (callers need two readiness checks).

--- a/adapters/http/call_settings.hpp
+++ b/adapters/http/call_settings.hpp
@@ -53,6 +53,9 @@
     /// How long a node that leaves still takes calls, while callers and other
     /// nodes learn that it does.
     std::chrono::milliseconds drain_notice_{1'000};
+    /// The last part of it, in which the other nodes are to use other
+    /// upstreams. A notice reaches them within 300 ms (`tools/measure`).
+    std::chrono::milliseconds gate_drain_notice_{1'000};
     /// Longest wait of a node that leaves for calls in progress. No route's
     /// timeout should exceed it.
     std::chrono::milliseconds drain_limit_{30'000};
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -196,6 +196,12 @@
         {"drain_notice",
          "Time for which a node that leaves still takes calls."},
         settings.drain_notice_);
+    read_duration(
+        section,
+        {"gate_drain_notice",
+         "Last part of drain_notice, in which the other nodes are to use other "
+         "upstreams."},
+        settings.gate_drain_notice_);
     read_duration(
         section,
         {"drain_limit",
--- a/node/call_plane.cpp
+++ b/node/call_plane.cpp
@@ -91,7 +91,7 @@
                   return shed_is_not_run(snapshots, pool);
               },
               metrics,
-              group_,
+              gate_group_,
               settings.source_address_},
           threads_(settings.call_path_.threads_),
           calls_listener_(
@@ -130,7 +130,6 @@
 
     bool drain(steady_time deadline)
     {
-        upstream_gate_.leave();
         group_.drain();
         return group_.wait_for_calls(deadline);
     }
@@ -144,8 +143,12 @@
     bool finish(steady_time deadline)
     {
         close_listeners();
+        upstream_gate_.leave();
+        gate_group_.drain();
         group_.end_idle();
-        return group_.wait_for_sessions(deadline);
+        gate_group_.end_idle();
+        const bool callers_ended = group_.wait_for_sessions(deadline);
+        return gate_group_.wait_for_sessions(deadline) && callers_ended;
     }
 
     void stop()
@@ -153,10 +156,13 @@
         if (running_.exchange(false))
         {
             close_listeners();
-            group_.drain();
-            group_.cut_all();
-            group_.wait_for_sessions(
-                std::chrono::steady_clock::now() + cut_timeout);
+            const auto limit = std::chrono::steady_clock::now() + cut_timeout;
+            for (auto* group : {&group_, &gate_group_})
+            {
+                group->drain();
+                group->cut_all();
+                group->wait_for_sessions(limit);
+            }
         }
         threads_.stop();
         // The sockets must go before the loops to which they belong.
@@ -206,7 +212,10 @@
 
     const clock& time_;
     const snapshot_store& snapshots_;
+    /// Connections of callers.
     session_group group_;
+    /// Connections of other nodes, which stay open until the node ends.
+    session_group gate_group_;
     mesh_router router_;
     call_quota quota_;
     connection_pool gates_;
--- a/node/call_plane.hpp
+++ b/node/call_plane.hpp
@@ -40,15 +40,14 @@
 
     void start();
 
-    /// Refuses new work at the gate as not run, closes each connection after
-    /// its current answer and waits until no call is in progress. The
-    /// listeners stay open and the entry goes on serving. False if `deadline`
-    /// came first.
+    /// Closes each caller's connection after its current answer and waits until
+    /// no caller's call is in progress. The listeners stay open, entry and gate
+    /// go on serving. False if `deadline` came first.
     bool drain(steady_time deadline);
 
-    /// Accepts no further connections, ends those that carry no request and
-    /// waits until the others have had their answers. False if `deadline` came
-    /// first.
+    /// Refuses new work at the gate as not run, accepts no further connections,
+    /// ends those that carry no request and waits until the others have had
+    /// their answers. False if `deadline` came first.
     bool finish(steady_time deadline);
 
     /// Cuts what is left and ends the threads.
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -137,11 +137,19 @@
             [this]
             {
                 lifecycle_.drain();
-                records_.drain();
                 publish_state();
             });
     }
 
+    void withdraw_upstream()
+    {
+        network_.post(
+            [this]
+            {
+                records_.drain();
+            });
+    }
+
     void stop()
     {
         if (!std::exchange(running_, false))
@@ -467,6 +475,11 @@
     parts_->drain();
 }
 
+void control_plane::withdraw_upstream()
+{
+    parts_->withdraw_upstream();
+}
+
 void control_plane::stop()
 {
     parts_->stop();
--- a/node/control_plane.hpp
+++ b/node/control_plane.hpp
@@ -40,9 +40,12 @@
 
     void start();
 
-    /// Tells the other nodes that this one drains.
+    /// Turns the node unready for callers; its upstream stays in use.
     void drain();
 
+    /// Tells the other nodes to use other upstreams than this node's.
+    void withdraw_upstream();
+
     /// Tells the other nodes that this one leaves and stops.
     void stop();
 
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -16,6 +16,7 @@
 #include "node/admin_handler.hpp"
 #include "node/call_plane.hpp"
 #include "node/control_plane.hpp"
+#include "node/shutdown_plan.hpp"
 
 namespace hemlockshelf {
 
@@ -163,20 +164,21 @@
     /// calls in progress have ended, with a bounded wait.
     void shut_down()
     {
-        const auto started = time_.now();
-        const auto& limits = settings_.call_path_;
+        const auto plan = plan_shutdown(settings_.call_path_, time_.now());
         log_event<log_event_id::node_draining>(
             log_fields::revision(snapshots_.current()->number()),
             log_fields::members(members_.size()));
         control_.drain();
-        // New connections come until the others have learned of the drain, so
+        // New connections come until the callers have learned of the drain, so
         // that there may be calls all the time.
-        calls_.drain(started + limits.drain_notice_);
+        calls_.drain(plan.withdraw_upstream_at_);
         if (upstream_.current())
         {
-            std::this_thread::sleep_until(started + limits.drain_notice_);
+            std::this_thread::sleep_until(plan.withdraw_upstream_at_);
+            control_.withdraw_upstream();
+            std::this_thread::sleep_until(plan.close_at_);
         }
-        calls_.finish(started + limits.drain_limit_);
+        calls_.finish(plan.cut_at_);
         log_event<log_event_id::node_stopped>(
             log_fields::revision(snapshots_.current()->number()));
         context_.stop();
--- /dev/null
+++ b/test/node/test_shutdown_plan.cpp
@@ -0,0 +1,80 @@
+#include "node/shutdown_plan.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace std::chrono_literals;
+
+// The pattern: the nodes of a deployment are restarted one after another while
+// a service has few upstreams left. An upstream that its node withdraws early
+// is missing for the whole notice, and several are missing at once.
+
+namespace {
+
+constexpr steady_time started{1000s};
+// From the end of a node to its successor's first call.
+constexpr auto restart_time = 1s;
+
+/// Returns the longest time for which none of `nodes` upstreams can be used
+/// while their nodes are restarted `gap` apart.
+std::chrono::milliseconds longest_outage(
+    const call_settings& settings, int nodes, std::chrono::milliseconds gap)
+{
+    std::vector<shutdown_plan> plans;
+    for (int node = 0; node < nodes; ++node)
+    {
+        plans.push_back(plan_shutdown(settings, started + node * gap));
+    }
+    std::chrono::milliseconds longest{0};
+    std::chrono::milliseconds current{0};
+    for (auto now = started; now < started + 20s; now += 1ms)
+    {
+        const bool out = std::ranges::all_of(
+            plans,
+            [now](const shutdown_plan& plan)
+            {
+                return now >= plan.withdraw_upstream_at_ &&
+                       now < plan.close_at_ + restart_time;
+            });
+        current = out ? current + 1ms : 0ms;
+        longest = std::max(longest, current);
+    }
+    return longest;
+}
+
+call_settings deployed()
+{
+    call_settings settings;
+    settings.drain_notice_ = 2500ms;
+    settings.gate_drain_notice_ = 500ms;
+    settings.drain_limit_ = 5400ms;
+    return settings;
+}
+
+} // namespace
+
+// Guards against a rolling restart in which the last two upstreams of a service
+// are missing together.
+Test(shutdown_plan, a_rolling_restart_leaves_one_of_two_upstreams)
+{
+    cr_assert_eq(longest_outage(deployed(), 2, 1500ms).count(), 0);
+    auto at_once = deployed();
+    at_once.gate_drain_notice_ = at_once.drain_notice_;
+    cr_assert_gt(longest_outage(at_once, 2, 1500ms).count(), 1000);
+}
+
+// Guards against steps out of order with settings that contradict each other.
+Test(shutdown_plan, steps_are_in_order)
+{
+    auto settings = deployed();
+    settings.gate_drain_notice_ = 10s;
+    settings.drain_limit_ = 1s;
+    const auto plan = plan_shutdown(settings, started);
+    cr_assert(plan.withdraw_upstream_at_ >= started);
+    cr_assert(plan.withdraw_upstream_at_ <= plan.close_at_);
+    cr_assert(plan.close_at_ <= plan.cut_at_);
+}
