retry: let a gate hold a short call for half of its target

Cause: a lookup with a target of 120 ms left a near gate that had room after 16 to 40 ms for one in another region, 40 ms away, and was refused as late when it came back. Ruled out: the order of work alone (it is refused before it waits).

--- a/adapters/http/entry_call.cpp
+++ b/adapters/http/entry_call.cpp
@@ -10,6 +10,7 @@
 
 #include "adapters/http/headers.hpp"
 #include "hemlockshelf/core/random_source.hpp"
+#include "hemlockshelf/retry/first_wait.hpp"
 
 namespace hemlockshelf {
 
@@ -162,16 +163,14 @@
 // worse choice: asking costs a round trip.
 void append_max_wait(std::string& head, const entry_call& call, bool patient)
 {
-    constexpr int first_wait_divisor = 8;
-    constexpr std::chrono::milliseconds longest_first_wait{50};
     const auto target = call.route_->route_->target_latency_;
     if (patient || target.count() == 0)
     {
         return;
     }
-    const auto wait = std::min(target / first_wait_divisor, longest_first_wait);
     append_field(
-        head, headers::max_wait_ms, static_cast<std::uint64_t>(wait.count()));
+        head, headers::max_wait_ms,
+        static_cast<std::uint64_t>(first_wait(target).count()));
 }
 
 std::string
