http: hold no read buffer for an idle connection

Cause: each connection prepared 8 KiB before it waited for bytes; a node holds up to 1,000 connections, most of them idle, and memory at its peak is the largest price of Regie. Now a connection waits first and its buffer grows by what has come. What is at hand is read without waiting, so the pump of a body starts after send has returned; otherwise a body that turns bad after its start was taken for one that was bad from the start (caught by body_that_turns_bad_after_its_start_may_have_run).

--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -31,21 +31,31 @@
 
 asio::awaitable<error_code> http_connection::fill()
 {
-    error_code failure;
-    if (interrupted_)
-    {
-        co_return asio::error::operation_aborted;
-    }
-    const auto room = buffer_.max_size() - buffer_.size();
-    if (room == 0)
+    while (true)
     {
-        co_return asio::error::no_buffer_space;
+        if (interrupted_)
+        {
+            co_return asio::error::operation_aborted;
+        }
+        auto failure = fill_now();
+        if (failure != asio::error::would_block)
+        {
+            co_return failure;
+        }
+        // A node holds many idle connections; their buffers would make up most
+        // of its memory.
+        if (buffer_.size() == 0)
+        {
+            buffer_.shrink_to_fit();
+        }
+        co_await socket_.async_wait(
+            asio::socket_base::wait_read,
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+        {
+            co_return failure;
+        }
     }
-    const auto space = buffer_.prepare(std::min(room, read_bytes));
-    const auto count = co_await socket_.async_read_some(
-        space, asio::redirect_error(asio::use_awaitable, failure));
-    buffer_.commit(count);
-    co_return failure;
 }
 
 error_code http_connection::fill_now()
@@ -64,8 +74,13 @@
     {
         return failure;
     }
-    const auto space = buffer_.prepare(std::min(room, read_bytes));
-    buffer_.commit(socket_.read_some(space, failure));
+    // Read aside, so that the connection's own buffer grows by what has come
+    // and not by what could have come.
+    thread_local std::array<char, read_bytes> space;
+    const auto count = socket_.read_some(
+        asio::buffer(space.data(), std::min(room, read_bytes)), failure);
+    buffer_.commit(asio::buffer_copy(
+        buffer_.prepare(count), asio::buffer(space.data(), count)));
     return failure;
 }
 
--- a/adapters/http/peer_exchange.cpp
+++ b/adapters/http/peer_exchange.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
@@ -141,6 +142,10 @@
 
 asio::awaitable<void> peer_exchange::pump()
 {
+    // What is at hand is read without waiting; `send` returns before that, so
+    // that a body which turns bad later is not taken for one that was bad from
+    // the start.
+    co_await asio::post(client_.socket().get_executor(), asio::use_awaitable);
     while (!closing_ && !request_sent_)
     {
         const auto piece = co_await body_.next(client_failure_);
