daemons: use one heap for all threads

Cause: each thread's own heap keeps what the thread has freed; one thread does nearly all of the work.

--- a/daemons/hemlockshelfd/main.cpp
+++ b/daemons/hemlockshelfd/main.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include <gflags/gflags.h>
+#include <malloc.h>
 
 #include "adapters/settings/node_settings.hpp"
 #include "adapters/tables/table_client.hpp"
@@ -22,6 +23,14 @@
 
 using namespace hemlockshelf;
 
+// One heap for all threads: a heap for each would keep what its thread has
+// freed, and one thread does nearly all of the work.
+void share_heap()
+{
+    constexpr int heaps = 1;
+    mallopt(M_ARENA_MAX, heaps);
+}
+
 platform_factory choose_platform(
     node_settings& settings, const std::optional<provider_settings>& provider)
 {
@@ -47,6 +56,7 @@
 int main(int argc, char** argv)
 {
     gflags::SetUsageMessage("hemlockshelfd --settings FILE [--check]");
+    share_heap();
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     auto settings = hemlockshelf::load_node_settings(FLAGS_settings);
     if (!settings)
