--- a/test/routing/test_upstream_choice.cpp
+++ b/test/routing/test_upstream_choice.cpp
@@ -183,6 +183,42 @@
     cr_assert_geq(granted, 100 + 50 * 9);
 }
 
+// The pattern: a burst that the upstreams of a region refuse. Guards against
+// nodes that all turn to the other region and choke the link, so that neither
+// calls nor answers pass it in time.
+Test(upstream_choice, a_burst_does_not_choke_the_link_between_regions)
+{
+    constexpr int nodes = 8;
+    constexpr int seconds = 4;
+    constexpr auto call_interval = 3ms;
+    // A read with its answer on the users' smaller deployments, and their link.
+    constexpr double bytes_per_call = 6'500;
+    constexpr double link_bytes_per_second = 30e6 / 8;
+    routing_settings settings;
+    settings.region_calls_ = {30, 30}; // As in deploy/node.yaml.
+    const auto members =
+        share({make_member("near", "a", "r"), make_member("far", "c", "q")});
+    const std::vector<vm_id> refused{vm_id{"near"}};
+    choice_request request;
+    request.tried_ = refused;
+    int granted = 0;
+    for (int node = 0; node < nodes; ++node)
+    {
+        random_source random(node);
+        load_table table(settings, here, random);
+        for (auto now = start; now < start + seconds * 1s; now += call_interval)
+        {
+            granted +=
+                table.choose(service, members, request, now, random).member_
+                    ? 1
+                    : 0;
+        }
+    }
+    cr_assert_lt(
+        granted * bytes_per_call, 0.75 * seconds * link_bytes_per_second);
+    cr_assert_gt(granted, nodes * 30 * (seconds - 1));
+}
+
 // Guards against a call that is counted twice or never ends in the books.
 Test(upstream_choice, limits_calls_in_progress)
 {
