node: join without waiting for contacts that are gone

Cause: a joining node waited for all of its three contacts before it exchanged records; rows of machines that are gone cost a second each. Now the first answer is followed up after 60 ms, further contacts are asked every 300 ms, the directory's rows are asked as soon as they are read, and a joining node sends its record to up to 24 contacts. A drained connection without a request closes without waiting for its client.

--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -142,7 +142,9 @@
         resume();
         usable = co_await serve_next();
     }
-    if (stop_ != stop_reason::client_gone && stop_ != stop_reason::node_stops)
+    // No answer is on its way on a connection that carried no request.
+    if (stop_ != stop_reason::client_gone && stop_ != stop_reason::node_stops &&
+        stop_ != stop_reason::drained)
     {
         co_await close_gently();
     }
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -75,6 +75,7 @@
           heartbeats_(context_, pushes_, repairs_, contacts_),
           joins_(
               context_,
+              pushes_,
               repairs_,
               [this]
               {
--- a/node/join_agent.cpp
+++ b/node/join_agent.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "node/push_agent.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -11,24 +13,37 @@
 constexpr std::chrono::milliseconds ask_deadline{1000};
 constexpr std::chrono::milliseconds round_interval{300};
 constexpr std::chrono::milliseconds look_up_interval{1000};
+// Contacts may be gone, and hold their answer back until the deadline. Once one
+// has answered, the others are waited for no longer than a round trip between
+// regions takes.
+constexpr std::chrono::milliseconds further_answers_wait{60};
 // Peers that give their records to a node that joins.
 constexpr std::size_t record_sources = 2;
+// Contacts that get the record of a node that joins, so that the nodes of a
+// small deployment that start together know each other at once. In a larger one
+// they learn of it by pushes.
+constexpr std::size_t record_receivers = 24;
 
 } // namespace
 
 join_agent::join_agent(
     control_context& context,
+    push_agent& pushes,
     repair_agent& repairs,
     std::function<void()> look_up)
-    : context_(context), repairs_(repairs), look_up_(std::move(look_up))
+    : context_(context), pushes_(pushes), repairs_(repairs),
+      look_up_(std::move(look_up))
 {}
 
 void join_agent::start()
 {
     ++round_;
-    outstanding_ = 0;
+    unanswered_ = 0;
+    exchanges_ = 0;
     answers_.clear();
+    following_up_ = false;
     followed_up_ = false;
+    record_sent_ = false;
     directory_asked_ = false;
     platform_answered_ = false;
     started_at_ = context_.time_.now();
@@ -56,6 +71,10 @@
             directory_empty_ = false;
         }
     }
+    if (!contacts_.empty() && answers_.empty())
+    {
+        ask_peers();
+    }
 }
 
 void join_agent::note_platform(revision head)
@@ -67,9 +86,8 @@
 bool join_agent::tick()
 {
     const auto now = context_.time_.now();
-    if (answers_.empty() && outstanding_ == 0 && now >= next_round_)
+    if (answers_.empty() && now >= next_round_)
     {
-        next_round_ = now + round_interval;
         ask_peers();
     }
     return is_complete();
@@ -77,6 +95,7 @@
 
 void join_agent::ask_peers()
 {
+    next_round_ = context_.time_.now() + round_interval;
     if (contacts_.empty())
     {
         // The platform may not have answered the last time.
@@ -91,7 +110,11 @@
     std::ranges::shuffle(contacts_, context_.random_);
     const auto count =
         std::min(contacts_.size(), context_.settings_.membership_.join_peers_);
-    outstanding_ = count;
+    unanswered_ += count;
+    if (!std::exchange(record_sent_, true))
+    {
+        send_record();
+    }
     for (std::size_t index = 0; index < count; ++index)
     {
         const peer_address peer{contacts_.at(index), {}};
@@ -108,22 +131,52 @@
     }
 }
 
+void join_agent::send_record()
+{
+    const auto own = context_.members_.find(context_.self_.vm_);
+    if (!own)
+    {
+        return;
+    }
+    const auto count = std::min(contacts_.size(), record_receivers);
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        pushes_.send_records({contacts_.at(index), {}}, {to_update(*own)});
+    }
+}
+
 void join_agent::on_answer(
     const peer_address& peer, const result<heartbeat_message>& answer)
 {
-    --outstanding_;
+    --unanswered_;
     if (answer)
     {
         repairs_.note_revision(answer->revision_);
         answers_.push_back({peer, answer->revision_});
     }
-    if (outstanding_ == 0 && !answers_.empty())
+    if (answers_.size() == 1 && answer && unanswered_ > 0)
+    {
+        context_.network_.after(
+            further_answers_wait,
+            [this, round = round_]
+            {
+                if (round == round_)
+                {
+                    follow_up();
+                }
+            });
+    }
+    if (unanswered_ > 0)
+    {
+        return;
+    }
+    if (!answers_.empty())
     {
         follow_up();
         return;
     }
     // The contacts from the settings may all be gone; the directory is newer.
-    if (outstanding_ == 0 && !std::exchange(directory_asked_, true))
+    if (!std::exchange(directory_asked_, true))
     {
         look_up_();
     }
@@ -131,22 +184,27 @@
 
 void join_agent::follow_up()
 {
+    if (std::exchange(following_up_, true))
+    {
+        return;
+    }
     std::ranges::sort(
         answers_,
         [](const answered_peer& left, const answered_peer& right)
         {
             return left.revision_ > right.revision_;
         });
-    outstanding_ = std::min(answers_.size(), record_sources);
+    exchanges_ = std::min(answers_.size(), record_sources);
     const auto finish = [this, round = round_](bool)
     {
         if (round == round_)
         {
-            --outstanding_;
-            followed_up_ = outstanding_ == 0;
+            --exchanges_;
+            followed_up_ = exchanges_ == 0;
         }
     };
-    for (std::size_t index = 0; index < outstanding_; ++index)
+    const auto count = exchanges_;
+    for (std::size_t index = 0; index < count; ++index)
     {
         repairs_.exchange_records(answers_.at(index).peer_, finish);
     }
--- a/node/join_agent.hpp
+++ b/node/join_agent.hpp
@@ -19,6 +19,7 @@
     /// to `add_contacts` later.
     join_agent(
         control_context& context,
+        push_agent& pushes,
         repair_agent& repairs,
         std::function<void()> look_up);
 
@@ -45,17 +46,20 @@
     };
 
     void ask_peers();
+    void send_record();
     void on_answer(
         const peer_address& peer, const result<heartbeat_message>& answer);
     void follow_up();
     [[nodiscard]] bool is_complete() const;
 
     control_context& context_;
+    push_agent& pushes_;
     repair_agent& repairs_;
     std::function<void()> look_up_;
     std::vector<endpoint> contacts_;
     std::vector<answered_peer> answers_;
-    std::size_t outstanding_ = 0;
+    std::size_t unanswered_ = 0;
+    std::size_t exchanges_ = 0;
     std::size_t round_ = 0;
     steady_time started_at_;
     steady_time next_round_;
@@ -65,7 +69,9 @@
     bool platform_answered_ = false;
     /// Whether the node ran a revision before it joined again.
     bool has_run_ = false;
+    bool following_up_ = false;
     bool followed_up_ = false;
+    bool record_sent_ = false;
     revision platform_head_;
 };
 
