--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -192,7 +192,7 @@
     // read: this process was paused or short of processor time.
     if (client().look_at_socket() == connection_look::closed)
     {
-        count_call(state, "caller_gone");
+        abandon(state);
         co_return false;
     }
     co_return co_await run_attempts(state);
@@ -276,7 +276,7 @@
 {
     if (caller_is_gone())
     {
-        count_call(state, "caller_gone");
+        abandon(state);
         co_return false;
     }
     if (state.may_have_run_)
@@ -301,6 +301,12 @@
 {
     environment_.metrics_.add(
         metric_id::calls, answer_for(failure.kind_).name_);
+    log_request_event<log_event_id::call_rejected>(
+        log_fields::request_id(std::string(field_value(
+            request.get(), settings().protocol_.request_id_.c_str()))),
+        log_fields::revision(environment_.snapshots_.current()->number()),
+        log_fields::error_kind(failure.kind_),
+        log_fields::detail(failure.message_));
     failure.retry_after_ = return_delay({}, thread_random());
     const auto claim = not_run ? not_run_claim::by_kind : not_run_claim::never;
     co_return co_await refuse(request, std::move(failure), claim);
@@ -524,6 +530,7 @@
     {
         end.answered_ = true;
         count_call(state, "cut");
+        log_end(state, end);
         client().reset();
     }
 }
@@ -598,6 +605,19 @@
         std::chrono::duration<double>(now() - state.call_.started_).count());
 }
 
+void entry_session::abandon(const call_state& state)
+{
+    count_call(state, "caller_gone");
+    log_request_event<log_event_id::call_abandoned>(
+        log_fields::request_id(state.call_.request_id_),
+        log_fields::route(state.call_.route_->key_),
+        log_fields::attempts(state.attempts_),
+        log_fields::gates_asked(state.gates_asked_),
+        log_fields::elapsed_ms(
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now() - state.call_.started_)));
+}
+
 void entry_session::log_retry(
     const call_state& state, const attempt_end& end, const vm_id& gate)
 {
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -133,6 +133,8 @@
     void
     limit_silence(const call_state& state, std::chrono::milliseconds longest);
     void count_call(const call_state& state, std::string_view outcome);
+    /// Accounts for a caller that has left.
+    void abandon(const call_state& state);
     void log_retry(
         const call_state& state, const attempt_end& end, const vm_id& gate);
     void log_end(const call_state& state, const attempt_end& end);
