--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -439,6 +439,7 @@
     scripted_server gate(honest_gate(executions));
     entry_under_test entry({gate.where()});
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     std::atomic<int> connected = 0;
     for (int number = 0; number < callers; ++number)
     {
--- a/test/node/test_join.cpp
+++ b/test/node/test_join.cpp
@@ -206,6 +206,7 @@
     constexpr std::size_t count = 6;
     memory_tables tables;
     std::vector<std::unique_ptr<control_node>> nodes;
+    nodes.reserve(count);
     const silent_server gone({own_address(1).address_, 17100});
     for (const auto* vm : {"gone-1", "gone-2", "gone-3"})
     {
--- a/test/node/test_shutdown_plan.cpp
+++ b/test/node/test_shutdown_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -25,6 +26,7 @@
     const call_settings& settings, int nodes, std::chrono::milliseconds gap)
 {
     std::vector<shutdown_plan> plans;
+    plans.reserve(static_cast<std::size_t>(nodes));
     for (int node = 0; node < nodes; ++node)
     {
         plans.push_back(plan_shutdown(settings, started + node * gap));
