--- a/include/hemlockshelf/gate/gate_state.hpp
+++ b/include/hemlockshelf/gate/gate_state.hpp
@@ -97,7 +97,8 @@
 std::size_t queue_limit(const gate_state& state);
 
 /// Returns whether `left` has the better claim to the next free slot: by
-/// class, then by the lower recent use of its account and of its entry. Calls
+/// class, priority and the shorter target latency, then whether it can still be
+/// in time, then by the lower recent use of its account and of its entry. Calls
 /// with equal claims keep the order of arrival.
 bool has_better_claim(
     const gate_state& state,
--- a/src/gate/waiting_queue.cpp
+++ b/src/gate/waiting_queue.cpp
@@ -47,7 +47,7 @@
            start + service_time(state, call) > call.objective_;
 }
 
-// A call that holds a slot for at most this part of the usual time is most
+// A call that holds a slot for at most the usual time divided by this is most
 // likely a lookup that another upstream makes for a request. To refuse it
 // wastes what that request has used, and to run it late costs the others
 // little.
