http, platform, node: state each decision in one place

Found on reading the change as a whole: - explain repeated the rule for idempotent requests without ignore_method, so that it called a GET repeatable whose route says otherwise. Other routes answer as before. - the objective parsed the caller's deadline a second time for each request; it follows from the deadline: deadline - timeout + target. - both clients of a platform classified failed answers alike; failed_status_kind and describe serve both.

--- a/adapters/http/entry_call.cpp
+++ b/adapters/http/entry_call.cpp
@@ -122,24 +122,11 @@
 
 /// Returns when the answer is late. A caller that comes back after a refusal
 /// has less time left than the route's timeout; what it has spent counts.
-steady_time objective_of(
-    const request_head& head,
-    const route_row& route,
-    const caller_protocol& protocol,
-    steady_time now)
+steady_time objective_of(const route_row& route, steady_time deadline)
 {
-    if (route.target_latency_.count() == 0)
-    {
-        return steady_time::max();
-    }
-    const auto given =
-        parse_milliseconds(field_value(head, protocol.deadline_ms_.c_str()));
-    const auto timeout = route.timeout_;
-    const std::chrono::milliseconds time_left{
-        given ? static_cast<std::int64_t>(*given) : timeout.count()};
-    const auto spent =
-        std::max(timeout - time_left, std::chrono::milliseconds{0});
-    return now + route.target_latency_ - spent;
+    return route.target_latency_.count() == 0
+               ? steady_time::max()
+               : deadline - route.timeout_ + route.target_latency_;
 }
 
 void append_objective(
@@ -190,9 +177,11 @@
                                    field_value(head, headers::account))};
 }
 
-bool may_run_again(const route_row& row, http::verb method)
+bool is_idempotent(http::verb method)
 {
-    return row.idempotent_ || (!row.ignore_method_ && is_idempotent(method));
+    return method == http::verb::get || method == http::verb::head ||
+           method == http::verb::options || method == http::verb::put ||
+           method == http::verb::delete_;
 }
 
 void prepare_head(
@@ -265,7 +254,7 @@
     }
     call.started_ = now;
     call.deadline_ = *deadline;
-    call.objective_ = objective_of(head, row, protocol, now);
+    call.objective_ = objective_of(row, *deadline);
     call.idempotent_ = may_run_again(row, head.method());
     call.to_head_request_ = head.method() == http::verb::head;
     call.version_ = head.version();
@@ -287,11 +276,9 @@
            may_run_again(*(*route)->route_, head.method());
 }
 
-bool is_idempotent(http::verb method)
+bool may_run_again(const route_row& row, http::verb method)
 {
-    return method == http::verb::get || method == http::verb::head ||
-           method == http::verb::options || method == http::verb::put ||
-           method == http::verb::delete_;
+    return row.idempotent_ || (!row.ignore_method_ && is_idempotent(method));
 }
 
 std::optional<std::string> attempt_head(
--- a/adapters/http/entry_call.hpp
+++ b/adapters/http/entry_call.hpp
@@ -54,9 +54,9 @@
     const request_head& head,
     const caller_protocol& protocol);
 
-/// Whether requests of a method may run more than once. Methods of unknown
-/// names may not.
-bool is_idempotent(boost::beast::http::verb method);
+/// Whether requests of a route with this method may run more than once. Methods
+/// of unknown names may not unless the route says so.
+bool may_run_again(const route_row& row, boost::beast::http::verb method);
 
 /// What differs between the attempts of a call.
 struct attempt_terms
--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -613,9 +613,7 @@
         log_fields::route(state.call_.route_->key_),
         log_fields::attempts(state.attempts_),
         log_fields::gates_asked(state.gates_asked_),
-        log_fields::elapsed_ms(
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                now() - state.call_.started_)));
+        log_fields::elapsed_ms(elapsed(state)));
 }
 
 void entry_session::log_retry(
@@ -634,8 +632,6 @@
 
 void entry_session::log_end(const call_state& state, const attempt_end& end)
 {
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now() - state.call_.started_);
     const auto write = [&]<log_event_id Event>()
     {
         log_request_event<Event>(
@@ -647,7 +643,7 @@
             log_fields::reason(to_string(end.decision_.reason_)),
             log_fields::attempts(state.attempts_),
             log_fields::gates_asked(state.gates_asked_),
-            log_fields::elapsed_ms(elapsed),
+            log_fields::elapsed_ms(elapsed(state)),
             log_fields::time_left_ms(time_left(state)));
     };
     if (end.not_run_)
@@ -658,6 +654,12 @@
     write.operator()<log_event_id::call_failed>();
 }
 
+std::chrono::milliseconds entry_session::elapsed(const call_state& state) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        now() - state.call_.started_);
+}
+
 std::chrono::milliseconds
 entry_session::time_left(const call_state& state) const
 {
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -139,6 +139,8 @@
         const call_state& state, const attempt_end& end, const vm_id& gate);
     void log_end(const call_state& state, const attempt_end& end);
     [[nodiscard]] std::chrono::milliseconds
+    elapsed(const call_state& state) const;
+    [[nodiscard]] std::chrono::milliseconds
     time_left(const call_state& state) const;
     [[nodiscard]] bool caller_is_gone() const;
 
--- a/adapters/http/http_client.cpp
+++ b/adapters/http/http_client.cpp
@@ -189,4 +189,28 @@
         std::chrono::duration<double>(seconds));
 }
 
+error_kind failed_status_kind(const http_response& response)
+{
+    namespace http = boost::beast::http;
+    const auto status = response.result();
+    if (status == http::status::too_many_requests)
+    {
+        return error_kind::rate_limited;
+    }
+    // A refusal of the request itself and 503 come before the execution; other
+    // failures of the server can come after it.
+    const bool not_executed = http::to_status_class(response.result_int()) ==
+                                  http::status_class::client_error ||
+                              status == http::status::service_unavailable;
+    return not_executed ? error_kind::platform_unavailable
+                        : error_kind::outcome_unknown;
+}
+
+std::string describe(const http_request& request, const http_response& answer)
+{
+    return fmt::format(
+        "{} {}: status {}", std::string(request.method_string()),
+        std::string(request.target()), answer.result_int());
+}
+
 } // namespace hemlockshelf
--- a/adapters/http/http_client.hpp
+++ b/adapters/http/http_client.hpp
@@ -60,6 +60,14 @@
 /// 0 if the answer names none, a date, or a wait of more than an hour.
 std::chrono::milliseconds retry_after_of(const http_response& answer);
 
+/// Returns the error kind of a response that a platform gives instead of an
+/// answer: `rate_limited`, `platform_unavailable` if the request certainly was
+/// not executed, or `outcome_unknown`.
+error_kind failed_status_kind(const http_response& response);
+
+/// Returns the method and the target of a request and the status of its answer.
+std::string describe(const http_request& request, const http_response& answer);
+
 /// Makes a request with the headers that the project's servers expect.
 http_request make_request(
     boost::beast::http::verb method,
--- a/adapters/tables/table_client.cpp
+++ b/adapters/tables/table_client.cpp
@@ -270,26 +270,17 @@
     {
         return answer;
     }
-    if (answer->result() == http::status::too_many_requests)
+    const auto what = describe(request, *answer);
+    const auto kind = failed_status_kind(*answer);
+    if (kind == error_kind::outcome_unknown)
+    {
+        return make_error(kind, what);
+    }
+    if (kind == error_kind::rate_limited)
     {
         named_wait_ = retry_after_of(*answer);
-        return make_error(
-            error_kind::rate_limited,
-            fmt::format(
-                "platform: {} {}: status {}",
-                std::string(request.method_string()),
-                std::string(request.target()), status));
     }
-    // A refusal of the request itself and 503 come before the execution;
-    // other failures of the server can come after it.
-    const bool not_executed =
-        status / 100 == 4 ||
-        answer->result() == http::status::service_unavailable;
-    const auto what = fmt::format(
-        "{} {}: status {}", std::string(request.method_string()),
-        std::string(request.target()), status);
-    return not_executed ? result<http_response>(unavailable(what))
-                        : make_error(error_kind::outcome_unknown, what);
+    return make_error(kind, fmt::format("platform: {}", what));
 }
 
 } // namespace hemlockshelf
--- a/node/call_plane.cpp
+++ b/node/call_plane.cpp
@@ -188,7 +188,7 @@
         auto json = router_.describe(*route, time_.now());
         const auto verb =
             boost::beast::http::string_to_verb({method.data(), method.size()});
-        json["idempotent"] = is_idempotent(verb) || route->route_->idempotent_;
+        json["idempotent"] = may_run_again(*route->route_, verb);
         json["revision"] = snapshot->number().value();
         json["route"] = {
             {"key", route->key_.value()}, {"row", to_json(*route->route_)}};
--- a/node/join_agent.cpp
+++ b/node/join_agent.cpp
@@ -42,7 +42,6 @@
     exchanges_ = 0;
     answers_.clear();
     following_up_ = false;
-    followed_up_ = false;
     record_sent_ = false;
     directory_asked_ = false;
     platform_answered_ = false;
@@ -200,7 +199,6 @@
         if (round == round_)
         {
             --exchanges_;
-            followed_up_ = exchanges_ == 0;
         }
     };
     const auto count = exchanges_;
@@ -220,7 +218,8 @@
     const auto held = context_.keeper_.held();
     const bool timed_out = context_.time_.now() - started_at_ >=
                            context_.settings_.membership_.join_timeout_;
-    const bool peers_done = followed_up_ && held >= answers_.front().revision_;
+    const bool peers_done =
+        following_up_ && exchanges_ == 0 && held >= answers_.front().revision_;
     const bool platform_done = platform_answered_ && held >= platform_head_;
     const bool no_peers = contacts_.empty() && directory_empty_;
     // After a pause, a node that is cut off from everyone goes on with the
--- a/node/join_agent.hpp
+++ b/node/join_agent.hpp
@@ -70,7 +70,6 @@
     /// Whether the node ran a revision before it joined again.
     bool has_run_ = false;
     bool following_up_ = false;
-    bool followed_up_ = false;
     bool record_sent_ = false;
     revision platform_head_;
 };
--- a/test/node/test_join.cpp
+++ b/test/node/test_join.cpp
@@ -136,6 +136,16 @@
     return node.plane_.state() == node_state::serving;
 }
 
+bool serves_within(std::chrono::milliseconds time, const control_node& node)
+{
+    return holds_within(
+        time,
+        [&node]
+        {
+            return serves(node);
+        });
+}
+
 } // namespace
 
 // Guards against an entry that refuses calls with `no_upstream` for seconds,
@@ -145,21 +155,11 @@
 {
     memory_tables tables;
     control_node peer(settings_of(1, "salle-belair"), tables);
-    cr_assert(holds_within(
-        5s,
-        [&]
-        {
-            return serves(peer);
-        }));
+    cr_assert(serves_within(5s, peer));
     auto settings = settings_of(2, "salle-bourg");
     settings.peers_ = {peer.settings_.control_};
     control_node joined(settings, tables);
-    cr_assert(holds_within(
-        5s,
-        [&]
-        {
-            return serves(joined);
-        }));
+    cr_assert(serves_within(5s, joined));
     member_record missed;
     missed.vm_ = vm_id{"vm-3"};
     missed.failure_domain_ = settings.failure_domain_;
@@ -181,22 +181,12 @@
 {
     memory_tables tables;
     control_node peer(settings_of(1, "salle-belair"), tables);
-    cr_assert(holds_within(
-        5s,
-        [&]
-        {
-            return serves(peer);
-        }));
+    cr_assert(serves_within(5s, peer));
     const silent_server silent({own_address(1).address_, 17004});
     auto settings = settings_of(2, "salle-bourg");
     settings.peers_ = {silent.where_, peer.settings_.control_};
     const control_node joined(settings, tables);
-    cr_assert(holds_within(
-        700ms,
-        [&]
-        {
-            return serves(joined);
-        }));
+    cr_assert(serves_within(700ms, joined));
 }
 
 // The pattern: a whole deployment loses its power and starts again. Guards
