telemetry, http, node: log what tells a full link from a busy process

The logs could not tell its hypotheses apart: a gate that did not answer looked the same whether its link was full or its process short of time; neither the bytes of a published configuration nor the time of its preparation was logged; the arrival of a body was not measured; a connection that was closed behind pipelined requests left no line.

Added, without a change of decisions: configuration_read, body_delayed, caller_cut, the gauge hemlockshelf_gate_bodies, and in the detail of a silent gate what it had been sent and how much of that its system has acknowledged.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -114,6 +114,10 @@
     {
         keep = co_await pass_ahead(exchange);
     }
+    else
+    {
+        log_cut("no answer to a pipelined request: " + failure.message());
+    }
     on_stop({});
     exchange.finish(now());
     co_return keep;
@@ -140,6 +144,7 @@
     {
         co_return keep;
     }
+    log_cut("the answer to a pipelined request is not whole");
     client().reset();
     co_return false;
 }
@@ -531,6 +536,7 @@
         end.answered_ = true;
         count_call(state, "cut");
         log_end(state, end);
+        log_cut(end.failure_.message_);
         client().reset();
     }
 }
@@ -552,7 +558,8 @@
         caller_is_gone() ? call_outcome::cancelled : call_outcome::failed;
     end.failure_.message_ = fmt::format(
         "gate {}: {}", to_string(exchange.peer().peer()),
-        silent ? "no answer in time" : what);
+        stopped() == stop_reason::time_limit ? exchange.describe_silence()
+                                             : what);
     end.failure_.kind_ = error_kind::outcome_unknown;
     if (end.not_run_)
     {
@@ -654,6 +661,14 @@
     write.operator()<log_event_id::call_failed>();
 }
 
+void entry_session::log_cut(const std::string& detail) const
+{
+    log_request_event<log_event_id::caller_cut>(
+        log_fields::reason(to_string(stopped())),
+        log_fields::requests_behind(pipeline_.size()),
+        log_fields::detail(detail));
+}
+
 std::chrono::milliseconds entry_session::elapsed(const call_state& state) const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -138,6 +138,9 @@
     void log_retry(
         const call_state& state, const attempt_end& end, const vm_id& gate);
     void log_end(const call_state& state, const attempt_end& end);
+    /// Reports that the caller's connection is closed before the end of an
+    /// answer.
+    void log_cut(const std::string& detail) const;
     [[nodiscard]] std::chrono::milliseconds
     elapsed(const call_state& state) const;
     [[nodiscard]] std::chrono::milliseconds
--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -22,6 +22,10 @@
 
 namespace {
 
+// An idle link of 7 Mbit/s takes 60 kB in 70 ms; a body that takes several
+// times as long has waited for others, or for processor time.
+constexpr std::chrono::milliseconds delayed_body{250};
+
 constexpr std::string_view progress_answer = "HTTP/1.1 102 Processing\r\n\r\n";
 
 /// What the gate has decided about a queued call. Used on the session's thread.
@@ -175,6 +179,12 @@
     if (state.request_.handshake_)
     {
         report_progress(false);
+        state.body_awaited_at_ = now();
+        if (state.request_.framing_.length_.value_or(0) >
+            settings().relay_buffer_bytes_)
+        {
+            state.long_body_.emplace(environment_.gate_);
+        }
         limit(std::min(
             state.request_.call_.deadline_,
             now() + settings().first_byte_timeout_));
@@ -204,6 +214,27 @@
     co_return std::nullopt;
 }
 
+void gate_session::end_body(call_state& state)
+{
+    if (!state.long_body_)
+    {
+        return;
+    }
+    const auto bodies = environment_.gate_.bodies();
+    state.long_body_.reset();
+    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now() - state.body_awaited_at_);
+    if (taken < delayed_body)
+    {
+        return;
+    }
+    log_request_event<log_event_id::body_delayed>(
+        log_fields::request_id(state.request_.request_id_),
+        log_fields::peer(state.request_.call_.entry_vm_),
+        log_fields::bytes(state.request_.framing_.length_.value_or(0)),
+        log_fields::bodies(bodies), log_fields::elapsed_ms(taken));
+}
+
 std::optional<gate_session::call_failure>
 gate_session::begin_request(const call_state& state)
 {
@@ -304,6 +335,11 @@
         metric_id::gate_admissions, to_string(state.request_.call_.class_));
     limit(state.request_.call_.deadline_);
     exchange.promise_body(state.request_.framing_.length_);
+    exchange.on_request_sent(
+        [this, &state]
+        {
+            end_body(state);
+        });
     auto head = upstream_head(
         state.request_, settings().protocol_, environment_.gate_.instance(),
         state.request_.call_.deadline_ - now());
--- a/adapters/http/gate_session.hpp
+++ b/adapters/http/gate_session.hpp
@@ -48,6 +48,9 @@
         gate_request request_;
         request_body body_;
         steady_time arrived_at_;
+        /// Set while a long body arrives.
+        std::optional<body_lease> long_body_{};
+        steady_time body_awaited_at_{};
     };
 
     /// A failure, and whether the request was not run.
@@ -92,6 +95,8 @@
         error_kind kind,
         const std::string& detail,
         bool not_run) const;
+    /// Ends the wait for the body and reports a long one.
+    void end_body(call_state& state);
     std::optional<call_failure> begin_request(const call_state& state);
     void end_request(const call_state& state, bool not_run);
     [[nodiscard]] std::string answer_head(
--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -197,4 +199,15 @@
     return nothing_yet ? connection_look::quiet : connection_look::closed;
 }
 
+std::optional<std::size_t> http_connection::unacknowledged()
+{
+    int bytes = 0;
+    if (!socket_.is_open() ||
+        ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) != 0)
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(bytes);
+}
+
 } // namespace hemlockshelf
--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -76,6 +77,11 @@
     /// Like `look`, whatever the buffer holds.
     [[nodiscard]] connection_look look_at_socket();
 
+    /// Bytes that were written and that the peer's system has not acknowledged;
+    /// nothing if the system does not say. Any that stay show a link that is
+    /// full or cut, none a peer whose process does not answer.
+    [[nodiscard]] std::optional<std::size_t> unacknowledged();
+
 private:
     /// Writes what the system takes without waiting and returns the number of
     /// bytes, 0 if it takes none now.
--- a/adapters/http/peer_exchange.cpp
+++ b/adapters/http/peer_exchange.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
 
 namespace hemlockshelf {
 
@@ -81,9 +82,12 @@
 {
     if (peer_.reused())
     {
+        connected_ = true;
         co_return result<void>{};
     }
-    co_return co_await peer_.connect(source);
+    auto connected = co_await peer_.connect(source);
+    connected_ = connected.has_value();
+    co_return connected;
 }
 
 asio::awaitable<error_code> peer_exchange::send_head(std::string head)
@@ -120,6 +124,10 @@
         to_buffer(around.after_));
     body_sent_ += failure ? 0 : piece.size();
     request_sent_ = last && !failure;
+    if (request_sent_ && on_request_sent_)
+    {
+        on_request_sent_();
+    }
     co_return failure;
 }
 
@@ -274,6 +282,19 @@
     peer_.connection().interrupt();
 }
 
+std::string peer_exchange::describe_silence()
+{
+    if (!connected_)
+    {
+        return "no answer in time (connecting)";
+    }
+    const auto unacknowledged = peer_.connection().unacknowledged();
+    return fmt::format(
+        "no answer in time ({}, {} body bytes sent, {} bytes unacknowledged)",
+        body_released_ ? "after the request" : "before the body", body_sent_,
+        unacknowledged ? fmt::to_string(*unacknowledged) : "unknown");
+}
+
 void peer_exchange::finish(steady_time now)
 {
     if (reusable())
--- a/adapters/http/peer_exchange.hpp
+++ b/adapters/http/peer_exchange.hpp
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -63,6 +64,12 @@
         promised_ = size;
     }
 
+    /// Calls `handler` when the last byte of the request has been written.
+    void on_request_sent(std::function<void()> handler)
+    {
+        on_request_sent_ = std::move(handler);
+    }
+
     /// Sends the head alone.
     boost::asio::awaitable<boost::system::error_code>
     send_head(std::string head);
@@ -115,6 +122,12 @@
         return body_released_;
     }
 
+    /// Bytes of the body that were written to the peer.
+    [[nodiscard]] std::uint64_t body_sent() const noexcept
+    {
+        return body_sent_;
+    }
+
     /// The failure that ended the reading of the client's body.
     [[nodiscard]] boost::system::error_code client_failure() const noexcept
     {
@@ -126,6 +139,9 @@
         return peer_;
     }
 
+    /// Says what a peer that is given up has been sent and has taken.
+    [[nodiscard]] std::string describe_silence();
+
 private:
     boost::asio::awaitable<boost::system::error_code>
     write_piece(std::string_view head, std::span<const char> piece);
@@ -142,6 +158,8 @@
     std::array<char, 24> answer_line_{};
     std::optional<std::uint64_t> promised_;
     std::uint64_t body_sent_ = 0;
+    std::function<void()> on_request_sent_;
+    bool connected_ = false;
     bool chunked_ = false;
     bool request_sent_ = false;
     bool body_released_ = false;
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -68,6 +68,24 @@
 
 } // namespace
 
+std::string_view to_string(stop_reason value)
+{
+    switch (value)
+    {
+    case stop_reason::none:
+        return "none";
+    case stop_reason::time_limit:
+        return "time_limit";
+    case stop_reason::client_gone:
+        return "client_gone";
+    case stop_reason::node_stops:
+        return "node_stops";
+    case stop_reason::drained:
+        return "drained";
+    }
+    return "unknown";
+}
+
 relay_session::relay_session(
     http_connection::socket_type socket,
     const call_settings& settings,
@@ -115,6 +133,13 @@
         [self = shared_from_this()]
         {
             self->stop(stop_reason::node_stops);
+            if (self->in_call_)
+            {
+                log_request_event<log_event_id::caller_cut>(
+                    log_fields::reason(to_string(stop_reason::node_stops)),
+                    log_fields::requests_behind(0),
+                    log_fields::detail("the node stops during a request"));
+            }
             self->client_.close();
         });
 }
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -28,6 +28,9 @@
     drained,
 };
 
+/// Returns the reason's name, for logs.
+std::string_view to_string(stop_reason value);
+
 /// Whether a refusal may say that the request was not run.
 enum class not_run_claim
 {
--- a/adapters/http/request_pipeline.hpp
+++ b/adapters/http/request_pipeline.hpp
@@ -46,6 +46,12 @@
     /// Starts the requests that the client's buffer holds as a whole.
     void take();
 
+    /// Requests that were started and whose answers have not been taken.
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return started_.size();
+    }
+
     [[nodiscard]] bool empty() const noexcept
     {
         return started_.empty();
--- a/adapters/http/upstream_gate.cpp
+++ b/adapters/http/upstream_gate.cpp
@@ -205,6 +205,21 @@
     drop_idle(idle_.clear());
 }
 
+void upstream_gate::begin_body()
+{
+    metrics_.set(metric_id::gate_bodies, {}, static_cast<double>(++bodies_));
+}
+
+void upstream_gate::end_body()
+{
+    metrics_.set(metric_id::gate_bodies, {}, static_cast<double>(--bodies_));
+}
+
+std::uint32_t upstream_gate::bodies() const
+{
+    return bodies_;
+}
+
 std::uint32_t upstream_gate::free_slots() const
 {
     const std::lock_guard lock(mutex_);
--- a/adapters/http/upstream_gate.hpp
+++ b/adapters/http/upstream_gate.hpp
@@ -88,6 +88,12 @@
 
     void close_idle();
 
+    /// Counts a long body that begins and one that ends to arrive.
+    void begin_body();
+    void end_body();
+    /// Long bodies that are arriving.
+    [[nodiscard]] std::uint32_t bodies() const;
+
     [[nodiscard]] std::uint32_t free_slots() const;
 
     /// Name of the announced instance; empty if it has none.
@@ -127,6 +133,7 @@
     /// Start of the upstream to which the idle connections belong.
     announcement_order start_;
     bool leaving_ = false;
+    std::atomic<std::uint32_t> bodies_ = 0;
     std::unordered_map<gate_call_id, decision_handler> waiting_;
 };
 
@@ -149,6 +156,27 @@
     gate_call_id id_;
 };
 
+/// Counts a long body while it arrives.
+class body_lease
+{
+public:
+    explicit body_lease(upstream_gate& gate) : gate_(gate)
+    {
+        gate_.begin_body();
+    }
+
+    ~body_lease()
+    {
+        gate_.end_body();
+    }
+
+    body_lease(const body_lease&) = delete;
+    body_lease& operator=(const body_lease&) = delete;
+
+private:
+    upstream_gate& gate_;
+};
+
 } // namespace hemlockshelf
 
 #endif
--- a/adapters/settings/node_settings.cpp
+++ b/adapters/settings/node_settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <exception>
 #include <set>
 
@@ -39,6 +40,19 @@
         root.required_text({"region", "Region of the failure domain."})};
 }
 
+void read_link(settings_section& root, node_settings& settings)
+{
+    constexpr double most_mbps = 1e6;
+    constexpr double bits_per_megabit = 1e6;
+    const auto mbps = root.number(
+        {"link_mbps",
+         "Capacity of the VM's link in Mbit/s, each way; 0 if it is not "
+         "known."},
+        0, 0, most_mbps);
+    settings.link_ =
+        bit_rate{static_cast<std::uint64_t>(mbps * bits_per_megabit)};
+}
+
 void read_addresses(settings_section& root, node_settings& settings)
 {
     settings.calls_ =
@@ -135,6 +149,7 @@
     node_settings settings;
     read_identity(root, settings);
     read_addresses(root, settings);
+    read_link(root, settings);
     check_listeners(root, settings);
     read_tokens(root, settings);
     read_log(root.section("log"), settings);
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -40,6 +40,8 @@
     endpoint advertised_admin_;
     /// Local address of outgoing connections; empty lets the system choose.
     std::string source_address_;
+    /// Capacity of the VM's link, each way.
+    bit_rate link_;
     endpoint platform_;
     /// Control addresses of nodes for the first contact.
     std::vector<endpoint> peers_;
--- a/adapters/telemetry/log_fields.hpp
+++ b/adapters/telemetry/log_fields.hpp
@@ -46,6 +46,9 @@
     instance,
     state,
     lines,
+    bytes,
+    bodies,
+    requests_behind,
     error_kind,
     detail,
 };
@@ -167,6 +170,10 @@
 inline constexpr maker<log_field_id::instance, std::string_view> instance{};
 inline constexpr maker<log_field_id::state, std::string_view> state{};
 inline constexpr maker<log_field_id::lines, std::uint64_t> lines{};
+inline constexpr maker<log_field_id::bytes, std::uint64_t> bytes{};
+inline constexpr maker<log_field_id::bodies, std::uint32_t> bodies{};
+inline constexpr maker<log_field_id::requests_behind, std::size_t>
+    requests_behind{};
 inline constexpr maker<log_field_id::error_kind, hemlockshelf::error_kind>
     error_kind{};
 inline constexpr maker<log_field_id::detail, std::string_view> detail{};
--- a/include/hemlockshelf/config/configuration_source.hpp
+++ b/include/hemlockshelf/config/configuration_source.hpp
@@ -2,6 +2,8 @@
 #define HEMLOCKSHELF_CONFIG_CONFIGURATION_SOURCE_HPP
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 
 #include "hemlockshelf/config/config_snapshot.hpp"
@@ -10,6 +12,18 @@
 
 namespace hemlockshelf {
 
+/// What one read of the published configurations brought.
+struct published_read
+{
+    /// The newest configuration above the held revision; null if there is none.
+    std::shared_ptr<const config_snapshot> newest_;
+    /// Published documents in the read, and their bytes as stored.
+    std::size_t documents_ = 0;
+    std::uint64_t bytes_ = 0;
+    /// Time that checking and preparing them took, without the wait.
+    std::chrono::milliseconds preparation_{0};
+};
+
 /// Port to a platform on which operators publish whole configurations. A node
 /// without one reads the changes that nodes accept from the table service.
 class configuration_source
@@ -18,10 +32,10 @@
     virtual ~configuration_source() = default;
 
     /// Returns the published configuration as soon as its revision is above
-    /// `held`, or null after `wait` if there is none. Blocks, and is called
-    /// from one thread. The errors are `platform_unavailable`, `rate_limited`
-    /// and, for a configuration that can't be used, `invalid_row`.
-    virtual result<std::shared_ptr<const config_snapshot>>
+    /// `held`, or a read without one after `wait`. Blocks, and is called from
+    /// one thread. The errors are `platform_unavailable`, `rate_limited` and,
+    /// for a configuration that can't be used, `invalid_row`.
+    virtual result<published_read>
     wait_for_newer(revision held, std::chrono::milliseconds wait) = 0;
 
     /// Ends a `wait_for_newer` in progress, and every later one at once. May be
--- a/include/hemlockshelf/core/ids.hpp
+++ b/include/hemlockshelf/core/ids.hpp
@@ -43,6 +43,8 @@
     strong_type<struct connection_count_tag, std::uint32_t>;
 /// Size of a body or a message in bytes.
 using byte_count = strong_type<struct byte_count_tag, std::uint64_t>;
+/// Capacity of a link in bits per second; 0 if it is not known.
+using bit_rate = strong_type<struct bit_rate_tag, std::uint64_t>;
 
 } // namespace hemlockshelf
 
--- a/include/hemlockshelf/core/metric_id.hpp
+++ b/include/hemlockshelf/core/metric_id.hpp
@@ -18,6 +18,7 @@
     gate_admissions,
     gate_slots_used,
     gate_queue_length,
+    gate_bodies,
     config_revision,
     config_lag,
     config_applies,
--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -25,10 +25,20 @@
     {
         return report;
     }
-    if (newer && *newer != nullptr)
+    if (newer && newer->documents_ > 0)
+    {
+        log_event<log_event_id::configuration_read>(
+            log_fields::revision(
+                newer->newest_ ? newer->newest_->number() : keeper.held()),
+            log_fields::changes(newer->documents_),
+            log_fields::bytes(newer->bytes_),
+            log_fields::elapsed_ms(newer->preparation_));
+    }
+    if (newer && newer->newest_ != nullptr)
     {
         // A peer may have brought the same revision meanwhile.
-        static_cast<void>(keeper.adopt(std::move(*newer), apply_source::poll));
+        static_cast<void>(
+            keeper.adopt(std::move(newer->newest_), apply_source::poll));
     }
     report.answered_ = true;
     report.head_ = keeper.held();
--- a/src/core/metric_id.cpp
+++ b/src/core/metric_id.cpp
@@ -23,6 +23,7 @@
     metric_info{gate_admissions, counter, "hemlockshelf_gate_admissions_total", "class", "Calls that the gate dispatched to its upstream."},
     metric_info{gate_slots_used, gauge, "hemlockshelf_gate_slots_used", "", "Slots of the upstream in use."},
     metric_info{gate_queue_length, gauge, "hemlockshelf_gate_queue_length", "", "Calls that wait at the gate."},
+    metric_info{gate_bodies, gauge, "hemlockshelf_gate_bodies", "", "Long request bodies that are arriving at the gate."},
     metric_info{config_revision, gauge, "hemlockshelf_config_revision", "", "Revision in force."},
     metric_info{config_lag, gauge, "hemlockshelf_config_lag", "", "Revisions between the highest known and the one in force."},
     metric_info{config_applies, counter, "hemlockshelf_config_applies_total", "source", "Revisions put into force, by source: push, poll, repair or edit."},
--- a/test/platform/platform_fixture.hpp
+++ b/test/platform/platform_fixture.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_TEST_PLATFORM_PLATFORM_FIXTURE_HPP
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -12,6 +13,7 @@
 #include "adapters/http/http_client.hpp"
 #include "adapters/http/json_server.hpp"
 #include "adapters/telemetry/prometheus_metrics.hpp"
+#include "hemlockshelf/core/real_clock.hpp"
 #include "standins/store/store_service.hpp"
 
 namespace hemlockshelf::test {
@@ -33,6 +35,7 @@
 
     store_service service_;
     prometheus_metrics metrics_;
+    std::shared_ptr<const clock> time_ = std::make_shared<real_clock>();
 
 private:
     endpoint address_;
--- a/test/platform/test_published_configurations.cpp
+++ b/test/platform/test_published_configurations.cpp
@@ -19,7 +19,8 @@
 revision next(published_configurations& source, revision held)
 {
     const auto found = source.wait_for_newer(held, 1s);
-    return found && *found != nullptr ? (*found)->number() : revision{};
+    return found && found->newest_ != nullptr ? found->newest_->number()
+                                              : revision{};
 }
 
 } // namespace
@@ -28,7 +29,8 @@
 {
     served_store store;
     publish(store, configuration("r3").dump());
-    published_configurations source(store.target(), store.metrics_);
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
     cr_assert(next(source, {}) == revision{3});
     std::thread operators(
         [&store]
@@ -45,7 +47,8 @@
 {
     served_store store;
     publish(store, configuration("r7").dump());
-    published_configurations source(store.target(), store.metrics_);
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
     cr_assert(next(source, {}) == revision{7});
     publish(store, configuration("r5").dump());
     cr_assert(next(source, revision{7}) == revision{});
@@ -57,13 +60,14 @@
 {
     served_store store;
     publish(store, configuration("r3").dump());
-    published_configurations source(store.target(), store.metrics_);
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
     cr_assert(next(source, {}) == revision{3});
     publish(store, "{\"version\":\"r4\",");
     const auto bad = source.wait_for_newer(revision{3}, 1s);
     cr_assert(!bad && bad.error().kind_ == error_kind::invalid_row);
     const auto quiet = source.wait_for_newer(revision{3}, 50ms);
-    cr_assert(quiet && *quiet == nullptr);
+    cr_assert(quiet && quiet->newest_ == nullptr);
     publish(store, configuration("r5").dump());
     cr_assert(next(source, revision{3}) == revision{5});
 }
@@ -74,7 +78,8 @@
 {
     served_store store;
     publish(store, configuration("r3").dump());
-    published_configurations source(store.target(), store.metrics_);
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
     cr_assert(next(source, {}) == revision{3});
     publish(store, configuration("r4").dump());
     store.service_.forget_history();
@@ -84,7 +89,8 @@
 Test(published_configurations, reports_a_store_that_is_away)
 {
     served_store store;
-    published_configurations source(store.target(), store.metrics_);
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
     store.service_.set_fault(store_fault::down);
     const auto away = source.wait_for_newer({}, 0ms);
     cr_assert(!away && away.error().kind_ == error_kind::platform_unavailable);
--- a/test/settings/test_node_settings.cpp
+++ b/test/settings/test_node_settings.cpp
@@ -82,6 +82,14 @@
         valid + "source_address: here\n", "9", "expected an IPv4 address");
 }
 
+// Guards against a capacity that is off by its unit, or that no link has.
+Test(node_settings, the_link_is_read_in_megabits)
+{
+    const auto settings = load_text(valid + "link_mbps: 7.5\n");
+    cr_assert(settings && settings->link_ == bit_rate{7'500'000});
+    assert_error(valid + "link_mbps: -1\n", "9", "link_mbps");
+}
+
 // Guards against two listeners on one address.
 Test(node_settings, clashing_listeners_are_refused)
 {
