config, node, platform: make deltas between published revisions

Every node read every published document whole, because a delta always led from revision n - 1 to n and published revisions have gaps.

A delta now names the revision that it applies to. A delta that spans the held revision is dropped and the node fetches.

Second fault, in the same code: a read moved on behind a batch and then failed at its first broken entry, so that good entries of the same batch were lost for ever.

--- a/include/hemlockshelf/config/config_delta.hpp
+++ b/include/hemlockshelf/config/config_delta.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_CONFIG_CONFIG_DELTA_HPP
 #define HEMLOCKSHELF_CONFIG_CONFIG_DELTA_HPP
 
+#include <optional>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -12,24 +13,30 @@
 
 namespace hemlockshelf {
 
-/// The change from revision `to_ - 1` to revision `to_`.
+/// The change from the revision `base_of` to revision `to_`.
 struct config_delta
 {
     revision to_;
     std::vector<row_change> changes_;
     /// Content hash of the tables after the change.
     content_hash result_hash_;
+    /// The revision that the change applies to, where it is not the one before
+    /// `to_`: revisions that operators publish whole have gaps.
+    std::optional<revision> base_{};
 
     friend bool operator==(const config_delta&, const config_delta&) = default;
 };
 
+/// Returns the revision that the change applies to.
+revision base_of(const config_delta& delta);
+
 /// Returns `{"upserts":[{"table","key","row"}],"deletes":[{"table","key"}]}`.
 nlohmann::json changes_to_json(const std::vector<row_change>& changes);
 
 /// Reads what `changes_to_json` wrote; `invalid_row` if it is malformed.
 result<std::vector<row_change>> changes_from_json(const nlohmann::json& json);
 
-/// Returns `{"revision","hash","delta"}`.
+/// Returns `{"revision","hash","delta"}`, with `"base"` if the delta has one.
 nlohmann::json to_json(const config_delta& delta);
 
 /// Reads what `to_json` wrote, and a change row, whose other fields it skips.
--- a/include/hemlockshelf/config/config_snapshot.hpp
+++ b/include/hemlockshelf/config/config_snapshot.hpp
@@ -66,6 +66,10 @@
 /// `stale_revision` and `revision_gap`.
 result<void> check_follows(revision held, revision next);
 
+/// Checks that a delta leads from `held` to a newer revision. The errors are
+/// `stale_revision` and `revision_gap`.
+result<void> check_follows(revision held, const config_delta& delta);
+
 /// Builds the snapshot that follows `base` by `delta`. The errors are
 /// `stale_revision` and `revision_gap` if the delta does not follow,
 /// `hash_mismatch` if the result differs from what the delta says, and
--- a/include/hemlockshelf/config/configuration_source.hpp
+++ b/include/hemlockshelf/config/configuration_source.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 #include "hemlockshelf/config/config_snapshot.hpp"
 #include "hemlockshelf/core/error.hpp"
@@ -15,8 +16,13 @@
 /// What one read of the published configurations brought.
 struct published_read
 {
+    static constexpr std::size_t max_rejected = 8;
+
     /// The newest configuration above the held revision; null if there is none.
     std::shared_ptr<const config_snapshot> newest_;
+    /// Why documents can't be used that are newer than that one; the first
+    /// `max_rejected` of them.
+    std::vector<error> rejected_;
     /// Published documents in the read, and their bytes as stored.
     std::size_t documents_ = 0;
     std::uint64_t bytes_ = 0;
@@ -31,12 +37,12 @@
 public:
     virtual ~configuration_source() = default;
 
-    /// Returns the published configuration as soon as its revision is above
-    /// `held`, or a read without one after `wait`. Blocks, and is called from
-    /// one thread. The errors are `platform_unavailable`, `rate_limited` and,
-    /// for a configuration that can't be used, `invalid_row`.
-    virtual result<published_read>
-    wait_for_newer(revision held, std::chrono::milliseconds wait) = 0;
+    /// Returns the newest usable configuration as soon as there is one above
+    /// that of `held`, whose rows it shares where they are the same, or a read
+    /// without one after `wait`. Blocks, and is called from one thread. The
+    /// errors are `platform_unavailable` and `rate_limited`.
+    virtual result<published_read> wait_for_newer(
+        const config_snapshot& held, std::chrono::milliseconds wait) = 0;
 
     /// Ends a `wait_for_newer` in progress, and every later one at once. May be
     /// called from any thread.
--- /dev/null
+++ b/include/hemlockshelf/config/table_changes.hpp
@@ -0,0 +1,19 @@
+#ifndef HEMLOCKSHELF_CONFIG_TABLE_CHANGES_HPP
+#define HEMLOCKSHELF_CONFIG_TABLE_CHANGES_HPP
+
+#include <vector>
+
+#include "hemlockshelf/config/config_tables.hpp"
+#include "hemlockshelf/config/row_change.hpp"
+
+namespace hemlockshelf {
+
+/// Returns the changes that lead from one state of the tables to another, in an
+/// order in which they can be applied one by one. Rows that both states share
+/// are not compared.
+std::vector<row_change>
+changes_between(const config_tables& before, const config_tables& after);
+
+} // namespace hemlockshelf
+
+#endif
--- a/include/hemlockshelf/editing/change_log.hpp
+++ b/include/hemlockshelf/editing/change_log.hpp
@@ -34,7 +34,8 @@
 
     /// Returns up to `limit` deltas that follow `from`, in order; none if
     /// `from` is the newest revision or later. `revision_gap` if the log does
-    /// not reach back to `from`: the peer needs a whole snapshot.
+    /// not reach back to `from` or passes over it: the peer needs a whole
+    /// snapshot.
     [[nodiscard]] result<std::vector<delta_pointer>>
     after(revision from, std::size_t limit = default_capacity) const;
 
--- a/node/config_keeper.cpp
+++ b/node/config_keeper.cpp
@@ -1,5 +1,6 @@
 #include "node/config_keeper.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <iterator>
 #include <utility>
@@ -7,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "adapters/telemetry/event_log.hpp"
+#include "hemlockshelf/config/table_changes.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 
 namespace hemlockshelf {
@@ -18,6 +20,28 @@
     return std::chrono::duration<double>(value).count();
 }
 
+// Beyond this part of the rows a whole snapshot is the cheaper message.
+constexpr std::size_t rows_per_change = 2;
+
+std::optional<accepted_delta>
+delta_between(const config_snapshot& before, const config_snapshot& after)
+{
+    if (before.number() == revision{0})
+    {
+        return std::nullopt;
+    }
+    const auto& tables = after.tables();
+    auto changes = changes_between(before.tables(), tables);
+    const auto rows = tables.routes_.size() + tables.pools_.size();
+    if (changes.size() * rows_per_change > rows)
+    {
+        return std::nullopt;
+    }
+    return accepted_delta{
+        {after.number(), std::move(changes), tables.hash_, before.number()},
+        {}};
+}
+
 } // namespace
 
 std::string_view to_string(apply_source source)
@@ -50,11 +74,20 @@
     const std::vector<accepted_delta>& deltas, apply_source source)
 {
     const std::lock_guard lock(mutex_);
+    bool usable = true;
     for (const auto& delta : deltas)
     {
-        keep_waiting(delta);
+        usable = keep_waiting(delta) && usable;
     }
     auto applied = apply_waiting(source);
+    if (applied && !usable)
+    {
+        applied = make_error(
+            error_kind::revision_gap,
+            fmt::format(
+                "delta to revision {}: spans revision {}, which is held",
+                deltas.back().delta_.to_.value(), held().value()));
+    }
     // The applier counts what it rejects; it never sees a gap.
     if (!applied && applied.error().kind_ == error_kind::revision_gap)
     {
@@ -65,46 +98,69 @@
     return applied;
 }
 
-void config_keeper::keep_waiting(const accepted_delta& delta)
+// Returns false for a delta that begins before the revision in force and ends
+// after it. Two readers of published revisions may have skipped different ones.
+bool config_keeper::keep_waiting(const accepted_delta& delta)
 {
     if (delta.delta_.to_ <= held())
     {
-        return;
+        return true;
+    }
+    if (base_of(delta.delta_) < held())
+    {
+        return false;
     }
     waiting_.insert_or_assign(delta.delta_.to_, delta);
     if (waiting_.size() > kept_deltas_)
     {
         waiting_.erase(std::prev(waiting_.end()));
     }
+    return true;
 }
 
-result<void> config_keeper::apply_waiting(apply_source source)
+std::optional<accepted_delta> config_keeper::take_next_waiting()
 {
-    while (!waiting_.empty())
-    {
-        const auto first = waiting_.begin();
-        if (first->first.value() > held().value() + 1)
+    std::erase_if(
+        waiting_,
+        [this](const auto& entry)
         {
-            return make_error(
-                error_kind::revision_gap,
-                fmt::format(
-                    "delta to revision {}: expected one that follows revision "
-                    "{}",
-                    first->first.value(), held().value()));
-        }
-        const auto delta = std::move(first->second);
-        waiting_.erase(first);
-        if (delta.delta_.to_ <= held())
+            return base_of(entry.second.delta_) < held();
+        });
+    const auto next = std::ranges::find_if(
+        waiting_,
+        [this](const auto& entry)
         {
-            continue;
-        }
-        auto applied = apply_one(delta, source);
+            return base_of(entry.second.delta_) == held();
+        });
+    if (next == waiting_.end())
+    {
+        return std::nullopt;
+    }
+    auto delta = std::move(next->second);
+    waiting_.erase(next);
+    return delta;
+}
+
+result<void> config_keeper::apply_waiting(apply_source source)
+{
+    while (const auto delta = take_next_waiting())
+    {
+        auto applied = apply_one(*delta, source);
         if (!applied)
         {
             return applied;
         }
     }
-    return {};
+    if (waiting_.empty())
+    {
+        return {};
+    }
+    const auto& first = waiting_.begin()->second.delta_;
+    return make_error(
+        error_kind::revision_gap,
+        fmt::format(
+            "delta to revision {}: follows revision {}, held is revision {}",
+            first.to_.value(), base_of(first).value(), held().value()));
 }
 
 result<void>
@@ -125,22 +181,30 @@
     return {};
 }
 
-result<void> config_keeper::adopt(
+result<std::optional<accepted_delta>> config_keeper::adopt(
     std::shared_ptr<const config_snapshot> snapshot, apply_source source)
 {
     const std::lock_guard lock(mutex_);
-    const auto number = snapshot->number();
-    auto applied = applier_.apply(std::move(snapshot));
+    const auto before = snapshots_.current();
+    auto applied = applier_.apply(snapshot);
     if (!applied)
     {
-        return applied;
+        return tl::unexpected<error>(applied.error());
+    }
+    auto delta = delta_between(*before, *snapshot);
+    if (delta)
+    {
+        log_.append(delta->delta_);
+    }
+    else
+    {
+        log_.restart(snapshot->number());
+        accepted_at_.clear();
     }
-    log_.restart(number);
-    accepted_at_.clear();
     report(source, std::nullopt);
     // A gap that is still open is no failure of the snapshot.
     static_cast<void>(apply_waiting(source));
-    return {};
+    return delta;
 }
 
 std::shared_ptr<const config_snapshot> config_keeper::current() const
--- a/node/config_keeper.hpp
+++ b/node/config_keeper.hpp
@@ -43,13 +43,17 @@
     /// Applies the deltas that follow the revision in force, in order, and
     /// skips older ones. Deltas beyond a gap wait, bounded in number, until the
     /// gap is filled: two edits from different nodes can overtake each other on
-    /// the way. `revision_gap` if any waits; the errors of `apply_delta`
-    /// otherwise. What came before the error stays in force.
+    /// the way. A delta that spans the revision in force is dropped.
+    /// `revision_gap` if any waits or was dropped so; the errors of
+    /// `apply_delta` otherwise. What came before the error stays in force.
     result<void>
     apply(const std::vector<accepted_delta>& deltas, apply_source source);
 
     /// Puts a whole snapshot into force, unless an equal or newer revision is.
-    result<void>
+    /// Returns the delta that leads to it from the revision before, for peers;
+    /// nothing if none was in force or the snapshot has little in common with
+    /// it.
+    result<std::optional<accepted_delta>>
     adopt(std::shared_ptr<const config_snapshot> snapshot, apply_source source);
 
     [[nodiscard]] std::shared_ptr<const config_snapshot> current() const;
@@ -61,8 +65,10 @@
     deltas_after(revision from) const;
 
 private:
-    void keep_waiting(const accepted_delta& delta);
+    bool keep_waiting(const accepted_delta& delta);
     result<void> apply_waiting(apply_source source);
+    /// Returns the waiting delta that follows the revision in force, if any.
+    std::optional<accepted_delta> take_next_waiting();
     result<void> apply_one(const accepted_delta& delta, apply_source source);
     void
     report(apply_source source, std::optional<wall_time> accepted_at) const;
--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -7,40 +7,51 @@
 
 namespace hemlockshelf {
 
+namespace {
+
+void report_read(const published_read& read, revision held)
+{
+    for (const auto& failure : read.rejected_)
+    {
+        log_event<log_event_id::configuration_rejected>(
+            log_fields::revision(held), log_fields::error_kind(failure.kind_),
+            log_fields::detail(failure.message_));
+    }
+    if (read.documents_ > 0)
+    {
+        log_event<log_event_id::configuration_read>(
+            log_fields::revision(read.newest_ ? read.newest_->number() : held),
+            log_fields::changes(read.documents_),
+            log_fields::bytes(read.bytes_),
+            log_fields::elapsed_ms(read.preparation_));
+    }
+}
+
+} // namespace
+
 poll_report follow_published(
     configuration_source& source,
     config_keeper& keeper,
     std::chrono::milliseconds wait)
 {
     poll_report report;
-    auto newer = source.wait_for_newer(keeper.held(), wait);
-    if (!newer && newer.error().kind_ == error_kind::invalid_row)
-    {
-        log_event<log_event_id::configuration_rejected>(
-            log_fields::revision(keeper.held()),
-            log_fields::error_kind(newer.error().kind_),
-            log_fields::detail(newer.error().message_));
-    }
-    if (!newer && newer.error().kind_ != error_kind::invalid_row)
+    auto read = source.wait_for_newer(*keeper.current(), wait);
+    if (!read)
     {
         return report;
     }
-    if (newer && newer->documents_ > 0)
-    {
-        log_event<log_event_id::configuration_read>(
-            log_fields::revision(
-                newer->newest_ ? newer->newest_->number() : keeper.held()),
-            log_fields::changes(newer->documents_),
-            log_fields::bytes(newer->bytes_),
-            log_fields::elapsed_ms(newer->preparation_));
-    }
-    if (newer && newer->newest_ != nullptr)
+    report_read(*read, keeper.held());
+    report.answered_ = true;
+    if (read->newest_ != nullptr)
     {
         // A peer may have brought the same revision meanwhile.
-        static_cast<void>(
-            keeper.adopt(std::move(newer->newest_), apply_source::poll));
+        const auto adopted =
+            keeper.adopt(std::move(read->newest_), apply_source::poll);
+        if (adopted && *adopted)
+        {
+            report.deltas_.push_back(**adopted);
+        }
     }
-    report.answered_ = true;
     report.head_ = keeper.held();
     return report;
 }
--- a/src/config/config_delta.cpp
+++ b/src/config/config_delta.cpp
@@ -83,6 +83,12 @@
 
 } // namespace
 
+revision base_of(const config_delta& delta)
+{
+    return delta.base_.value_or(
+        revision{delta.to_.value() > 0 ? delta.to_.value() - 1 : 0});
+}
+
 nlohmann::json changes_to_json(const std::vector<row_change>& changes)
 {
     auto upserts = nlohmann::json::array();
@@ -134,10 +140,15 @@
 
 nlohmann::json to_json(const config_delta& delta)
 {
-    return {
+    nlohmann::json json{
         {"revision", delta.to_.value()},
         {"hash", delta.result_hash_.to_string()},
         {"delta", changes_to_json(delta.changes_)}};
+    if (delta.base_)
+    {
+        json["base"] = delta.base_->value();
+    }
+    return json;
 }
 
 result<config_delta> delta_from_json(const nlohmann::json& json)
@@ -162,14 +173,27 @@
                 "delta: expected a hash of 32 hexadecimal digits, given {}",
                 json.at("hash").dump()));
     }
+    const revision to{json.at("revision").get<std::uint64_t>()};
+    std::optional<revision> base;
+    if (const auto given = json.find("base"); given != json.end())
+    {
+        if (!given->is_number_unsigned() ||
+            given->get<std::uint64_t>() >= to.value())
+        {
+            return make_error(
+                error_kind::invalid_row,
+                fmt::format(
+                    "delta: expected a \"base\" below revision {}, given {}",
+                    to.value(), given->dump()));
+        }
+        base = revision{given->get<std::uint64_t>()};
+    }
     auto changes = changes_from_json(json.at("delta"));
     if (!changes)
     {
         return tl::unexpected<error>(changes.error());
     }
-    return config_delta{
-        revision{json.at("revision").get<std::uint64_t>()}, std::move(*changes),
-        *hash};
+    return config_delta{to, std::move(*changes), *hash, base};
 }
 
 } // namespace hemlockshelf
--- a/src/config/config_snapshot.cpp
+++ b/src/config/config_snapshot.cpp
@@ -70,21 +70,27 @@
 
 result<void> check_follows(revision held, revision next)
 {
-    if (next <= held)
+    return check_follows(held, config_delta{next, {}, {}});
+}
+
+result<void> check_follows(revision held, const config_delta& delta)
+{
+    if (delta.to_ <= held)
     {
         return make_error(
             error_kind::stale_revision,
             fmt::format(
                 "delta to revision {}: revision {} is already held",
-                next.value(), held.value()));
+                delta.to_.value(), held.value()));
     }
-    if (next.value() != held.value() + 1)
+    if (base_of(delta) != held)
     {
         return make_error(
             error_kind::revision_gap,
             fmt::format(
-                "delta to revision {}: expected one that follows revision {}",
-                next.value(), held.value()));
+                "delta to revision {}: expected one that follows revision {}, "
+                "given one that follows revision {}",
+                delta.to_.value(), held.value(), base_of(delta).value()));
     }
     return {};
 }
@@ -92,7 +98,7 @@
 result<std::shared_ptr<const config_snapshot>>
 apply_delta(const config_snapshot& base, const config_delta& delta)
 {
-    const auto follows = check_follows(base.number(), delta.to_);
+    const auto follows = check_follows(base.number(), delta);
     if (!follows)
     {
         return tl::unexpected<error>(follows.error());
--- a/src/config/revision_applier.cpp
+++ b/src/config/revision_applier.cpp
@@ -104,7 +104,7 @@
     {
         const std::lock_guard lock(mutex_);
         const auto base = store_.current();
-        auto follows = check_follows(base->number(), delta.to_);
+        auto follows = check_follows(base->number(), delta);
         if (!follows)
         {
             return follows;
--- a/src/editing/change_log.cpp
+++ b/src/editing/change_log.cpp
@@ -1,7 +1,6 @@
 #include "hemlockshelf/editing/change_log.hpp"
 
 #include <algorithm>
-#include <cstdint>
 #include <utility>
 
 #include <fmt/format.h>
@@ -17,7 +16,7 @@
     {
         return;
     }
-    if (delta.to_.value() != newest_.value() + 1)
+    if (base_of(delta) != newest_)
     {
         deltas_.clear();
     }
@@ -47,21 +46,26 @@
     {
         return std::vector<delta_pointer>{};
     }
-    const std::uint64_t oldest_base = newest_.value() - deltas_.size();
-    if (from.value() < oldest_base)
+    const auto first = std::ranges::find(
+        deltas_, from,
+        [](const delta_pointer& delta)
+        {
+            return base_of(*delta);
+        });
+    if (first == deltas_.end())
     {
+        const auto oldest =
+            deltas_.empty() ? newest_ : base_of(*deltas_.front());
         return make_error(
             error_kind::revision_gap,
             fmt::format(
                 "change log: asked for deltas after revision {}, holds those "
-                "after revision {}",
-                from.value(), oldest_base));
+                "after revision {} and none that begins there",
+                from.value(), oldest.value()));
     }
-    const auto skipped = from.value() - oldest_base;
-    const auto first = deltas_.begin() + static_cast<std::ptrdiff_t>(skipped);
-    const auto count = std::min<std::size_t>(limit, deltas_.size() - skipped);
+    const auto kept = static_cast<std::size_t>(deltas_.end() - first);
     return std::vector<delta_pointer>(
-        first, first + static_cast<std::ptrdiff_t>(count));
+        first, first + static_cast<std::ptrdiff_t>(std::min(limit, kept)));
 }
 
 revision change_log::newest() const
--- a/standins/store/store_service.hpp
+++ b/standins/store/store_service.hpp
@@ -9,6 +9,8 @@
 #include <mutex>
 #include <string>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -47,6 +49,14 @@
         fault_ = fault;
     }
 
+    /// Lets a call for changes answer with each change of a row that was made
+    /// from now on, and not only with the last. The protocol allows both.
+    void keep_each_change()
+    {
+        const std::lock_guard lock(mutex_);
+        keeps_each_change_ = true;
+    }
+
     /// Forgets every change so far: a call for changes after an older version
     /// is answered with 410.
     void forget_history();
@@ -72,6 +82,8 @@
     http_response transact(const http_request& request);
     http_response read_range(const http_request& request);
     http_response wait_for_changes(const http_request& request);
+    [[nodiscard]] nlohmann::json
+    changes_after(const std::string& table, std::uint64_t version) const;
     http_response handle_object(const http_request& request);
     [[nodiscard]] std::uint64_t version_of(const row_name& name) const;
     void write(const row_name& name, const std::string& value, bool removed);
@@ -81,6 +93,9 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<row_name, row> rows_;
+    bool keeps_each_change_ = false;
+    /// Changes in order, if each is kept.
+    std::vector<std::pair<row_name, row>> changes_;
     std::map<std::string, std::string> objects_;
     std::uint64_t version_ = 0;
     std::uint64_t forgotten_ = 0;
--- a/test/config/test_config_properties.cpp
+++ b/test/config/test_config_properties.cpp
@@ -195,6 +195,22 @@
         }));
 }
 
+// Guards against a delta that loses the revision it applies to on its way, or
+// names one that makes no sense.
+Test(config_properties, the_base_of_a_delta_is_passed_on)
+{
+    const config_delta delta{revision{9}, {}, {}, revision{4}};
+    auto json = to_json(delta);
+    cr_assert(delta_from_json(json) == delta);
+    for (const auto& bad :
+         {nlohmann::json(9), nlohmann::json(-1), nlohmann::json("4")})
+    {
+        json["base"] = bad;
+        const auto read = delta_from_json(json);
+        cr_assert(!read && read.error().kind_ == error_kind::invalid_row);
+    }
+}
+
 // Guards against malformed input that is taken, or ends the process.
 Test(config_properties, a_row_with_a_wrong_field_is_refused)
 {
--- a/test/node/test_config_keeper.cpp
+++ b/test/node/test_config_keeper.cpp
@@ -43,8 +43,149 @@
     return deltas;
 }
 
+/// Returns published snapshots, of revisions with gaps, each with one pool
+/// changed.
+std::vector<std::shared_ptr<const config_snapshot>>
+make_published(const std::vector<std::uint64_t>& numbers)
+{
+    constexpr std::size_t pools = 8;
+    std::vector<std::shared_ptr<const config_snapshot>> snapshots;
+    config_tables tables;
+    const auto change_pool = [&tables](std::size_t pool, std::uint64_t number)
+    {
+        apply_change(
+            tables, {table_id::pools, row_key{"regie/a" + std::to_string(pool)},
+                     pool_row{
+                         service_name{"catalogue"},
+                         {},
+                         false,
+                         static_cast<std::uint32_t>(number)}});
+    };
+    for (std::size_t pool = 0; pool < pools; ++pool)
+    {
+        change_pool(pool, 1);
+    }
+    for (const auto number : numbers)
+    {
+        change_pool(number % pools, number);
+        snapshots.push_back(*config_snapshot::build(revision{number}, tables));
+    }
+    return snapshots;
+}
+
+/// Returns the deltas with which a reader that sees only `seen` passes them on.
+std::vector<accepted_delta> deltas_of_reader(
+    const std::vector<std::shared_ptr<const config_snapshot>>& seen)
+{
+    fixture reader;
+    std::vector<accepted_delta> deltas;
+    for (const auto& snapshot : seen)
+    {
+        const auto delta = reader.keeper_.adopt(snapshot, apply_source::poll);
+        if (delta && *delta)
+        {
+            deltas.push_back(**delta);
+        }
+    }
+    return deltas;
+}
+
 } // namespace
 
+// Guards against published revisions that peers can only take as whole
+// snapshots, because a delta between them has a gap.
+Test(config_keeper, a_published_revision_is_passed_on_as_a_delta)
+{
+    const auto published = make_published({3, 7, 12});
+    const auto deltas = deltas_of_reader(published);
+    cr_assert(deltas.size() == 2);
+    cr_assert(deltas.front().delta_.changes_.size() == 1);
+    cr_assert(base_of(deltas.front().delta_) == revision{3});
+    fixture peer;
+    static_cast<void>(
+        peer.keeper_.adopt(published.front(), apply_source::repair));
+    cr_assert(
+        peer.keeper_.apply({deltas[1]}, apply_source::push).error().kind_ ==
+        error_kind::revision_gap);
+    cr_assert(peer.keeper_.apply({deltas[0]}, apply_source::push).has_value());
+    cr_assert(peer.keeper_.held() == revision{12});
+    cr_assert(
+        peer.keeper_.current()->tables().hash_ ==
+        published.back()->tables().hash_);
+    const auto kept = peer.keeper_.deltas_after(revision{3});
+    cr_assert(kept && kept->size() == 2);
+}
+
+// Guards against a node that waits for ever, or takes a wrong state, when two
+// readers have skipped different revisions.
+Test(config_keeper, a_delta_that_spans_the_held_revision_asks_for_a_fetch)
+{
+    const auto published = make_published({3, 5, 9});
+    const auto spanning = deltas_of_reader({published[0], published[2]});
+    fixture peer;
+    static_cast<void>(peer.keeper_.adopt(published[1], apply_source::poll));
+    cr_assert(
+        peer.keeper_.apply(spanning, apply_source::push).error().kind_ ==
+        error_kind::revision_gap);
+    cr_assert(peer.keeper_.held() == revision{5});
+    // The node's own delta to the same revision still applies.
+    const auto own = deltas_of_reader({published[1], published[2]});
+    cr_assert(peer.keeper_.apply(own, apply_source::push).has_value());
+    cr_assert(peer.keeper_.held() == revision{9});
+}
+
+// Guards against a node that goes back, or runs rows that no operator
+// published, whatever readers skip and in which order their deltas come
+// (promises P1 and P3).
+Test(config_keeper, deltas_of_several_readers_lead_to_published_states_only)
+{
+    cr_assert(rc::check(
+        []
+        {
+            const auto published = make_published({2, 3, 7, 8, 12, 20, 21});
+            std::vector<accepted_delta> deltas;
+            for (int reader = 0; reader < 2; ++reader)
+            {
+                std::vector<std::shared_ptr<const config_snapshot>> seen;
+                for (const auto& snapshot : published)
+                {
+                    if (*rc::gen::arbitrary<bool>())
+                    {
+                        seen.push_back(snapshot);
+                    }
+                }
+                for (auto& delta : deltas_of_reader(seen))
+                {
+                    deltas.push_back(std::move(delta));
+                }
+            }
+            fixture node;
+            static_cast<void>(
+                node.keeper_.adopt(published.front(), apply_source::poll));
+            const auto order = *rc::gen::container<std::vector<std::size_t>>(
+                rc::gen::inRange<std::size_t>(0, deltas.size() + 1));
+            for (const auto index : order)
+            {
+                const auto before = node.keeper_.held();
+                if (index < deltas.size())
+                {
+                    static_cast<void>(node.keeper_.apply(
+                        {deltas[index]}, apply_source::push));
+                }
+                const auto held = node.keeper_.current();
+                RC_ASSERT(held->number() >= before);
+                const auto found = std::ranges::find(
+                    published, held->number(),
+                    [](const auto& snapshot)
+                    {
+                        return snapshot->number();
+                    });
+                RC_ASSERT(found != published.end());
+                RC_ASSERT((*found)->tables().hash_ == held->tables().hash_);
+            }
+        }));
+}
+
 // Guards against a delta that is dropped because the one before it is still on
 // its way, which costs a repair of several hundred milliseconds.
 Test(config_keeper, deltas_that_overtake_each_other_are_all_applied)
