--- a/test/dissemination/test_readers.cpp
+++ b/test/dissemination/test_readers.cpp
@@ -84,7 +84,8 @@
     const auto readers = chosen(
         {candidate("a", 7), candidate("b", 140), candidate("c", 7),
          candidate("d", 141)});
-    cr_assert(readers == std::vector{vm_id{"d"}, vm_id{"b"}});
+    const std::vector<vm_id> expected{vm_id{"d"}, vm_id{"b"}};
+    cr_assert(readers == expected);
 }
 
 // Guards against a failure domain that runs old revisions because its readers
@@ -100,9 +101,10 @@
 // Guards against a choice that moves when nobody reaches the platform.
 Test(readers, the_choice_stays_when_all_have_lost_the_platform)
 {
-    cr_assert(
-        chosen({candidate("a", 7), candidate("b", 140), candidate("c", 9)}) ==
-        chosen(
-            {candidate("a", 7, true), candidate("b", 140, true),
-             candidate("c", 9, true)}));
+    const auto reached =
+        chosen({candidate("a", 7), candidate("b", 140), candidate("c", 9)});
+    const auto lost = chosen(
+        {candidate("a", 7, true), candidate("b", 140, true),
+         candidate("c", 9, true)});
+    cr_assert(reached == lost);
 }
