gate: start held-back bodies as the link can bring them

A gate answered 100 as soon as a slot was free, so that up to 14 bodies (body_delayed) shared a link of 7 Mbit/s. 12,552 of about 12,600 timeouts while connecting were logged by the seven nodes beside that service, about gates of all services: their own link was full. Ruled out: want of processor time (at most 0.035 of 0.1 core) and of slots.

The link is a resource like a slot: bodies on their way take at most 150 ms of 80 % of it, beyond a first one; what it can't bring in time is refused before it is sent (link_full); calls without a body pass.

--- a/adapters/http/gate_call_head.cpp
+++ b/adapters/http/gate_call_head.cpp
@@ -111,6 +111,12 @@
         read.framing_ = {false, *length};
     }
     read.handshake_ = beast::iequals(head[http::field::expect], "100-continue");
+    read.call_.awaits_body_ =
+        read.handshake_ && read.framing_.length_.value_or(1) > 0;
+    if (read.call_.awaits_body_ && read.framing_.length_)
+    {
+        read.call_.body_ = byte_count{*read.framing_.length_};
+    }
     read.to_head_request_ = head.method() == http::verb::head;
     read.version_ = head.version();
     prepare_head(read, head, protocol);
--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -105,6 +105,7 @@
         co_return co_await fail(state, std::move(*failed));
     }
     const slot_lease slot(environment_.gate_, id);
+    state.id_ = id;
     failed = co_await await_body(state);
     if (!failed)
     {
@@ -214,8 +215,12 @@
     co_return std::nullopt;
 }
 
-void gate_session::end_body(call_state& state)
+void gate_session::end_body(call_state& state, byte_count bytes)
 {
+    if (state.request_.call_.awaits_body_)
+    {
+        environment_.gate_.receive_body(state.id_, bytes);
+    }
     if (!state.long_body_)
     {
         return;
@@ -231,8 +236,8 @@
     log_request_event<log_event_id::body_delayed>(
         log_fields::request_id(state.request_.request_id_),
         log_fields::peer(state.request_.call_.entry_vm_),
-        log_fields::bytes(state.request_.framing_.length_.value_or(0)),
-        log_fields::bodies(bodies), log_fields::elapsed_ms(taken));
+        log_fields::bytes(bytes.value()), log_fields::bodies(bodies),
+        log_fields::elapsed_ms(taken));
 }
 
 std::optional<gate_session::call_failure>
@@ -336,9 +341,9 @@
     limit(state.request_.call_.deadline_);
     exchange.promise_body(state.request_.framing_.length_);
     exchange.on_request_sent(
-        [this, &state]
+        [this, &state, &exchange]
         {
-            end_body(state);
+            end_body(state, byte_count{exchange.body_sent()});
         });
     auto head = upstream_head(
         state.request_, settings().protocol_, environment_.gate_.instance(),
--- a/adapters/http/gate_session.hpp
+++ b/adapters/http/gate_session.hpp
@@ -48,6 +48,8 @@
         gate_request request_;
         request_body body_;
         steady_time arrived_at_;
+        /// Set once the call is admitted.
+        gate_call_id id_{};
         /// Set while a long body arrives.
         std::optional<body_lease> long_body_{};
         steady_time body_awaited_at_{};
@@ -95,8 +97,8 @@
         error_kind kind,
         const std::string& detail,
         bool not_run) const;
-    /// Ends the wait for the body and reports a long one.
-    void end_body(call_state& state);
+    /// Ends the wait for a body of so many bytes and reports a long one.
+    void end_body(call_state& state, byte_count bytes);
     std::optional<call_failure> begin_request(const call_state& state);
     void end_request(const call_state& state, bool not_run);
     [[nodiscard]] std::string answer_head(
--- a/adapters/http/upstream_gate.hpp
+++ b/adapters/http/upstream_gate.hpp
@@ -55,6 +55,9 @@
     /// queued.
     admission_result offer(const gate_call& call, decision_handler decided);
 
+    /// Notes that the body of an admitted call has arrived whole.
+    void receive_body(gate_call_id id, byte_count bytes);
+
     /// Gives the slot of an admitted call back.
     void release_slot(gate_call_id id);
 
--- a/adapters/settings/node_settings.cpp
+++ b/adapters/settings/node_settings.cpp
@@ -160,6 +160,7 @@
     read_routing(root.section("routing"), settings.routing_);
     read_retry(root.section("retry"), settings.retry_);
     read_gate_limits(root.section("gate_limits"), settings.gate_limits_);
+    settings.gate_limits_.link_ = settings.link_;
     // The platform's adapter reads its section by itself.
     root.section("provider");
     root.reject_unknown_keys();
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -384,6 +384,16 @@
         {"service_margin",
          "Mean service times that must be left after the expected wait."},
         settings.service_margin_);
+    read_share(
+        section,
+        {"link_body_share",
+         "Part of the VM's link that bodies of requests may use."},
+        settings.link_body_share_);
+    read_duration(
+        section,
+        {"link_grant",
+         "Time of the link that bodies on their way may take together."},
+        settings.link_grant_);
     read_duration(
         section,
         {"assumed_service_time",
--- a/include/hemlockshelf/gate/admission.hpp
+++ b/include/hemlockshelf/gate/admission.hpp
@@ -40,6 +40,11 @@
     connection_count connections,
     steady_time now);
 
+/// Notes that the body of a running call has arrived, so that the link is free
+/// for others. `bytes` is its size.
+gate_events receive_body(
+    gate_state& state, gate_call_id id, byte_count bytes, steady_time now);
+
 /// Refuses every waiting and every later call; running calls finish.
 gate_events begin_drain(gate_state& state);
 
--- a/include/hemlockshelf/gate/gate_call.hpp
+++ b/include/hemlockshelf/gate/gate_call.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -47,6 +48,10 @@
     std::chrono::nanoseconds max_wait_ = std::chrono::nanoseconds::max();
     /// Service that the call is for; empty if the entry names none.
     service_name service_{};
+    /// Whether the entry holds the body back until the call starts.
+    bool awaits_body_ = false;
+    /// Size of that body, if the entry says.
+    std::optional<byte_count> body_{};
 };
 
 /// Returns the kind of work that a call is.
@@ -65,6 +70,8 @@
     /// The call can't be expected to end before its deadline.
     wait_too_long,
     queue_full,
+    /// The VM's link can't be expected to bring the body in time.
+    link_full,
     /// A call with a better claim has taken its place in the queue.
     displaced,
 };
--- a/include/hemlockshelf/gate/gate_settings.hpp
+++ b/include/hemlockshelf/gate/gate_settings.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 
+#include "hemlockshelf/core/ids.hpp"
 #include "hemlockshelf/core/token_bucket.hpp"
 
 namespace hemlockshelf {
@@ -41,6 +42,14 @@
     /// Pace of new connections to the upstream. One costs it about 1 ms, so
     /// that this pace takes at most a tenth of one of its cores.
     token_rate new_connections_{100, 8};
+    /// Capacity of the VM's link; 0 if it is not known.
+    bit_rate link_{};
+    /// Part of the link that bodies of requests may use; answers, lookups and
+    /// control messages need the rest.
+    double link_body_share_ = 0.8;
+    /// Bodies that arrive at once take the link for at most this time, so that
+    /// what else comes waits no longer.
+    std::chrono::milliseconds link_grant_{150};
     /// Idempotency records that are held. A record takes about 100 bytes.
     std::size_t idempotency_limit_ = 65'536;
     /// Part of the records that one account may hold.
--- a/include/hemlockshelf/gate/gate_state.hpp
+++ b/include/hemlockshelf/gate/gate_state.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "hemlockshelf/gate/body_link.hpp"
 #include "hemlockshelf/gate/gate_call.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
 #include "hemlockshelf/gate/usage_ledger.hpp"
@@ -25,6 +26,10 @@
     usage_share entry_usage_;
     /// Slot time that was charged at the start, as an estimate.
     std::chrono::nanoseconds charged_{0};
+    /// Bytes of the body that were granted and have not arrived.
+    std::uint64_t granted_ = 0;
+    /// Time after which they are no longer waited for.
+    steady_time body_due_at_{};
 };
 
 /// A call in the queue.
@@ -55,6 +60,7 @@
     connection_count connections_;
     bool draining_ = false;
     std::uint64_t next_id_ = 1;
+    body_link link_;
     std::unordered_map<gate_call_id, running_call> running_;
     std::array<std::uint32_t, traffic_class_count> running_by_class_{};
     /// In the order of arrival.
@@ -89,6 +95,11 @@
 /// Returns whether a call of the class could start now.
 bool may_start(const gate_state& state, traffic_class value, steady_time now);
 
+/// Returns the time until the link could bring the call's body, after those
+/// that are on their way and those of waiting calls with as good a claim.
+std::chrono::nanoseconds
+link_wait(const gate_state& state, const waiting_call& call);
+
 /// Returns when the lookups' reserve may be lent to other classes next, or
 /// nothing if it is not lent.
 std::optional<steady_time> reserve_lent_at(const gate_state& state);
--- a/include/hemlockshelf/gate/waiting_queue.hpp
+++ b/include/hemlockshelf/gate/waiting_queue.hpp
@@ -18,9 +18,9 @@
 /// Takes out the call with the best claim among those that may start now.
 std::optional<waiting_call> take_next(gate_state& state, steady_time now);
 
-/// Estimates how long a call would wait for its slot.
-std::chrono::nanoseconds
-expected_wait(const gate_state& state, const waiting_call& call);
+/// Estimates how long a call would wait for its slot and for the link.
+std::chrono::nanoseconds expected_wait(
+    const gate_state& state, const waiting_call& call, steady_time now);
 
 /// Puts a call into the queue, in place of one with a worse claim if the queue
 /// is full. Returns the reason if the call is refused instead.
--- a/src/gate/admission.cpp
+++ b/src/gate/admission.cpp
@@ -37,17 +37,46 @@
 void start(gate_state& state, waiting_call waiting, steady_time now)
 {
     const auto expected = service_time(state, waiting.call_);
+    const auto bytes = body_bytes(state.link_, waiting.call_);
     running_call call{
-        std::move(waiting.call_), now, std::move(waiting.account_usage_),
-        std::move(waiting.entry_usage_), expected};
+        std::move(waiting.call_),
+        now,
+        std::move(waiting.account_usage_),
+        std::move(waiting.entry_usage_),
+        expected,
+        bytes,
+        now + transfer_limit(state.link_, bytes)};
+    state.link_.granted_ += bytes;
     charge(state, call, call.charged_, now);
     ++state.running_by_class_.at(class_index(call.call_));
     state.running_.emplace(waiting.id_, std::move(call));
 }
 
+void give_back_link(gate_state& state, running_call& call)
+{
+    state.link_.granted_ -= std::exchange(call.granted_, 0);
+}
+
+// Takes the link back from bodies whose entries are slow to send them.
+void reclaim_link(gate_state& state, steady_time now)
+{
+    if (state.link_.granted_ == 0)
+    {
+        return;
+    }
+    for (auto& entry : state.running_)
+    {
+        if (entry.second.body_due_at_ <= now)
+        {
+            give_back_link(state, entry.second);
+        }
+    }
+}
+
 void start_waiting(gate_state& state, gate_events& events, steady_time now)
 {
     drop_expired(state, events, now);
+    reclaim_link(state, now);
     while (auto call = take_next(state, now))
     {
         events.started_.push_back(call->id_);
@@ -55,6 +84,38 @@
     }
 }
 
+// A body does not pass those that wait with as good a claim.
+bool link_is_open(const gate_state& state, const waiting_call& call)
+{
+    const auto bytes = body_bytes(state.link_, call.call_);
+    if (bytes == 0)
+    {
+        return true;
+    }
+    return has_room(state.link_, bytes) &&
+           std::ranges::none_of(
+               state.queue_,
+               [&](const waiting_call& other)
+               {
+                   return body_bytes(state.link_, other.call_) > 0 &&
+                          !has_better_claim(state, call, other);
+               });
+}
+
+// Returns the part of the longest wait that the bodies ahead leave.
+double free_link_share(const gate_state& state)
+{
+    auto ahead = state.link_.granted_;
+    for (const auto& call : state.queue_)
+    {
+        ahead += body_bytes(state.link_, call.call_);
+    }
+    const std::chrono::duration<double> wait =
+        transfer_time(state.link_, ahead);
+    const std::chrono::duration<double> longest = state.settings_.max_wait_;
+    return std::clamp(1 - wait / longest, 0.0, 1.0);
+}
+
 std::optional<refusal_reason>
 check_arrival(const gate_state& state, const gate_call& call, steady_time now)
 {
@@ -115,13 +176,13 @@
     start_waiting(state, result.events_, now);
     auto waiting = make_waiting(state, call);
     result.id_ = waiting.id_;
-    if (may_start(state, call.class_, now))
+    if (may_start(state, call.class_, now) && link_is_open(state, waiting))
     {
         result.admission_ = admission::admitted;
         start(state, std::move(waiting), now);
         return result;
     }
-    result.expected_wait_ = expected_wait(state, waiting);
+    result.expected_wait_ = expected_wait(state, waiting, now);
     const auto refusal =
         enqueue(state, waiting, result.expected_wait_, result.events_, now);
     result.admission_ = refusal ? admission::refused : admission::queued;
@@ -137,6 +198,7 @@
     {
         return std::nullopt;
     }
+    give_back_link(state, found->second);
     const auto call = std::move(found->second);
     note_slot_free(state, now);
     state.running_.erase(found);
@@ -149,6 +211,21 @@
     return events;
 }
 
+gate_events receive_body(
+    gate_state& state, gate_call_id id, byte_count bytes, steady_time now)
+{
+    gate_events events;
+    const auto found = state.running_.find(id);
+    if (found == state.running_.end())
+    {
+        return events;
+    }
+    learn_body(state.link_, found->second.call_, bytes.value());
+    give_back_link(state, found->second);
+    start_waiting(state, events, now);
+    return events;
+}
+
 bool cancel_waiting(gate_state& state, gate_call_id id)
 {
     return std::erase_if(
@@ -216,9 +293,13 @@
 {
     const auto limit = concurrency_limit(state);
     const auto used = state.running_.size() + state.queue_.size();
-    return state.draining_ || used >= limit
-               ? 0
-               : limit - static_cast<std::uint32_t>(used);
+    if (state.draining_ || used >= limit)
+    {
+        return 0;
+    }
+    const auto free = limit - static_cast<std::uint32_t>(used);
+    return std::max(
+        1U, static_cast<std::uint32_t>(free * free_link_share(state)));
 }
 
 } // namespace hemlockshelf
--- /dev/null
+++ b/src/gate/body_link.cpp
@@ -0,0 +1,88 @@
+#include "hemlockshelf/gate/body_link.hpp"
+
+#include <algorithm>
+
+namespace hemlockshelf {
+
+namespace {
+
+constexpr double bits_per_byte = 8;
+
+// Bodies that share the link with answers and control traffic arrive more
+// slowly than the link's capacity says.
+constexpr int transfer_slack = 2;
+constexpr std::chrono::milliseconds stall_time{500};
+
+// Kinds come with routes, of which an operator may change many.
+constexpr std::size_t max_kinds = 256;
+
+double rate_of(const gate_settings& settings)
+{
+    return static_cast<double>(settings.link_.value()) / bits_per_byte *
+           settings.link_body_share_;
+}
+
+} // namespace
+
+body_link::body_link(const gate_settings& settings)
+    : bytes_per_second_(rate_of(settings)),
+      grant_limit_(static_cast<std::uint64_t>(
+          bytes_per_second_ *
+          std::chrono::duration<double>(settings.link_grant_).count()))
+{}
+
+std::uint64_t body_bytes(const body_link& link, const gate_call& call)
+{
+    if (!call.awaits_body_ || link.bytes_per_second_ <= 0)
+    {
+        return 0;
+    }
+    if (call.body_)
+    {
+        return call.body_->value();
+    }
+    const auto found = link.mean_bytes_.find(kind_of(call));
+    return found == link.mean_bytes_.end()
+               ? 0
+               : static_cast<std::uint64_t>(found->second);
+}
+
+bool has_room(const body_link& link, std::uint64_t bytes)
+{
+    return bytes == 0 || link.granted_ == 0 ||
+           link.granted_ + bytes <= link.grant_limit_;
+}
+
+std::chrono::nanoseconds
+transfer_time(const body_link& link, std::uint64_t bytes)
+{
+    if (link.bytes_per_second_ <= 0)
+    {
+        return std::chrono::nanoseconds{0};
+    }
+    const std::chrono::duration<double> seconds{
+        static_cast<double>(bytes) / link.bytes_per_second_};
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(seconds);
+}
+
+std::chrono::nanoseconds
+transfer_limit(const body_link& link, std::uint64_t bytes)
+{
+    return transfer_slack * transfer_time(link, link.granted_ + bytes) +
+           stall_time;
+}
+
+void learn_body(body_link& link, const gate_call& call, std::uint64_t bytes)
+{
+    constexpr double newest_weight = 0.1;
+    auto& mean =
+        link.mean_bytes_.try_emplace(kind_of(call), static_cast<double>(bytes))
+            .first->second;
+    mean += (static_cast<double>(bytes) - mean) * newest_weight;
+    if (link.mean_bytes_.size() > max_kinds)
+    {
+        link.mean_bytes_.clear();
+    }
+}
+
+} // namespace hemlockshelf
--- a/src/gate/gate_call.cpp
+++ b/src/gate/gate_call.cpp
@@ -23,6 +23,8 @@
         return "wait_too_long";
     case refusal_reason::queue_full:
         return "queue_full";
+    case refusal_reason::link_full:
+        return "link_full";
     case refusal_reason::displaced:
         return "displaced";
     }
--- a/src/gate/gate_state.cpp
+++ b/src/gate/gate_state.cpp
@@ -64,7 +64,7 @@
 } // namespace
 
 gate_state::gate_state(const gate_settings& settings)
-    : settings_(settings),
+    : settings_(settings), link_(settings),
       account_usage_(settings.usage_half_life_, settings.usage_limit_),
       entry_usage_(settings.usage_half_life_, settings.usage_limit_),
       service_time_()
@@ -131,6 +131,25 @@
     return lent_at && *lent_at <= now;
 }
 
+std::chrono::nanoseconds
+link_wait(const gate_state& state, const waiting_call& call)
+{
+    const auto bytes = body_bytes(state.link_, call.call_);
+    if (bytes == 0)
+    {
+        return std::chrono::nanoseconds{0};
+    }
+    auto ahead = state.link_.granted_;
+    for (const auto& other : state.queue_)
+    {
+        if (!has_better_claim(state, call, other))
+        {
+            ahead += body_bytes(state.link_, other.call_);
+        }
+    }
+    return transfer_time(state.link_, ahead);
+}
+
 std::size_t queue_limit(const gate_state& state)
 {
     const auto by_slots = static_cast<std::size_t>(
--- a/src/gate/waiting_queue.cpp
+++ b/src/gate/waiting_queue.cpp
@@ -106,6 +106,25 @@
     return count > 0 ? total / count : total;
 }
 
+// Returns the waiting call with the best claim among those that may have a
+// slot.
+auto next_of(gate_state& state, steady_time now, bool with_bodies)
+{
+    auto best = state.queue_.end();
+    for (auto call = state.queue_.begin(); call != state.queue_.end(); ++call)
+    {
+        const bool left_out =
+            !with_bodies && body_bytes(state.link_, call->call_) > 0;
+        if (!left_out && may_start(state, call->call_.class_, now) &&
+            (best == state.queue_.end() ||
+             has_better_claim(state, *call, *best)))
+        {
+            best = call;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 steady_time latest_start(const gate_state& state, const waiting_call& call)
@@ -139,15 +158,12 @@
     {
         call.late_ = would_be_late(state, call.call_, now);
     }
-    auto best = state.queue_.end();
-    for (auto call = state.queue_.begin(); call != state.queue_.end(); ++call)
+    auto best = next_of(state, now, true);
+    if (best != state.queue_.end() &&
+        !has_room(state.link_, body_bytes(state.link_, best->call_)))
     {
-        if (may_start(state, call->call_.class_, now) &&
-            (best == state.queue_.end() ||
-             has_better_claim(state, *call, *best)))
-        {
-            best = call;
-        }
+        // Other bodies do not pass it, or a long one would wait for ever.
+        best = next_of(state, now, false);
     }
     if (best == state.queue_.end())
     {
@@ -158,9 +174,14 @@
     return taken;
 }
 
-std::chrono::nanoseconds
-expected_wait(const gate_state& state, const waiting_call& call)
+std::chrono::nanoseconds expected_wait(
+    const gate_state& state, const waiting_call& call, steady_time now)
 {
+    const auto for_link = link_wait(state, call);
+    if (may_start(state, call.call_.class_, now))
+    {
+        return for_link;
+    }
     // The first slot becomes free after a part of a running call's time.
     auto work = mean_time_of_running(state);
     for (const auto& other : state.queue_)
@@ -170,7 +191,9 @@
             work += service_time(state, other.call_);
         }
     }
-    return work / std::max(class_limit(state, call.call_.class_), 1U);
+    const auto for_slot =
+        work / std::max(class_limit(state, call.call_.class_), 1U);
+    return std::max(for_slot, for_link);
 }
 
 std::optional<refusal_reason> enqueue(
@@ -185,7 +208,10 @@
         !ends_in_time(state, call.call_, wait, now) ||
         waits_too_long_for_late(state, call.call_, wait, now))
     {
-        return refusal_reason::wait_too_long;
+        const bool by_link = wait > std::chrono::nanoseconds{0} &&
+                             link_wait(state, call) >= wait;
+        return by_link ? refusal_reason::link_full
+                       : refusal_reason::wait_too_long;
     }
     if (!make_room(state, call, events))
     {
--- a/test/gate/gate_simulation.cpp
+++ b/test/gate/gate_simulation.cpp
@@ -16,8 +16,10 @@
 } // namespace
 
 gate_simulation::gate_simulation(
-    std::uint32_t slots, std::chrono::milliseconds mean_service_time)
-    : gate_(gate_settings{}), mean_service_time_(mean_service_time)
+    std::uint32_t slots,
+    std::chrono::milliseconds mean_service_time,
+    const gate_settings& settings)
+    : gate_(settings), mean_service_time_(mean_service_time)
 {
     set_capacity(gate_, slot_count{slots}, connection_count{slots * 5}, now_);
 }
@@ -71,9 +73,11 @@
 void gate_simulation::arrive(std::size_t index, const call_source& source)
 {
     ++results_[index].offered_;
-    const gate_call call{
+    gate_call call{
         client_account_id{source.account_}, vm_id{source.entry_}, source.class_,
         now_ + source.deadline_};
+    call.awaits_body_ = source.body_bytes_ > 0;
+    call.body_ = byte_count{source.body_bytes_};
     const auto result = offer_call(gate_, call, now_);
     take(result.events_);
     if (result.admission_ == admission::refused)
@@ -81,7 +85,7 @@
         ++results_[index].refused_;
         return;
     }
-    pending_[result.id_] = {index, now_, call.deadline_};
+    pending_[result.id_] = {index, now_, call.deadline_, source.body_bytes_};
     if (result.admission_ == admission::admitted)
     {
         begin(result.id_);
@@ -94,6 +98,64 @@
     auto& result = results_[call.source_];
     result.longest_start_ =
         std::max(result.longest_start_, now_ - call.arrived_at_);
+    if (call.body_bytes_ == 0 || link_.value() == 0)
+    {
+        begin_work(id);
+        return;
+    }
+    move_bodies();
+    transfers_.push_back({id, static_cast<double>(call.body_bytes_)});
+    plan_body();
+}
+
+void gate_simulation::move_bodies()
+{
+    constexpr double bits_per_byte = 8;
+    const std::chrono::duration<double> passed = now_ - moved_at_;
+    moved_at_ = now_;
+    const double rate = static_cast<double>(link_.value()) / bits_per_byte /
+                        std::max<double>(1, transfers_.size());
+    for (auto& moving : transfers_)
+    {
+        moving.bytes_left_ -= passed.count() * rate;
+    }
+}
+
+void gate_simulation::plan_body()
+{
+    if (transfers_.empty())
+    {
+        return;
+    }
+    constexpr double bits_per_byte = 8;
+    const auto next =
+        std::ranges::min_element(transfers_, {}, &transfer::bytes_left_);
+    const double seconds = std::max(next->bytes_left_, 0.0) *
+                           static_cast<double>(transfers_.size()) *
+                           bits_per_byte / static_cast<double>(link_.value());
+    events_.push(
+        {now_ + to_duration(seconds), [this, plan = ++plan_, id = next->id_]
+         {
+             if (plan != plan_)
+             {
+                 return;
+             }
+             move_bodies();
+             std::erase_if(
+                 transfers_,
+                 [id](const transfer& moving)
+                 {
+                     return moving.id_ == id;
+                 });
+             const byte_count bytes{pending_.at(id).body_bytes_};
+             begin_work(id);
+             take(receive_body(gate_, id, bytes, now_));
+             plan_body();
+         }});
+}
+
+void gate_simulation::begin_work(gate_call_id id)
+{
     const std::chrono::duration<double> mean = mean_service_time_;
     events_.push(
         {now_ + to_duration(exponential(mean.count())), [this, id]
--- a/test/gate/gate_simulation.hpp
+++ b/test/gate/gate_simulation.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <queue>
 #include <string>
@@ -22,6 +23,8 @@
     traffic_class class_ = traffic_class::standard;
     double per_second_ = 0;
     std::chrono::milliseconds deadline_{200};
+    /// Size of the body that the entry holds back; 0 for none.
+    std::uint64_t body_bytes_ = 0;
 };
 
 /// What became of the calls of one source.
@@ -34,12 +37,21 @@
     std::chrono::nanoseconds longest_start_{0};
 };
 
-/// Drives a gate and its upstream with an event loop.
+/// Drives a gate and its upstream with an event loop. The VM's link shares its
+/// bandwidth evenly among the bodies that are on their way.
 class gate_simulation
 {
 public:
     gate_simulation(
-        std::uint32_t slots, std::chrono::milliseconds mean_service_time);
+        std::uint32_t slots,
+        std::chrono::milliseconds mean_service_time,
+        const gate_settings& settings = {});
+
+    /// Gives the VM a link, which the gate knows only by its settings.
+    void set_link(bit_rate capacity)
+    {
+        link_ = capacity;
+    }
 
     /// Runs the sources and returns a result for each.
     std::vector<source_result>
@@ -62,13 +74,25 @@
         std::size_t source_ = 0;
         steady_time arrived_at_;
         steady_time deadline_;
+        std::uint64_t body_bytes_ = 0;
+    };
+
+    /// A body that is on its way.
+    struct transfer
+    {
+        gate_call_id id_;
+        double bytes_left_ = 0;
     };
 
     void
     plan_arrival(std::size_t index, const call_source& source, steady_time end);
     void arrive(std::size_t index, const call_source& source);
     void begin(gate_call_id id);
+    void begin_work(gate_call_id id);
     void end(gate_call_id id);
+    /// Moves the bodies on and plans the arrival of the next one.
+    void move_bodies();
+    void plan_body();
     void take(const gate_events& events);
     double exponential(double mean);
 
@@ -79,6 +103,11 @@
     std::priority_queue<event> events_;
     std::unordered_map<gate_call_id, pending_call> pending_;
     std::vector<source_result> results_;
+    bit_rate link_{};
+    std::vector<transfer> transfers_;
+    steady_time moved_at_{};
+    /// Tells a planned arrival that it has been planned anew.
+    std::uint64_t plan_ = 0;
 };
 
 } // namespace hemlockshelf
--- /dev/null
+++ b/test/gate/test_body_link.cpp
@@ -0,0 +1,204 @@
+#include "hemlockshelf/gate/body_link.hpp"
+
+#include <chrono>
+#include <cstddef>
+
+#include "hemlockshelf/gate/admission.hpp"
+#include "test/gate/gate_simulation.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr bit_rate narrow_link{7'000'000};
+constexpr std::uint64_t upload_bytes = 60'000;
+constexpr std::uint32_t slots = 18;
+
+gate_settings with_link(bit_rate link)
+{
+    gate_settings settings;
+    settings.link_ = link;
+    return settings;
+}
+
+gate_call upload(steady_time now, std::uint64_t bytes = upload_bytes)
+{
+    gate_call call;
+    call.entry_vm_ = vm_id{"entry"};
+    call.deadline_ = now + 4s;
+    call.awaits_body_ = true;
+    call.body_ = byte_count{bytes};
+    return call;
+}
+
+gate_call lookup(steady_time now)
+{
+    gate_call call;
+    call.entry_vm_ = vm_id{"entry"};
+    call.class_ = traffic_class::lookup;
+    call.deadline_ = now + 1s;
+    return call;
+}
+
+struct fixture
+{
+    explicit fixture(bit_rate link = narrow_link) : state_(with_link(link))
+    {
+        set_capacity(state_, slot_count{slots}, connection_count{560}, now_);
+    }
+
+    steady_time now_{1000s};
+    gate_state state_;
+};
+
+double share_in_time(const source_result& result)
+{
+    return double(result.done_in_time_) / double(result.offered_);
+}
+
+/// Runs uploads of 60 kB, due within a second and a half, and lookups over a
+/// link of 7 Mbit/s, whose capacity is 14.6 uploads a second.
+std::vector<source_result> run_uploads(bit_rate known, double per_second)
+{
+    gate_simulation simulation(slots, 150ms, with_link(known));
+    simulation.set_link(narrow_link);
+    return simulation.run(
+        {{"a", "e1", traffic_class::standard, per_second, 1500ms, upload_bytes},
+         {"a", "e1", traffic_class::lookup, 30, 300ms}},
+        60s);
+}
+
+} // namespace
+
+// Guards against bodies that all come at once, so that each takes as long as
+// all of them together.
+Test(body_link, bodies_beyond_the_grant_wait_for_the_link)
+{
+    fixture gate;
+    const auto first = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    cr_assert(first.admission_ == admission::admitted);
+    const auto second = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    cr_assert(second.admission_ == admission::queued);
+    cr_assert(second.expected_wait_ > 50ms);
+    const auto events = receive_body(
+        gate.state_, first.id_, byte_count{upload_bytes}, gate.now_ + 80ms);
+    cr_assert(events.started_.size() == 1);
+    cr_assert(events.started_.front() == second.id_);
+}
+
+// Guards against calls without a body that wait behind bodies.
+Test(body_link, calls_without_a_body_pass)
+{
+    fixture gate;
+    offer_call(gate.state_, upload(gate.now_), gate.now_);
+    offer_call(gate.state_, upload(gate.now_), gate.now_);
+    const auto passing = offer_call(gate.state_, lookup(gate.now_), gate.now_);
+    cr_assert(passing.admission_ == admission::admitted);
+}
+
+// Guards against a long body that waits for ever while short ones pass it.
+Test(body_link, short_bodies_do_not_pass_a_long_one)
+{
+    fixture gate;
+    const auto first =
+        offer_call(gate.state_, upload(gate.now_, 20'000), gate.now_);
+    const auto longer =
+        offer_call(gate.state_, upload(gate.now_, 200'000), gate.now_);
+    const auto shorter =
+        offer_call(gate.state_, upload(gate.now_, 20'000), gate.now_);
+    cr_assert(longer.admission_ == admission::queued);
+    cr_assert(shorter.admission_ == admission::queued);
+    const auto events = receive_body(
+        gate.state_, first.id_, byte_count{20'000}, gate.now_ + 30ms);
+    cr_assert(events.started_.size() == 1);
+    cr_assert(events.started_.front() == longer.id_);
+}
+
+// Guards against a link that stays granted to a call that has ended, or to a
+// body that is never sent.
+Test(body_link, the_link_comes_back_once)
+{
+    fixture gate;
+    const auto first = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    cr_assert(gate.state_.link_.granted_ == upload_bytes);
+    receive_body(gate.state_, first.id_, byte_count{upload_bytes}, gate.now_);
+    cr_assert(gate.state_.link_.granted_ == 0);
+    release_call(gate.state_, first.id_, gate.now_);
+    cr_assert(gate.state_.link_.granted_ == 0);
+    const auto aborted = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    release_call(gate.state_, aborted.id_, gate.now_);
+    cr_assert(gate.state_.link_.granted_ == 0);
+    offer_call(gate.state_, upload(gate.now_), gate.now_);
+    const auto waiting = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    const auto events = expire_waiting(gate.state_, gate.now_ + 900ms);
+    cr_assert(events.started_.size() == 1);
+    cr_assert(events.started_.front() == waiting.id_);
+}
+
+// Guards against an upload that is asked for its body although the link can't
+// bring it in time, and against a refusal that blames the slots.
+Test(body_link, what_the_link_cannot_bring_is_refused)
+{
+    fixture gate;
+    auto patient = upload(gate.now_);
+    std::size_t queued = 0;
+    admission_result last;
+    do
+    {
+        last = offer_call(gate.state_, patient, gate.now_);
+        ++queued;
+    } while (last.admission_ != admission::refused && queued < slots);
+    cr_assert(last.admission_ == admission::refused);
+    cr_assert(last.reason_ == refusal_reason::link_full);
+    cr_assert(last.expected_wait_ > 400ms);
+    cr_assert(free_slots(gate.state_) < slots / 2);
+}
+
+// Guards against a gate that counts bodies whose size is not said as nothing.
+Test(body_link, an_unknown_size_counts_as_the_mean_of_its_kind)
+{
+    fixture gate;
+    const auto known = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    receive_body(gate.state_, known.id_, byte_count{upload_bytes}, gate.now_);
+    auto chunked = upload(gate.now_);
+    chunked.body_ = std::nullopt;
+    offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(gate.state_.link_.granted_ == upload_bytes);
+}
+
+// Guards against a link whose capacity is not known and that grants nothing.
+Test(body_link, without_a_capacity_every_body_is_granted)
+{
+    fixture gate{bit_rate{}};
+    for (std::uint32_t call = 0; call < slots - 1; ++call)
+    {
+        const auto offered =
+            offer_call(gate.state_, upload(gate.now_), gate.now_);
+        cr_assert(offered.admission_ == admission::admitted);
+    }
+}
+
+// The load: uploads somewhat beyond what a narrow link carries, with slots to
+// spare. Guards against the collapse in which all uploads are late.
+Test(body_link, uploads_beyond_the_link_keep_their_goodput)
+{
+    constexpr double carried = 14.6 * 0.8;
+    constexpr double offered = 15;
+    const auto uploads = run_uploads(narrow_link, offered).front();
+    cr_assert_gt(
+        share_in_time(uploads), 0.9 * carried / offered, "%f in time",
+        share_in_time(uploads));
+    cr_assert_lt(
+        double(uploads.done_late_), 0.02 * double(uploads.offered_),
+        "%zu of %zu late", uploads.done_late_, uploads.offered_);
+    const auto before = run_uploads(bit_rate{}, offered).front();
+    cr_log_info(
+        "in time %f (link unknown to the gate: %f), late %zu (%zu), refused "
+        "%zu (%zu)",
+        share_in_time(uploads), share_in_time(before), uploads.done_late_,
+        before.done_late_, uploads.refused_, before.refused_);
+    cr_assert_gt(share_in_time(uploads), share_in_time(before) + 0.1);
+}
