--- a/src/gate/admission.cpp
+++ b/src/gate/admission.cpp
@@ -250,7 +250,8 @@
     for (const auto& call : state.queue_)
     {
         const bool may_borrow =
-            lent_at && may_start(state, call.call_.class_, *lent_at);
+            lent_at && may_start(state, call.call_.class_, *lent_at) &&
+            has_room(state.link_, body_bytes(state.link_, call.call_));
         const auto latest = latest_start(state, call);
         const auto at = may_borrow ? std::min(*lent_at, latest) : latest;
         next = next ? std::min(*next, at) : at;
--- a/test/gate/gate_simulation.cpp
+++ b/test/gate/gate_simulation.cpp
@@ -73,6 +73,8 @@
 void gate_simulation::arrive(std::size_t index, const call_source& source)
 {
     ++results_[index].offered_;
+    results_[index].longest_link_wait_ =
+        std::max(results_[index].longest_link_wait_, link_wait());
     gate_call call{
         client_account_id{source.account_}, vm_id{source.entry_}, source.class_,
         now_ + source.deadline_};
@@ -108,6 +110,24 @@
     plan_body();
 }
 
+std::chrono::nanoseconds gate_simulation::link_wait()
+{
+    if (link_.value() == 0)
+    {
+        return std::chrono::nanoseconds{0};
+    }
+    constexpr double bits_per_byte = 8;
+    constexpr double window_bytes = 64 * 1024;
+    move_bodies();
+    double bytes = 0;
+    for (const auto& moving : transfers_)
+    {
+        bytes += std::clamp(moving.bytes_left_, 0.0, window_bytes);
+    }
+    return to_duration(
+        bytes * bits_per_byte / static_cast<double>(link_.value()));
+}
+
 void gate_simulation::move_bodies()
 {
     constexpr double bits_per_byte = 8;
--- a/test/gate/gate_simulation.hpp
+++ b/test/gate/gate_simulation.hpp
@@ -35,10 +35,13 @@
     std::size_t done_late_ = 0;
     std::size_t refused_ = 0;
     std::chrono::nanoseconds longest_start_{0};
+    /// Longest time for which the link held a call up before the gate saw it.
+    std::chrono::nanoseconds longest_link_wait_{0};
 };
 
 /// Drives a gate and its upstream with an event loop. The VM's link shares its
-/// bandwidth evenly among the bodies that are on their way.
+/// bandwidth evenly among the bodies that are on their way; the window of bytes
+/// that each sender has in flight stands before whatever else arrives.
 class gate_simulation
 {
 public:
@@ -93,6 +96,8 @@
     /// Moves the bodies on and plans the arrival of the next one.
     void move_bodies();
     void plan_body();
+    /// Returns how long a short message now waits before it arrives.
+    [[nodiscard]] std::chrono::nanoseconds link_wait();
     void take(const gate_events& events);
     double exponential(double mean);
 
