node: answer 503 while no published configuration is held

A node whose join had ended without an answer of the platform served with revision 0, in which no route matches. It now answers 503 (not_ready) until it holds a configuration. With tables of the project's own revision 0 stays a configuration.

--- a/node/node.cpp
+++ b/node/node.cpp
@@ -16,6 +16,7 @@
 #include "node/admin_handler.hpp"
 #include "node/call_plane.hpp"
 #include "node/control_plane.hpp"
+#include "node/readiness.hpp"
 #include "node/shutdown_plan.hpp"
 
 namespace hemlockshelf {
@@ -56,7 +57,10 @@
               metrics_,
               [this]
               {
-                  return control_.may_route();
+                  return control_.may_route() &&
+                         knows_configuration(
+                             platform_.configurations_ != nullptr,
+                             snapshots_.current()->number());
               }),
           editor_(make_editor_ports(), settings_.vm_, settings_.editing_),
           admin_{
--- /dev/null
+++ b/node/readiness.cpp
@@ -0,0 +1,10 @@
+#include "node/readiness.hpp"
+
+namespace hemlockshelf {
+
+bool knows_configuration(bool published, revision held)
+{
+    return !published || held > revision{0};
+}
+
+} // namespace hemlockshelf
