standins: silence single clients of the store; count what each was sent

A reproduction of the incident has to show which nodes read published documents and what the links carry, and has to let the store fall silent for the readers of one failure domain only. store_fault applies to every client.

store_service takes the client's address with each call. silence() withholds answers from some addresses, also those of calls that already wait for changes; traffic() gives the rows of each table and the bytes of the bodies that each client was sent. Answers that are lost or withheld do not count. Other callers of the stand-in are not affected: without an address nothing is silenced.

--- a/standins/store/store_service.cpp
+++ b/standins/store/store_service.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t max_rows = 500;
+// Longer than any client waits for an answer.
+constexpr std::chrono::seconds withheld_time{30};
 
 std::uint64_t number_of(const std::string& text)
 {
@@ -33,9 +35,11 @@
 
 } // namespace
 
-http_response store_service::handle(const http_request& request)
+http_response
+store_service::handle(const http_request& request, const std::string& client)
 {
     ++calls_;
+    throw_if_silenced(client);
     const store_fault fault = fault_;
     if (fault == store_fault::down)
     {
@@ -47,12 +51,50 @@
         answer.set(http::field::retry_after, "0.25");
         return answer;
     }
-    auto answer = execute(request);
+    auto done = execute(request);
     if (fault == store_fault::lose_answers)
     {
         throw no_answer(std::chrono::milliseconds{0});
     }
-    return answer;
+    // The client may have been silenced while its call waited for changes.
+    throw_if_silenced(client);
+    note_sent(request, client, done);
+    return std::move(done.response_);
+}
+
+void store_service::silence(std::set<std::string> clients)
+{
+    const std::lock_guard lock(mutex_);
+    silenced_ = std::move(clients);
+}
+
+std::map<std::string, store_traffic> store_service::traffic() const
+{
+    const std::lock_guard lock(mutex_);
+    return traffic_;
+}
+
+void store_service::throw_if_silenced(const std::string& client) const
+{
+    const std::lock_guard lock(mutex_);
+    if (silenced_.contains(client))
+    {
+        throw no_answer(withheld_time);
+    }
+}
+
+void store_service::note_sent(
+    const http_request& request,
+    const std::string& client,
+    const counted_response& sent)
+{
+    const std::lock_guard lock(mutex_);
+    auto& traffic = traffic_[client];
+    traffic.bytes_ += sent.response_.body().size();
+    if (sent.rows_ > 0)
+    {
+        traffic.rows_[query_parameter(request, "table")] += sent.rows_;
+    }
 }
 
 void store_service::publish(
@@ -71,12 +113,13 @@
     forgotten_ = version_;
 }
 
-http_response store_service::execute(const http_request& request)
+store_service::counted_response
+store_service::execute(const http_request& request)
 {
     const auto path = path_of(request);
     if (path == wire::transaction_path)
     {
-        return transact(request);
+        return {transact(request)};
     }
     if (path == wire::read_path)
     {
@@ -86,7 +129,7 @@
     {
         return wait_for_changes(request);
     }
-    return handle_object(request);
+    return {handle_object(request)};
 }
 
 http_response store_service::transact(const http_request& request)
@@ -120,7 +163,8 @@
     return json_response(200, {{"ver", version_}, {"now", "1ms"}});
 }
 
-http_response store_service::read_range(const http_request& request)
+store_service::counted_response
+store_service::read_range(const http_request& request)
 {
     const auto table = query_parameter(request, "table");
     const auto part = query_parameter(request, "part");
@@ -144,14 +188,18 @@
              {"value", held.value_},
              {"ver", held.version_}});
     }
-    return json_response(
-        200, {{"rows", std::move(rows)},
-              {"has_more", false},
-              {"ver", version_},
-              {"now", "1ms"}});
+    const auto count = rows.size();
+    return {
+        json_response(
+            200, {{"rows", std::move(rows)},
+                  {"has_more", false},
+                  {"ver", version_},
+                  {"now", "1ms"}}),
+        count};
 }
 
-http_response store_service::wait_for_changes(const http_request& request)
+store_service::counted_response
+store_service::wait_for_changes(const http_request& request)
 {
     const auto table = query_parameter(request, "table");
     const auto after = number_of(query_parameter(request, "after"));
@@ -160,7 +208,7 @@
     std::unique_lock lock(mutex_);
     if (after < forgotten_)
     {
-        return json_response(410, {{"error", "forgotten"}});
+        return {json_response(410, {{"error", "forgotten"}})};
     }
     auto rows = nlohmann::json::array();
     changed_.wait_for(
@@ -170,8 +218,12 @@
             rows = changes_after(table, after);
             return !rows.empty();
         });
-    return json_response(
-        200, {{"rows", std::move(rows)}, {"ver", version_}, {"now", "1ms"}});
+    const auto count = rows.size();
+    return {
+        json_response(
+            200,
+            {{"rows", std::move(rows)}, {"ver", version_}, {"now", "1ms"}}),
+        count};
 }
 
 nlohmann::json store_service::changes_after(
--- a/test/platform/platform_fixture.cpp
+++ b/test/platform/platform_fixture.cpp
@@ -26,9 +26,9 @@
           context_,
           address_,
           server_threads,
-          [this](const http_request& request, const std::string&)
+          [this](const http_request& request, const std::string& client)
           {
-              return service_.handle(request);
+              return service_.handle(request, client);
           }),
       thread_(
           [this]
--- a/test/platform/test_store_client.cpp
+++ b/test/platform/test_store_client.cpp
@@ -90,3 +90,50 @@
     canceller.join();
     cr_assert(!client.read("t", "k"));
 }
+
+// Guards against a silenced client that still gets what it waits for, and
+// against others that are silenced with it.
+Test(store_client, the_stand_in_silences_single_clients)
+{
+    served_store store;
+    auto target = store.target();
+    target.timeout_ = 300ms;
+    target.source_address_ = "127.0.0.2";
+    store_client silenced(target, store.metrics_);
+    target.source_address_ = "127.0.0.3";
+    store_client other(target, store.metrics_);
+    std::thread operators(
+        [&store]
+        {
+            std::this_thread::sleep_for(100ms);
+            store.service_.silence({"127.0.0.2"});
+            store.service_.publish("t", "k", "value");
+        });
+    cr_assert(!silenced.changes_after("t", 0, 500ms));
+    operators.join();
+    cr_assert(!silenced.read_raw("t", "k"));
+    cr_assert(other.read_raw("t", "k"));
+    store.service_.silence({});
+    cr_assert(silenced.read_raw("t", "k"));
+}
+
+// Guards against rows that are counted for another client or table, or for an
+// answer that was not sent.
+Test(store_client, the_stand_in_counts_what_each_client_was_sent)
+{
+    served_store store;
+    auto target = store.target();
+    target.source_address_ = "127.0.0.2";
+    store_client client(target, store.metrics_);
+    store.service_.publish("t", "k", "value");
+    cr_assert(client.read_raw("t", "k"));
+    cr_assert(client.changes_after("t", 0, 100ms));
+    cr_assert(client.read_raw("u", "k"));
+    store.service_.set_fault(store_fault::lose_answers);
+    cr_assert(!client.read_raw("t", "k"));
+    const auto traffic = store.service_.traffic();
+    cr_assert_eq(traffic.size(), 1);
+    const auto& sent = traffic.at("127.0.0.2");
+    cr_assert(sent.rows_.size() == 1 && sent.rows_.at("t") == 2);
+    cr_assert(sent.bytes_ > 0);
+}
