node, platform: read a published document once while a node joins

Seen in the storm of publications with real processes (the test follows): 15 of 16 nodes read the same document 2 to 11 times before they had joined, e.g. "service-1-domain-b-2 (process 1): read 11 documents before it had joined". With about 212 kB an answer, a deployment that starts as a whole fills the links.

A poll that was answered was followed by the next one at once also in the mode head_only, which does not wait at the store, so that a joining node polled in a loop. And each poll without a wait read the whole row again. Nodes that regain the platform poll in the same mode.

The poller goes on at once only while it follows; else the schedule for joining nodes holds (next_poll_delay). A node that becomes a reader polls at once and does not wait for the rest of that delay.

--- a/node/platform_poller.cpp
+++ b/node/platform_poller.cpp
@@ -73,9 +73,12 @@
 {
     const std::lock_guard lock(mutex_);
     const bool wakes = mode_ == poll_mode::off && mode != poll_mode::off;
+    // A node that becomes a reader does not wait for its next look at the head.
+    const bool follows = mode_ != mode && mode == poll_mode::follow;
     polls_ = mode_ == mode ? polls_ : 0;
     mode_ = mode;
-    if (wakes)
+    poll_now_ = poll_now_ || follows;
+    if (wakes || follows)
     {
         wake_.notify_all();
     }
@@ -135,11 +138,13 @@
     }
 }
 
-// A source waits for the next configuration by itself, so that a poll that was
-// answered is followed by the next one at once.
+// A source that is followed waits for the next configuration by itself, so that
+// a poll that was answered is followed by the next one at once. One that is
+// asked for its head does not wait.
 std::chrono::milliseconds platform_poller::delay_after(bool answered)
 {
-    if (services_.configurations_ != nullptr && answered)
+    if (services_.configurations_ != nullptr && answered &&
+        mode_ == poll_mode::follow)
     {
         return std::chrono::milliseconds{0};
     }
--- a/test/platform/test_published_configurations.cpp
+++ b/test/platform/test_published_configurations.cpp
@@ -126,3 +126,20 @@
     const auto away = source.wait_for_newer(*held_at({}), 0ms);
     cr_assert(!away && away.error().kind_ == error_kind::platform_unavailable);
 }
+
+// Guards against a node that joins and reads the same document with each look
+// at the store.
+Test(published_configurations, a_look_without_a_wait_reads_only_what_is_new)
+{
+    served_store store;
+    publish(store, configuration("r3").dump());
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
+    const auto first = source.wait_for_newer(*held_at({}), 0ms);
+    cr_assert(first && first->documents_ == 1 && first->newest_ != nullptr);
+    const auto again = source.wait_for_newer(*held_at(revision{3}), 0ms);
+    cr_assert(again && again->documents_ == 0);
+    publish(store, configuration("r4").dump());
+    const auto newer = source.wait_for_newer(*held_at(revision{3}), 0ms);
+    cr_assert(newer && newer->documents_ == 1 && newer->newest_ != nullptr);
+}
