experiment, test: reproduce a storm of publications with real processes

publication_storm_tests starts 16 nodes in 4 failure domains of 2 regions with the settings of deploy/node.yaml (--nodes for more) against the store's stand-in on loopback, publishes a configuration of 1,100 routes and then 20 versions with gaps in their numbers, of which 5 cannot be read. Checked from outside (logs, status, counters of the stand-in): - each version, or a later one, is in force on each node within 3 s (the users' bound) of its publication, or of the start of a restarted node; - no process goes back, and none runs a version that cannot be read; - a process reads at most one document before it has joined; - after the join, at most 8 of 16 nodes read documents: two a failure domain, and those that take the place of a silenced (2) or killed reader (1); - all nodes end with the same revision and hash.

--- /dev/null
+++ b/experiment/publication_storm.cpp
@@ -0,0 +1,348 @@
+#include "experiment/publication_storm.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "experiment/storm_documents.hpp"
+#include "experiment/wait.hpp"
+#include "platform/wire_names.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+/// The users' bound for a published configuration.
+constexpr std::chrono::seconds in_force_bound{3};
+/// Readers that the users' store and links are sized for. Does not follow the
+/// setting, so that a higher setting fails.
+constexpr std::size_t readers_per_domain = 2;
+constexpr std::size_t failure_domains = 4;
+constexpr std::chrono::seconds join_timeout{20};
+// A node that was a reader while it knew no others ends its last wait for
+// changes within 1 s.
+constexpr std::chrono::seconds settle_time{2};
+constexpr std::chrono::milliseconds sample_interval{100};
+/// One version of so many can't be read.
+constexpr std::size_t broken_every = 4;
+
+using traffic_by_client = std::map<std::string, store_traffic>;
+
+std::uint64_t documents_of(const traffic_by_client& all, const std::string& who)
+{
+    const auto client = all.find(who);
+    if (client == all.end())
+    {
+        return 0;
+    }
+    const auto rows = client->second.rows_.find(wire::operator_table);
+    return rows == client->second.rows_.end() ? 0 : rows->second;
+}
+
+std::uint64_t bytes_of(const traffic_by_client& all)
+{
+    std::uint64_t bytes = 0;
+    for (const auto& [client, traffic] : all)
+    {
+        bytes += traffic.bytes_;
+    }
+    return bytes;
+}
+
+/// Nodes that may read documents after all have joined. A reader that has gone
+/// read before, and another one takes its place.
+std::size_t allowed_readers(storm_disturbance disturbance)
+{
+    const std::size_t readers = readers_per_domain * failure_domains;
+    switch (disturbance)
+    {
+    case storm_disturbance::silent_readers:
+        return readers + readers_per_domain;
+    case storm_disturbance::restart_node:
+        return readers + 1;
+    default:
+        return readers;
+    }
+}
+
+class storm_run
+{
+public:
+    explicit storm_run(const storm_options& options)
+        : options_(options), mesh_(options.mesh_),
+          documents_(options.routes_, options.seed_)
+    {}
+
+    storm_report run()
+    {
+        publish(documents_.next());
+        for (std::size_t index = 0; index < size(); ++index)
+        {
+            mesh_.start_node(index);
+        }
+        if (!wait_until(
+                join_timeout,
+                [this]
+                {
+                    return all_joined();
+                }))
+        {
+            report_.problems_.emplace_back("not every node has joined");
+            return finish();
+        }
+        std::this_thread::sleep_for(settle_time);
+        before_ = mesh_.store().traffic();
+        publish(documents_.next());
+        wait_for_last();
+        publish_storm();
+        wait_for_last();
+        check();
+        return finish();
+    }
+
+private:
+    [[nodiscard]] std::size_t size() const
+    {
+        return mesh_.places().size();
+    }
+
+    void publish(const storm_document& document)
+    {
+        history_.versions_.push_back(
+            {document.number_, event_now(), document.readable_});
+        mesh_.store().publish(
+            wire::operator_table, wire::configuration_key, document.text_);
+    }
+
+    void publish_storm()
+    {
+        const auto count = options_.versions_;
+        const auto start = std::chrono::steady_clock::now();
+        for (std::size_t number = 0; number < count; ++number)
+        {
+            std::this_thread::sleep_until(start + number * options_.interval_);
+            if (number == count / 4)
+            {
+                disturb();
+            }
+            if (number == count / 2 &&
+                options_.disturbance_ == storm_disturbance::restart_node)
+            {
+                mesh_.start_node(victim_);
+            }
+            const bool broken =
+                number % broken_every == 1 && number + 1 < count;
+            publish(broken ? documents_.next_broken() : documents_.next());
+            take_sample();
+        }
+    }
+
+    /// The seed chooses the failure domain.
+    void disturb()
+    {
+        const auto readers = readers_in(
+            mesh_.places()[options_.seed_ % failure_domains].domain_);
+        if (readers.empty())
+        {
+            report_.problems_.emplace_back("a failure domain has no reader");
+            return;
+        }
+        if (options_.disturbance_ == storm_disturbance::restart_node)
+        {
+            victim_ = readers.front();
+            mesh_.kill_node(victim_);
+        }
+        if (options_.disturbance_ == storm_disturbance::silent_readers)
+        {
+            std::set<std::string> clients;
+            for (const auto index : readers)
+            {
+                clients.insert(mesh_.places()[index].source_address_);
+            }
+            mesh_.store().silence(clients);
+        }
+    }
+
+    /// Returns the nodes that have read documents since all have joined, as
+    /// many as a failure domain has readers.
+    std::vector<std::size_t> readers_in(const std::string& domain)
+    {
+        std::vector<std::size_t> readers;
+        const auto now = mesh_.store().traffic();
+        for (std::size_t index = 0; index < size(); ++index)
+        {
+            if (mesh_.places()[index].domain_ == domain &&
+                documents_read(now, index) > 0 &&
+                readers.size() < readers_per_domain)
+            {
+                readers.push_back(index);
+            }
+        }
+        return readers;
+    }
+
+    std::uint64_t
+    documents_read(const traffic_by_client& now, std::size_t index) const
+    {
+        const auto& client = mesh_.places()[index].source_address_;
+        return documents_of(now, client) - documents_of(before_, client);
+    }
+
+    bool all_joined()
+    {
+        for (std::size_t index = 0; index < size(); ++index)
+        {
+            const auto status = mesh_.status(index);
+            if (!status.is_object() || status.value("state", "") != "serving" ||
+                status.value("revision", std::uint64_t{0}) !=
+                    history_.versions_.front().number_.value() ||
+                status.at("members").value("alive", std::size_t{0}) < size())
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// Asks every node for its revision. Returns whether all that are up run
+    /// the last one.
+    bool take_sample()
+    {
+        states_.clear();
+        for (std::size_t index = 0; index < size(); ++index)
+        {
+            const auto status = mesh_.node_is_up(index) ? mesh_.status(index)
+                                                        : nlohmann::json();
+            if (!status.is_object())
+            {
+                continue;
+            }
+            const vm_id vm{mesh_.places()[index].vm_};
+            const revision held{status.value("revision", std::uint64_t{0})};
+            samples_.revisions_.push_back(
+                {vm, mesh_.process(index), held, event_now()});
+            states_.push_back({vm, held, status.value("hash", "")});
+        }
+        const auto last = history_.versions_.back().number_;
+        return states_.size() == size() &&
+               std::ranges::all_of(
+                   states_,
+                   [last](const final_state& state)
+                   {
+                       return state.revision_ == last;
+                   });
+    }
+
+    /// Also shows nodes that arrive after the bound.
+    void wait_for_last()
+    {
+        const auto until =
+            std::chrono::steady_clock::now() + 2 * in_force_bound;
+        while (!take_sample() && std::chrono::steady_clock::now() < until)
+        {
+            std::this_thread::sleep_for(sample_interval);
+        }
+    }
+
+    void add(violations found)
+    {
+        std::ranges::move(found, std::back_inserter(report_.problems_));
+    }
+
+    void check()
+    {
+        mesh_.read_logs(history_);
+        samples_.versions_ = history_.versions_;
+        run_history rises;
+        for (const auto* source : {&history_, &samples_})
+        {
+            add(check_published_only(*source));
+            rises.revisions_ = source->revisions_;
+            add(check_revisions_rise(rises));
+        }
+        add(check_in_force_in_time(history_, in_force_bound));
+        add(check_joining_reads(history_));
+        add(check_final_states(states_, history_.versions_.back().number_));
+        if (states_.size() != size())
+        {
+            report_.problems_.push_back(fmt::format(
+                "{} of {} nodes answer at the end", states_.size(), size()));
+        }
+        check_store(mesh_.store().traffic());
+    }
+
+    void check_store(const traffic_by_client& now)
+    {
+        std::set<std::string> reading;
+        for (std::size_t index = 0; index < size(); ++index)
+        {
+            if (const auto documents = documents_read(now, index))
+            {
+                reading.insert(mesh_.places()[index].vm_);
+                report_.documents_ += documents;
+            }
+        }
+        report_.reading_nodes_ = reading.size();
+        report_.bytes_ = bytes_of(now) - bytes_of(before_);
+        add(check_reader_count(
+            reading, allowed_readers(options_.disturbance_)));
+    }
+
+    storm_report finish()
+    {
+        add(mesh_.missing_processes());
+        report_.slowest_ = slowest_time(history_);
+        if (!report_.problems_.empty())
+        {
+            mesh_.keep_files();
+            report_.folder_ = mesh_.folder();
+        }
+        return std::move(report_);
+    }
+
+    const storm_options& options_;
+    published_mesh mesh_;
+    storm_documents documents_;
+    /// From the logs of the nodes.
+    storm_history history_;
+    /// From their admin interfaces.
+    storm_history samples_;
+    /// Of the last sample.
+    std::vector<final_state> states_;
+    /// What the store had sent when all nodes had joined.
+    traffic_by_client before_;
+    std::size_t victim_ = 0;
+    storm_report report_;
+};
+
+} // namespace
+
+storm_report run_storm(const storm_options& options)
+{
+    return storm_run(options).run();
+}
+
+std::string to_text(const storm_report& report)
+{
+    auto text = fmt::format(
+        "{} nodes read {} documents after the join; the store sent {} bytes; "
+        "slowest node {} ms\n",
+        report.reading_nodes_, report.documents_, report.bytes_,
+        report.slowest_.count());
+    for (const auto& problem : report.problems_)
+    {
+        text += "problem: " + problem + "\n";
+    }
+    if (!report.folder_.empty())
+    {
+        text += "files: " + report.folder_ + "\n";
+    }
+    return text;
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/experiment/publication_storm.hpp
@@ -0,0 +1,56 @@
+#ifndef HEMLOCKSHELF_EXPERIMENT_PUBLICATION_STORM_HPP
+#define HEMLOCKSHELF_EXPERIMENT_PUBLICATION_STORM_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "experiment/published_mesh.hpp"
+#include "hemlockshelf/history/checkers.hpp"
+
+namespace hemlockshelf {
+
+/// What fails in the middle of a storm.
+enum class storm_disturbance
+{
+    none,
+    /// The store answers no longer to the readers of one failure domain.
+    silent_readers,
+    /// A reader is killed and started again.
+    restart_node,
+};
+
+struct storm_options
+{
+    published_mesh_options mesh_;
+    storm_disturbance disturbance_ = storm_disturbance::none;
+    std::uint64_t seed_ = 0;
+    std::size_t routes_ = 1100;
+    std::size_t versions_ = 20;
+    std::chrono::milliseconds interval_{250};
+};
+
+/// What a storm has shown.
+struct storm_report
+{
+    violations problems_;
+    /// Nodes that read documents after all had joined.
+    std::size_t reading_nodes_ = 0;
+    /// Documents and bytes that the store has sent since then.
+    std::uint64_t documents_ = 0;
+    std::uint64_t bytes_ = 0;
+    std::chrono::milliseconds slowest_{0};
+    /// Settings and logs; kept if there are problems.
+    std::string folder_;
+};
+
+/// Starts nodes, publishes versions in quick succession and checks what the
+/// nodes make of them.
+storm_report run_storm(const storm_options& options);
+
+std::string to_text(const storm_report& report);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/experiment/storm_checks.hpp
@@ -0,0 +1,81 @@
+#ifndef HEMLOCKSHELF_EXPERIMENT_STORM_CHECKS_HPP
+#define HEMLOCKSHELF_EXPERIMENT_STORM_CHECKS_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hemlockshelf/history/checkers.hpp"
+#include "hemlockshelf/history/records.hpp"
+
+namespace hemlockshelf {
+
+/// A configuration that an operator published.
+struct published_version
+{
+    revision number_;
+    event_time at_{};
+    /// Whether nodes can read it; they pass over others.
+    bool readable_ = true;
+};
+
+/// One process of a node.
+struct node_run
+{
+    vm_id vm_;
+    std::uint64_t process_ = 0;
+    event_time started_at_{};
+    /// Nothing if it ran until the end of the recording.
+    std::optional<event_time> ended_at_;
+    /// Documents that the process read before and after it had joined.
+    std::size_t joining_reads_ = 0;
+    std::size_t joined_reads_ = 0;
+};
+
+/// What was recorded while operators published.
+struct storm_history
+{
+    std::vector<published_version> versions_;
+    std::vector<node_run> runs_;
+    /// Revisions in force, in the order of time for each process.
+    std::vector<revision_report> revisions_;
+};
+
+/// What a node says of itself when the storm is over.
+struct final_state
+{
+    vm_id vm_;
+    revision revision_;
+    std::string hash_;
+};
+
+/// Each readable version, or a later one, is in force on each node within
+/// `bound` of its publication, or of the start of a process that came later.
+violations check_in_force_in_time(
+    const storm_history& history, std::chrono::milliseconds bound);
+
+/// No node runs a version that was not published or that cannot be read.
+violations check_published_only(const storm_history& history);
+
+/// No process reads more than one document before it has joined.
+violations check_joining_reads(const storm_history& history);
+
+/// At most `allowed` nodes have read documents.
+violations
+check_reader_count(const std::set<std::string>& vms, std::size_t allowed);
+
+/// Every node runs the given revision with the same content.
+violations
+check_final_states(const std::vector<final_state>& states, revision last);
+
+/// Returns the longest time that a version, or a later one, took to be in
+/// force on a node.
+std::chrono::milliseconds slowest_time(const storm_history& history);
+
+} // namespace hemlockshelf
+
+#endif
--- /dev/null
+++ b/experiment/storm_documents.cpp
@@ -0,0 +1,118 @@
+#include "experiment/storm_documents.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace hemlockshelf {
+
+namespace {
+
+constexpr std::size_t services = 4;
+constexpr std::uint64_t greatest_step = 7;
+/// Routes that one version changes, and of these the ones that it replaces.
+constexpr std::size_t changed_routes = 6;
+constexpr std::size_t replaced_routes = 2;
+constexpr unsigned least_timeout_ms = 500;
+constexpr unsigned timeouts_ms = 1000;
+
+std::string service_of(std::size_t number)
+{
+    return fmt::format("service-{}", number % services);
+}
+
+nlohmann::json
+resource(const char* type, const std::string& name, const nlohmann::json& spec)
+{
+    return {
+        {"resource_type", type},
+        {"metadata", {{"name", name}}},
+        {"spec", spec}};
+}
+
+} // namespace
+
+storm_documents::storm_documents(std::size_t routes, std::uint64_t seed)
+    : random_(seed), next_route_(routes)
+{
+    for (std::size_t number = 0; number < routes; ++number)
+    {
+        routes_.push_back({number, least_timeout_ms});
+    }
+}
+
+storm_document storm_documents::next()
+{
+    advance();
+    for (std::size_t changed = 0; changed < changed_routes; ++changed)
+    {
+        auto& route = routes_[draw(routes_.size())];
+        route.timeout_ms_ =
+            least_timeout_ms + static_cast<unsigned>(draw(timeouts_ms));
+        if (changed < replaced_routes)
+        {
+            route.number_ = next_route_++;
+        }
+    }
+    return {revision{number_}, text()};
+}
+
+storm_document storm_documents::next_broken()
+{
+    advance();
+    auto whole = text();
+    std::string broken;
+    switch (draw(3))
+    {
+    case 0:
+        broken = whole.substr(0, whole.size() / 2);
+        break;
+    case 1:
+        broken =
+            nlohmann::json{{"version", fmt::format("r{}", number_)}}.dump();
+        break;
+    default:
+    {
+        auto document = nlohmann::json::parse(whole);
+        document.at("resources").back().at("spec").erase("prefix");
+        broken = document.dump();
+    }
+    }
+    return {revision{number_}, std::move(broken), false};
+}
+
+std::uint64_t storm_documents::draw(std::uint64_t below)
+{
+    return random_() % below;
+}
+
+void storm_documents::advance()
+{
+    number_ += 1 + draw(greatest_step);
+}
+
+std::string storm_documents::text() const
+{
+    auto resources = nlohmann::json::array();
+    for (std::size_t number = 0; number < services; ++number)
+    {
+        resources.push_back(resource(
+            "services", service_of(number),
+            {{"health_path", "/health"}, {"max_connections", 110}}));
+    }
+    for (const auto& route : routes_)
+    {
+        resources.push_back(resource(
+            "routes", fmt::format("route-{}", route.number_),
+            {{"host", "storm.example"},
+             {"prefix", fmt::format("/{}/", route.number_)},
+             {"kind", "idempotent"},
+             {"timeout", fmt::format("{}ms", route.timeout_ms_)},
+             {"service", service_of(route.number_)}}));
+    }
+    return nlohmann::json{
+        {"version", fmt::format("r{}", number_)},
+        {"resources", std::move(resources)}}
+        .dump();
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/experiment/storm_documents.hpp
@@ -0,0 +1,54 @@
+#ifndef HEMLOCKSHELF_EXPERIMENT_STORM_DOCUMENTS_HPP
+#define HEMLOCKSHELF_EXPERIMENT_STORM_DOCUMENTS_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "hemlockshelf/core/ids.hpp"
+
+namespace hemlockshelf {
+
+/// A text that an operator publishes.
+struct storm_document
+{
+    revision number_;
+    std::string text_;
+    bool readable_ = true;
+};
+
+/// Makes whole configurations with many routes, each of which differs from the
+/// one before in a few of them. Their numbers have gaps.
+class storm_documents
+{
+public:
+    storm_documents(std::size_t routes, std::uint64_t seed);
+
+    /// Returns the next configuration.
+    storm_document next();
+
+    /// Returns the next number with a text that nodes cannot read.
+    storm_document next_broken();
+
+private:
+    struct stored_route
+    {
+        std::size_t number_ = 0;
+        unsigned timeout_ms_ = 0;
+    };
+
+    std::uint64_t draw(std::uint64_t below);
+    void advance();
+    [[nodiscard]] std::string text() const;
+
+    std::mt19937_64 random_;
+    std::vector<stored_route> routes_;
+    std::size_t next_route_;
+    std::uint64_t number_ = 0;
+};
+
+} // namespace hemlockshelf
+
+#endif
