platform: read the row alone when the last read of it is long ago

With few readers, most nodes read the store only while they join. One that becomes a reader much later asked the feed for what came after that read. The protocol allows the store to send each document since then: at 30 Mbit/s a call (2.5 s) carries about 9 MB, some 45 answers of 212 kB. Beyond that the call fails, the node asks for the same again, and so does each successor. Found by reading the code; not seen in a run of processes.

A broken last document hides the good ones before it from such a node; its peers have them.

--- a/test/platform/test_published_configurations.cpp
+++ b/test/platform/test_published_configurations.cpp
@@ -1,5 +1,6 @@
 #include "platform/published_configurations.hpp"
 
+#include "hemlockshelf/core/manual_clock.hpp"
 #include "platform/wire_names.hpp"
 #include "platform_fixture.hpp"
 
@@ -143,3 +144,21 @@
     const auto newer = source.wait_for_newer(*held_at(revision{3}), 0ms);
     cr_assert(newer && newer->documents_ == 1 && newer->newest_ != nullptr);
 }
+
+// Guards against a node that becomes a reader after a long time and is sent
+// every document of that time, which may be more than a call can carry.
+Test(published_configurations, reads_the_row_alone_after_a_long_time)
+{
+    served_store store;
+    store.service_.keep_each_change();
+    publish(store, configuration("r3").dump());
+    const auto time = std::make_shared<manual_clock>();
+    published_configurations source(store.target(), time, store.metrics_);
+    cr_assert(next(source, {}) == revision{3});
+    publish(store, configuration("r4").dump());
+    publish(store, configuration("r5").dump());
+    time->advance(5min);
+    const auto read = source.wait_for_newer(*held_at(revision{3}), 1s);
+    cr_assert(read && read->documents_ == 1);
+    cr_assert(read->newest_ && read->newest_->number() == revision{5});
+}
