http: answer 503 for every request that is proven not run

A request whose deadline passed while it waited for a gate's 100, or in a gate's queue, was answered 504 although it had reached no upstream, and an unsafe request can't be sent again after that. The error table gave deadline_exceeded the status 504; every use of the kind in the call path is a proof that nothing ran, so the status is now 503, with Not-Run and Retry-After as before.

An attempt whose first write to the gate failed before the system had taken a byte (the gate was reset between its 100 and the body, or the work was interrupted between connect and write) counted as one that may have run: 504 outcome_unknown, and no retry for unsafe requests. peer_exchange now tells such a write apart, and the next gate is asked.

A gate's refusal of a kind with status 503 but without the proof is now answered as outcome_unknown, so that a 503 of the entry is always true.

Ruled out: the same window between the gate and its upstream. A connection that is reset before the write fails in connect, and an interruption is checked there already.

Callers see 503 instead of 504 in these cases; operators see the same error kinds in logs and metrics.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -32,6 +32,12 @@
     return {error_kind::bad_request, "body: " + failure.message()};
 }
 
+bool is_unavailable(error_kind kind)
+{
+    return answer_for(kind).http_status_ ==
+           static_cast<int>(http::status::service_unavailable);
+}
+
 } // namespace
 
 entry_session::entry_session(
@@ -293,6 +299,13 @@
             "an earlier attempt may have run; the last one: " +
                 end.failure_.message_};
     }
+    else if (!end.not_run_ && is_unavailable(end.failure_.kind_))
+    {
+        // Callers take 503 for a request that was not run.
+        end.failure_ = {
+            error_kind::outcome_unknown,
+            "without proof that nothing ran: " + end.failure_.message_};
+    }
     end.failure_.retry_after_ = return_delay(state.room_in_, thread_random());
     count_call(state, answer_for(end.failure_.kind_).name_);
     log_end(state, end);
@@ -436,9 +449,19 @@
     end.not_run_ = false;
     end.arrived_ = true;
     ++state.attempts_;
-    // After a failed write the gate may still have answered, but not if the
-    // request's body is bad from the start, when nothing was sent.
-    co_await exchange.send(std::move(head), chunked);
+    // After a failed write the gate may still have answered, but not if nothing
+    // was sent, because the request's body is bad from the start or the
+    // connection was lost before.
+    const auto unsent = co_await exchange.send(std::move(head), chunked);
+    if (exchange.nothing_sent())
+    {
+        end.not_run_ = true;
+        end.arrived_ = false;
+        --state.attempts_;
+        lose_gate(
+            state, exchange, "nothing was sent: " + unsent.message(), end);
+        co_return false;
+    }
     if (exchange.client_failure())
     {
         lose_gate(state, exchange, "nothing was sent", end);
--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -107,7 +107,7 @@
     boost::beast::buffers_suffix<std::array<asio::const_buffer, 4>> rest(
         buffers);
     rest.consume(written);
-    co_await asio::async_write(
+    written_ += co_await asio::async_write(
         socket_, rest, asio::redirect_error(asio::use_awaitable, failure));
     co_return failure;
 }
@@ -127,6 +127,7 @@
         return 0;
     }
     const auto written = socket_.write_some(buffers, failure);
+    written_ += written;
     if (failure == asio::error::would_block)
     {
         failure = {};
--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -82,6 +83,12 @@
     /// full or cut, none a peer whose process does not answer.
     [[nodiscard]] std::optional<std::size_t> unacknowledged();
 
+    /// Bytes that the system has taken for the peer.
+    [[nodiscard]] std::uint64_t written() const noexcept
+    {
+        return written_;
+    }
+
 private:
     /// Writes what the system takes without waiting and returns the number of
     /// bytes, 0 if it takes none now.
@@ -91,6 +98,7 @@
 
     socket_type socket_;
     boost::beast::flat_buffer buffer_;
+    std::uint64_t written_ = 0;
     bool interrupted_ = false;
 };
 
--- a/adapters/http/peer_exchange.cpp
+++ b/adapters/http/peer_exchange.cpp
@@ -103,7 +103,9 @@
     {
         co_return client_failure_;
     }
+    const auto written = peer_.connection().written();
     const auto failure = co_await write_piece(head, piece);
+    nothing_sent_ = failure && peer_.connection().written() == written;
     if (!failure && !request_sent_)
     {
         start_pump();
--- a/adapters/http/peer_exchange.hpp
+++ b/adapters/http/peer_exchange.hpp
@@ -116,6 +116,13 @@
         return request_sent_;
     }
 
+    /// Whether `send` failed before a byte of what it was to write had left, so
+    /// that the peer can't have begun to run the request.
+    [[nodiscard]] bool nothing_sent() const noexcept
+    {
+        return nothing_sent_;
+    }
+
     /// Whether part of the body may have reached the peer.
     [[nodiscard]] bool body_released() const noexcept
     {
@@ -162,6 +169,7 @@
     bool connected_ = false;
     bool chunked_ = false;
     bool request_sent_ = false;
+    bool nothing_sent_ = false;
     bool body_released_ = false;
     bool answer_begun_ = false;
     bool answer_whole_ = false;
--- a/src/core/error_table.cpp
+++ b/src/core/error_table.cpp
@@ -34,7 +34,7 @@
     error_answer{overloaded, "overloaded", 503, not_run, after_delay, refused},
     error_answer{draining, "draining", 503, not_run, after_delay, refused},
     error_answer{not_ready, "not_ready", 503, not_run, after_delay, refused},
-    error_answer{deadline_exceeded, "deadline_exceeded", 504, not_run, after_delay, refused},
+    error_answer{deadline_exceeded, "deadline_exceeded", 503, not_run, after_delay, refused},
     error_answer{gate_unreachable, "gate_unreachable", 503, not_run, after_delay, refused},
     error_answer{upstream_failed, "upstream_failed", 502, may_have_run, ask_outcome, exit_code::outcome_unknown},
     error_answer{outcome_unknown, "outcome_unknown", 504, may_have_run, ask_outcome, exit_code::outcome_unknown},
--- a/test/http/call_fixture.cpp
+++ b/test/http/call_fixture.cpp
@@ -123,16 +123,21 @@
               {
                   std::this_thread::sleep_for(std::chrono::milliseconds{1});
               }
+              if (on_call_)
+              {
+                  on_call_();
+              }
               return ready_.load();
           }},
-      threads_(2), listener_(
-                       threads_,
-                       {loopback, 0},
-                       [this](http_connection::socket_type socket)
-                       {
-                           return std::make_shared<entry_session>(
-                               std::move(socket), environment_);
-                       })
+      threads_(settings_.threads_),
+      listener_(
+          threads_,
+          {loopback, 0},
+          [this](http_connection::socket_type socket)
+          {
+              return std::make_shared<entry_session>(
+                  std::move(socket), environment_);
+          })
 {
     snapshots_.advance(make_snapshot(timeout, max_concurrent_calls));
     threads_.start();
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -2,9 +2,11 @@
 #define HEMLOCKSHELF_TEST_HTTP_CALL_FIXTURE_HPP
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "adapters/http/call_quota.hpp"
@@ -91,6 +93,13 @@
         ready_ = ready;
     }
 
+    /// Sets what the entry's loop runs where it begins to serve a request, so
+    /// that a test can occupy the loop. Set before the first call.
+    void on_call(std::function<void()> action)
+    {
+        on_call_ = std::move(action);
+    }
+
     /// Stops the entry where it begins to serve a request, or lets it go on.
     void set_paused(bool paused)
     {
@@ -100,6 +109,7 @@
 private:
     std::atomic<bool> ready_ = true;
     std::atomic<bool> paused_ = false;
+    std::function<void()> on_call_;
     call_settings settings_;
     retry_settings retry_;
     real_clock time_;
--- a/test/http/scripted_server.cpp
+++ b/test/http/scripted_server.cpp
@@ -128,6 +128,14 @@
     }
 }
 
+void raw_connection::reset()
+{
+    // Closing would not do: the server holds another descriptor of the socket.
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    ::connect(descriptor_, &none, sizeof none);
+}
+
 scripted_server::scripted_server(script run)
     : run_(std::move(run)), where_{loopback, 0},
       descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
--- a/test/http/scripted_server.hpp
+++ b/test/http/scripted_server.hpp
@@ -36,6 +36,9 @@
 
     void close();
 
+    /// Ends the connection with a reset.
+    void reset();
+
 private:
     bool fill();
 
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -70,6 +70,42 @@
     };
 }
 
+/// Occupies the loop of an entry in each call after the first one until the
+/// test lets that call go on.
+class occupied_loop
+{
+public:
+    explicit occupied_loop(entry_under_test& entry)
+    {
+        entry.on_call(
+            [this]
+            {
+                const int call = ++begun_;
+                while (released_ < call)
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds{1});
+                }
+            });
+    }
+
+    void await_call(int number) const
+    {
+        while (begun_ < number)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+    }
+
+    void release(int number)
+    {
+        released_ = number;
+    }
+
+private:
+    std::atomic<int> begun_ = 0;
+    std::atomic<int> released_ = 1;
+};
+
 /// Returns an address where nothing listens any longer.
 endpoint closed_endpoint()
 {
@@ -608,3 +644,107 @@
     cr_assert(contains(answer, "HTTP/1.1 503"));
     cr_assert(!header_of(answer, "Retry-After").empty());
 }
+
+// Guards against a request that is reported as 504, after which an unsafe
+// request can't be sent again, although the gate was given no body to run.
+Test(entry, deadline_in_the_handshake_is_a_true_not_run)
+{
+    scripted_server silent(
+        [](raw_connection& entry)
+        {
+            entry.read_all();
+        });
+    entry_under_test entry({silent.where()}, std::chrono::milliseconds{300});
+    const auto answer = entry.call(caller_request("POST", "order"));
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "deadline_exceeded");
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert(!header_of(answer, "Retry-After").empty());
+}
+
+// Guards against the same status for a request whose deadline passed in a
+// gate's queue.
+Test(entry, deadline_at_the_gate_is_a_true_not_run)
+{
+    scripted_server gate(refusing_gate("deadline_exceeded"));
+    entry_under_test entry({gate.where()});
+    const auto answer = entry.call(caller_request("POST", "order"));
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert(!header_of(answer, "Retry-After").empty());
+}
+
+// Guards against a 503 for a request that may have run: the gate names a kind
+// whose usual answer is 503, without the proof that nothing ran.
+Test(entry, refusal_without_proof_leaves_the_outcome_unknown)
+{
+    for (const auto* kind : {"deadline_exceeded", "draining"})
+    {
+        scripted_server gate(
+            [kind](raw_connection& entry)
+            {
+                const auto head = entry.read_until("\r\n\r\n");
+                entry.send(continue_answer);
+                entry.read_until("0\r\n\r\n");
+                entry.send(
+                    "HTTP/1.1 503 Service Unavailable\r\n"
+                    "Hemlockshelf-Request-Id: " +
+                    header_of(head, "Hemlockshelf-Request-Id") +
+                    "\r\nHemlockshelf-Error: " + kind +
+                    "\r\nContent-Length: 0\r\n\r\n");
+                entry.read_all();
+            });
+        entry_under_test entry({gate.where()});
+        const auto answer = entry.call(caller_request("POST", "order"));
+        cr_assert(contains(answer, "HTTP/1.1 504"), "%s", answer.c_str());
+        cr_assert_eq(
+            header_of(answer, "Hemlockshelf-Error"), "outcome_unknown");
+        cr_assert(!contains(answer, "Not-Run"));
+    }
+}
+
+// Guards against an unsafe request that ends as 504 although no byte of its
+// body was written: the gate was lost between its 100 and the body, which the
+// entry, short of processor time, noticed when it wrote.
+Test(entry, gate_lost_between_its_100_and_the_body_is_replaced)
+{
+    std::atomic<int> executions = 0;
+    auto settings = test_settings();
+    settings.threads_ = 1;
+    std::atomic<bool> occupied = false;
+    std::atomic<bool> lost = false;
+    scripted_server losing(
+        [&](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+            while (!occupied)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+            entry.send(continue_answer);
+            entry.reset();
+            lost = true;
+        });
+    scripted_server honest(honest_gate(executions));
+    entry_under_test entry(
+        {losing.where(), honest.where()}, std::chrono::seconds{20}, 200,
+        settings);
+    occupied_loop loop(entry);
+    raw_connection caller(entry.where());
+    caller.send(caller_request("POST", "order"));
+    while (losing.connections() == 0)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    raw_connection other(entry.where());
+    other.send(caller_request("DELETE"));
+    loop.await_call(2);
+    occupied = true;
+    while (!lost)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    loop.release(2);
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "served"), "%s", answer.c_str());
+}
