http, node: refuse what was not passed on before a stop cuts it

call_plane::stop cuts every session when drain_limit is over (5.4 s after SIGTERM as deployed). A request that waited for a gate's 100, waited between two attempts or arrived last, and a call whose body a gate awaited, ended with its connection and without an answer, although nothing had run.

400 ms before the cut the session groups now refuse such requests: the entry and the gate answer 503 draining with Not-Run (and the entry with Retry-After), start no further attempt, and refuse what arrives later. A request that was passed on is left to finish until the cut, as before. An idempotent request whose earlier attempt may have run and whose next one has not been passed on is answered outcome_unknown. Calls in a gate's queue were answered already, by upstream_gate::leave.

A session is asked on its own thread and knows whether it has begun to pass the request on, so that a refusal can't cross with a dispatch.

Evidence: with the refusal taken out, entry.a_stop_answers_a_request_that_waits_for_a_gate and gate.a_stop_answers_a_call_whose_body_is_awaited failed because the answer was empty ("contains(answer, "HTTP/1.1 503") is false"), and entry.a_stop_answers_a_request_that_arrives_last and entry.a_stop_begins_no_further_attempt because an attempt was still begun.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -157,6 +157,12 @@
 
 asio::awaitable<bool> entry_session::serve(request_parser& request)
 {
+    if (group().refusing())
+    {
+        error failure{error_kind::draining, "the node stops"};
+        co_return co_await fail(request, std::move(failure), true);
+    }
+    unsent_ = true;
     if (!environment_.ready_())
     {
         error failure{
@@ -215,6 +221,14 @@
     attempt_end end;
     while (true)
     {
+        if (group().refusing())
+        {
+            if (end.not_run_)
+            {
+                end.failure_ = {error_kind::draining, "the node stops"};
+            }
+            co_return co_await finish_failed(state, end);
+        }
         const auto choice =
             environment_.router_.choose(route, state.tried_, now());
         if (!choice)
@@ -245,11 +259,16 @@
         {
             co_return co_await finish_failed(state, end);
         }
+        if (group().refusing())
+        {
+            continue;
+        }
         environment_.metrics_.add(
             metric_id::retries, answer_for(end.failure_.kind_).name_);
         log_retry(state, end, choice->vm_);
         state.may_have_run_ = state.may_have_run_ || !end.not_run_;
         state.body_.rewind();
+        unsent_ = true;
         resume();
         limit(state.call_.deadline_);
         if (end.decision_.delay_.count() > 0)
@@ -290,6 +309,7 @@
         abandon(state);
         co_return false;
     }
+    unsent_ = false;
     if (state.may_have_run_)
     {
         // The last attempt's proof says nothing about the attempts before.
@@ -317,6 +337,7 @@
 asio::awaitable<bool>
 entry_session::fail(const request_parser& request, error failure, bool not_run)
 {
+    unsent_ = false;
     environment_.metrics_.add(
         metric_id::calls, answer_for(failure.kind_).name_);
     log_request_event<log_event_id::call_rejected>(
@@ -448,6 +469,7 @@
     limit_silence(state, settings().silence_timeout_);
     end.not_run_ = false;
     end.arrived_ = true;
+    unsent_ = false;
     ++state.attempts_;
     // After a failed write the gate may still have answered, but not if nothing
     // was sent, because the request's body is bad from the start or the
@@ -577,8 +599,9 @@
         // Connections to one peer tend to go silent together.
         environment_.gates_.close_idle(exchange.peer().peer());
     }
+    const bool own_end = caller_is_gone() || stopped() == stop_reason::refused;
     end.report_.outcome_ =
-        caller_is_gone() ? call_outcome::cancelled : call_outcome::failed;
+        own_end ? call_outcome::cancelled : call_outcome::failed;
     end.failure_.message_ = fmt::format(
         "gate {}: {}", to_string(exchange.peer().peer()),
         stopped() == stop_reason::time_limit ? exchange.describe_silence()
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -50,6 +50,10 @@
 
 protected:
     boost::asio::awaitable<bool> serve(request_parser& request) override;
+    [[nodiscard]] bool is_unsent() const override
+    {
+        return unsent_;
+    }
     bool read_ahead() override;
     [[nodiscard]] bool has_ahead() const override;
     boost::asio::awaitable<bool> answer_ahead() override;
@@ -152,6 +156,9 @@
 
     entry_environment& environment_;
     local_connections local_;
+    /// Whether a stop of the node may refuse the request: nothing was passed
+    /// on, or an attempt has ended and the next one has not been passed on.
+    bool unsent_ = false;
     /// Whether what the client sends now belongs to a later request. The body
     /// of the request that is served has a reader of its own.
     bool may_read_ahead_ = false;
--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -91,6 +91,7 @@
     }
     call_state state{request, std::move(*read), std::move(body), now()};
     report_progress(true);
+    unsent_ = true;
     const bool usable = co_await run(state);
     report_progress(false);
     co_return usable;
@@ -343,6 +344,7 @@
     auto head = upstream_head(
         state.request_, settings().protocol_, environment_.gate_.instance(),
         state.request_.call_.deadline_ - now());
+    unsent_ = false;
     // After a failed write the upstream may still have answered, but not if
     // the body is bad from the start, when nothing was sent.
     co_await exchange.send(std::move(head), state.request_.framing_.chunked_);
@@ -428,6 +430,11 @@
 gate_session::fail(call_state& state, call_failure failure)
 {
     report_progress(false);
+    if (stopped() == stop_reason::refused)
+    {
+        failure = call_failure{{error_kind::draining, "gate: the node stops"}};
+    }
+    unsent_ = false;
     log_failure(state, failure);
     if (stopped() == stop_reason::client_gone)
     {
--- a/adapters/http/gate_session.hpp
+++ b/adapters/http/gate_session.hpp
@@ -40,6 +40,10 @@
 
 protected:
     boost::asio::awaitable<bool> serve(request_parser& request) override;
+    [[nodiscard]] bool is_unsent() const override
+    {
+        return unsent_;
+    }
 
 private:
     struct call_state
@@ -113,6 +117,8 @@
     void send_progress();
 
     gate_environment& environment_;
+    /// Whether nothing of the call that is served has gone to the upstream.
+    bool unsent_ = false;
     boost::asio::steady_timer progress_timer_;
     bool progress_armed_ = false;
     bool reporting_ = false;
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -82,6 +82,8 @@
         return "node_stops";
     case stop_reason::drained:
         return "drained";
+    case stop_reason::refused:
+        return "refused";
     }
     return "unknown";
 }
@@ -159,6 +161,19 @@
         });
 }
 
+void relay_session::refuse_unsent()
+{
+    asio::post(
+        client_.socket().get_executor(),
+        [self = shared_from_this()]
+        {
+            if (self->in_call_ && self->is_unsent())
+            {
+                self->stop(stop_reason::refused);
+            }
+        });
+}
+
 asio::awaitable<void> relay_session::run()
 {
     bool usable = true;
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -26,6 +26,8 @@
     node_stops,
     /// The node drains and the connection carried no request.
     drained,
+    /// The node is about to stop and nothing of the request was passed on.
+    refused,
 };
 
 /// Returns the reason's name, for logs.
@@ -41,7 +43,8 @@
 };
 
 /// A client's connection, which carries one request after another. Everything
-/// but `cut` and `end_if_idle` runs on the thread of the connection.
+/// but `cut`, `end_if_idle` and `refuse_unsent` runs on the thread of the
+/// connection.
 class relay_session : public std::enable_shared_from_this<relay_session>
 {
 public:
@@ -66,11 +69,18 @@
     /// arrive. May be called from any thread.
     void end_if_idle();
 
+    /// Ends the work on a request of which nothing was passed on, so that the
+    /// session refuses it. May be called from any thread.
+    void refuse_unsent();
+
 protected:
     /// Serves one request whose head has been read. Returns whether the
     /// connection can carry another one.
     virtual boost::asio::awaitable<bool> serve(request_parser& request) = 0;
 
+    /// Whether nothing of the request that is served has been passed on.
+    [[nodiscard]] virtual bool is_unsent() const = 0;
+
     /// Reads what the client sends while its request is served. Returns whether
     /// the session should go on watching the client.
     virtual bool read_ahead()
--- a/adapters/http/session_group.cpp
+++ b/adapters/http/session_group.cpp
@@ -58,6 +58,15 @@
     }
 }
 
+void session_group::refuse_unsent()
+{
+    refusing_ = true;
+    for (const auto& session : all())
+    {
+        session->refuse_unsent();
+    }
+}
+
 void session_group::cut_all()
 {
     for (const auto& session : all())
--- a/adapters/http/session_group.hpp
+++ b/adapters/http/session_group.hpp
@@ -45,6 +45,15 @@
     /// with its answer if the group drains.
     void end_idle();
 
+    /// Refuses the requests of which nothing has been passed on, now and from
+    /// now on. Those that were passed on are left to finish.
+    void refuse_unsent();
+
+    [[nodiscard]] bool refusing() const noexcept
+    {
+        return refusing_;
+    }
+
     /// Cuts every connection.
     void cut_all();
 
@@ -55,6 +64,7 @@
     std::vector<std::shared_ptr<relay_session>> all() const;
 
     std::atomic<bool> draining_ = false;
+    std::atomic<bool> refusing_ = false;
     std::atomic<std::size_t> calls_ = 0;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
--- a/node/call_plane.cpp
+++ b/node/call_plane.cpp
@@ -140,13 +140,22 @@
         gate_listener_.close();
     }
 
-    bool finish(steady_time deadline)
+    bool finish(steady_time refuse_at, steady_time deadline)
     {
         close_listeners();
         upstream_gate_.leave();
         gate_group_.drain();
         group_.end_idle();
         gate_group_.end_idle();
+        if (group_.wait_for_sessions(refuse_at) &&
+            gate_group_.wait_for_sessions(refuse_at))
+        {
+            return true;
+        }
+        // The gate first, so that its answers to the entries of this node come
+        // before those entries are asked.
+        gate_group_.refuse_unsent();
+        group_.refuse_unsent();
         const bool callers_ended = group_.wait_for_sessions(deadline);
         return gate_group_.wait_for_sessions(deadline) && callers_ended;
     }
@@ -258,9 +267,9 @@
     return parts_->drain(deadline);
 }
 
-bool call_plane::finish(steady_time deadline)
+bool call_plane::finish(steady_time refuse_at, steady_time deadline)
 {
-    return parts_->finish(deadline);
+    return parts_->finish(refuse_at, deadline);
 }
 
 void call_plane::stop()
--- a/node/call_plane.hpp
+++ b/node/call_plane.hpp
@@ -47,8 +47,9 @@
 
     /// Refuses new work at the gate as not run, accepts no further connections,
     /// ends those that carry no request and waits until the others have had
-    /// their answers. False if `deadline` came first.
-    bool finish(steady_time deadline);
+    /// their answers. From `refuse_at` on it refuses requests that have not
+    /// been passed on. False if `deadline` came first.
+    bool finish(steady_time refuse_at, steady_time deadline);
 
     /// Cuts what is left and ends the threads.
     void stop();
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -178,7 +178,7 @@
             control_.withdraw_upstream();
             std::this_thread::sleep_until(plan.close_at_);
         }
-        calls_.finish(plan.cut_at_);
+        calls_.finish(plan.refuse_at_, plan.cut_at_);
         log_event<log_event_id::node_stopped>(
             log_fields::revision(snapshots_.current()->number()));
         context_.stop();
--- a/node/shutdown_plan.cpp
+++ b/node/shutdown_plan.cpp
@@ -1,9 +1,18 @@
 #include "node/shutdown_plan.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace hemlockshelf {
 
+namespace {
+
+// Time for the refusals to be written before the cut, on a machine that is
+// short of processor time.
+constexpr std::chrono::milliseconds refusal_time{400};
+
+} // namespace
+
 shutdown_plan plan_shutdown(const call_settings& settings, steady_time started)
 {
     shutdown_plan plan;
@@ -13,6 +22,7 @@
         std::min(settings.gate_drain_notice_, settings.drain_notice_);
     plan.cut_at_ =
         started + std::max(settings.drain_limit_, settings.drain_notice_);
+    plan.refuse_at_ = std::max(plan.close_at_, plan.cut_at_ - refusal_time);
     return plan;
 }
 
--- a/node/shutdown_plan.hpp
+++ b/node/shutdown_plan.hpp
@@ -13,6 +13,8 @@
     steady_time withdraw_upstream_at_{};
     /// The gate and the listeners take nothing new.
     steady_time close_at_{};
+    /// Requests that have not been passed on are refused.
+    steady_time refuse_at_{};
     /// Calls still in progress are cut.
     steady_time cut_at_{};
 };
--- a/test/http/call_fixture.cpp
+++ b/test/http/call_fixture.cpp
@@ -162,8 +162,11 @@
 }
 
 gate_under_test::gate_under_test(
-    const endpoint& upstream, std::uint32_t slots, std::uint32_t connections)
-    : announced_(announce(upstream, slots, connections)),
+    const endpoint& upstream,
+    std::uint32_t slots,
+    std::uint32_t connections,
+    const call_settings& settings)
+    : settings_(settings), announced_(announce(upstream, slots, connections)),
       gate_(
           settings_,
           gate_settings{},
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -131,7 +131,8 @@
     gate_under_test(
         const endpoint& upstream,
         std::uint32_t slots = 4,
-        std::uint32_t connections = 8);
+        std::uint32_t connections = 8,
+        const call_settings& settings = test_settings());
     ~gate_under_test();
 
     gate_under_test(const gate_under_test&) = delete;
@@ -144,6 +145,11 @@
         return gate_;
     }
 
+    [[nodiscard]] session_group& group()
+    {
+        return group_;
+    }
+
     /// Lets the upstream announce that it drains, or that it serves again.
     void announce_draining(bool draining);
 
@@ -152,7 +158,7 @@
 private:
     upstream_announcement announced() const;
 
-    call_settings settings_ = test_settings();
+    call_settings settings_;
     real_clock time_;
     null_metrics metrics_;
     const upstream_announcement announced_;
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -748,3 +748,125 @@
     const auto answer = caller.read_message();
     cr_assert(contains(answer, "served"), "%s", answer.c_str());
 }
+
+// Guards against a request that waits for a gate's 100 when its node stops and
+// ends with its connection, without an answer, although it has not run.
+Test(entry, a_stop_answers_a_request_that_waits_for_a_gate)
+{
+    scripted_server silent(
+        [](raw_connection& entry)
+        {
+            entry.read_all();
+        });
+    auto settings = test_settings();
+    settings.handshake_timeout_ = std::chrono::seconds{10};
+    entry_under_test entry(
+        {silent.where(), silent.where()}, std::chrono::seconds{20}, 200,
+        settings);
+    raw_connection caller(entry.where());
+    caller.send(caller_request("POST", "order"));
+    while (silent.connections() == 0)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    entry.group().drain();
+    entry.group().refuse_unsent();
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    entry.group().cut_all();
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "draining");
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert(!header_of(answer, "Retry-After").empty());
+    cr_assert_eq(silent.connections(), 1);
+}
+
+// Guards against the same end of a request that arrives whole in the last
+// moment before a stop.
+Test(entry, a_stop_answers_a_request_that_arrives_last)
+{
+    std::atomic<int> executions = 0;
+    scripted_server gate(honest_gate(executions));
+    entry_under_test entry({gate.where()});
+    raw_connection caller(entry.where());
+    const auto request = caller_request("GET");
+    caller.send(request.substr(0, 10));
+    std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    entry.group().drain();
+    entry.group().refuse_unsent();
+    caller.send(request.substr(10));
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(executions, 0);
+}
+
+// Guards against a request whose upstream is at work and which is broken off
+// with an answer of the stopping node.
+Test(entry, a_stop_leaves_a_request_alone_that_was_passed_on)
+{
+    std::atomic<bool> arrived = false;
+    std::atomic<bool> refused = false;
+    scripted_server gate(
+        [&](raw_connection& entry)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            entry.send(continue_answer);
+            entry.read_until("0\r\n\r\n");
+            arrived = true;
+            while (!refused)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            entry.send(answer_to(head, "served"));
+            entry.read_all();
+        });
+    entry_under_test entry({gate.where()});
+    raw_connection caller(entry.where());
+    caller.send(caller_request("POST", "order"));
+    while (!arrived)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    entry.group().drain();
+    entry.group().refuse_unsent();
+    refused = true;
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "served"), "%s", answer.c_str());
+}
+
+// Guards against another attempt that a stop cuts: the one before ended after
+// the node began to refuse.
+Test(entry, a_stop_begins_no_further_attempt)
+{
+    std::atomic<int> executions = 0;
+    std::atomic<bool> arrived = false;
+    std::atomic<bool> refused = false;
+    scripted_server losing(
+        [&](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+            arrived = true;
+            while (!refused)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+        });
+    scripted_server honest(honest_gate(executions));
+    entry_under_test entry({losing.where(), honest.where()});
+    raw_connection caller(entry.where());
+    caller.send(caller_request("GET"));
+    while (!arrived)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    entry.group().drain();
+    entry.group().refuse_unsent();
+    refused = true;
+    const auto answer = caller.read_message();
+    cr_assert_eq(
+        header_of(answer, "Hemlockshelf-Error"), "outcome_unknown", "%s",
+        answer.c_str());
+    cr_assert_eq(executions, 0);
+}
--- a/test/http/test_gate.cpp
+++ b/test/http/test_gate.cpp
@@ -399,3 +399,58 @@
     entry.send(gate_request_text("GET"));
     cr_assert(contains(entry.read_until("\r\n\r\n"), "102 Processing"));
 }
+
+// Guards against a call that a stopping gate holds without having passed it on
+// and then cuts: the entry can't tell that it has not run.
+Test(gate, a_stop_answers_a_call_whose_body_is_awaited)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(honest_upstream(executions));
+    auto settings = test_settings();
+    settings.first_byte_timeout_ = std::chrono::seconds{10};
+    gate_under_test gate(upstream.where(), 4, 8, settings);
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("POST", handshake_fields));
+    cr_assert(contains(entry.read_until("\r\n\r\n"), "100 Continue"));
+    gate.group().drain();
+    gate.group().refuse_unsent();
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    gate.group().cut_all();
+    const auto answer = final_answer(entry);
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "draining");
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(executions, 0);
+}
+
+// Guards against a call at which the upstream is at work and which a stop
+// breaks off.
+Test(gate, a_stop_leaves_a_call_alone_that_was_passed_on)
+{
+    std::atomic<bool> arrived = false;
+    std::atomic<bool> refused = false;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            gate.read_message();
+            arrived = true;
+            while (!refused)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            gate.send(ok_answer);
+        });
+    gate_under_test gate(upstream.where());
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("GET"));
+    while (!arrived)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    gate.group().drain();
+    gate.group().refuse_unsent();
+    refused = true;
+    const auto answer = final_answer(entry);
+    cr_assert(contains(answer, "served"), "%s", answer.c_str());
+}
--- a/test/node/test_shutdown_plan.cpp
+++ b/test/node/test_shutdown_plan.cpp
@@ -78,5 +78,15 @@
     const auto plan = plan_shutdown(settings, started);
     cr_assert(plan.withdraw_upstream_at_ >= started);
     cr_assert(plan.withdraw_upstream_at_ <= plan.close_at_);
-    cr_assert(plan.close_at_ <= plan.cut_at_);
+    cr_assert(plan.close_at_ <= plan.refuse_at_);
+    cr_assert(plan.refuse_at_ <= plan.cut_at_);
+}
+
+// Guards against a request that waits when its node stops and is cut: it is to
+// be refused before the cut, but not long before it could still be served.
+Test(shutdown_plan, waiting_requests_are_refused_shortly_before_the_cut)
+{
+    const auto plan = plan_shutdown(deployed(), started);
+    cr_assert(plan.refuse_at_ <= plan.cut_at_ - 200ms);
+    cr_assert(plan.refuse_at_ >= plan.cut_at_ - 1s);
 }
