--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -32,6 +32,12 @@
     return {error_kind::bad_request, "body: " + failure.message()};
 }
 
+bool is_unavailable(error_kind kind)
+{
+    return answer_for(kind).http_status_ ==
+           static_cast<int>(http::status::service_unavailable);
+}
+
 } // namespace
 
 entry_session::entry_session(
@@ -151,6 +157,12 @@
 
 asio::awaitable<bool> entry_session::serve(request_parser& request)
 {
+    if (group().refusing())
+    {
+        error failure{error_kind::draining, "the node stops"};
+        co_return co_await fail(request, std::move(failure), true);
+    }
+    unsent_ = true;
     if (!environment_.ready_())
     {
         error failure{
@@ -209,6 +221,14 @@
     attempt_end end;
     while (true)
     {
+        if (group().refusing())
+        {
+            if (end.not_run_)
+            {
+                end.failure_ = {error_kind::draining, "the node stops"};
+            }
+            co_return co_await finish_failed(state, end);
+        }
         const auto choice =
             environment_.router_.choose(route, state.tried_, now());
         if (!choice)
@@ -239,11 +259,16 @@
         {
             co_return co_await finish_failed(state, end);
         }
+        if (group().refusing())
+        {
+            continue;
+        }
         environment_.metrics_.add(
             metric_id::retries, answer_for(end.failure_.kind_).name_);
         log_retry(state, end, choice->vm_);
         state.may_have_run_ = state.may_have_run_ || !end.not_run_;
         state.body_.rewind();
+        unsent_ = true;
         resume();
         limit(state.call_.deadline_);
         if (end.decision_.delay_.count() > 0)
@@ -284,6 +309,7 @@
         abandon(state);
         co_return false;
     }
+    unsent_ = false;
     if (state.may_have_run_)
     {
         // The last attempt's proof says nothing about the attempts before.
@@ -293,6 +319,13 @@
             "an earlier attempt may have run; the last one: " +
                 end.failure_.message_};
     }
+    else if (!end.not_run_ && is_unavailable(end.failure_.kind_))
+    {
+        // Callers take 503 for a request that was not run.
+        end.failure_ = {
+            error_kind::outcome_unknown,
+            "without proof that nothing ran: " + end.failure_.message_};
+    }
     end.failure_.retry_after_ = return_delay(state.room_in_, thread_random());
     count_call(state, answer_for(end.failure_.kind_).name_);
     log_end(state, end);
@@ -304,6 +337,7 @@
 asio::awaitable<bool>
 entry_session::fail(const request_parser& request, error failure, bool not_run)
 {
+    unsent_ = false;
     environment_.metrics_.add(
         metric_id::calls, answer_for(failure.kind_).name_);
     log_request_event<log_event_id::call_rejected>(
@@ -435,10 +469,21 @@
     limit_silence(state, settings().silence_timeout_);
     end.not_run_ = false;
     end.arrived_ = true;
+    unsent_ = false;
     ++state.attempts_;
-    // After a failed write the gate may still have answered, but not if the
-    // request's body is bad from the start, when nothing was sent.
-    co_await exchange.send(std::move(head), chunked);
+    // After a failed write the gate may still have answered, but not if nothing
+    // was sent, because the request's body is bad from the start or the
+    // connection was lost before.
+    const auto unsent = co_await exchange.send(std::move(head), chunked);
+    if (exchange.nothing_sent())
+    {
+        end.not_run_ = true;
+        end.arrived_ = false;
+        --state.attempts_;
+        lose_gate(
+            state, exchange, "nothing was sent: " + unsent.message(), end);
+        co_return false;
+    }
     if (exchange.client_failure())
     {
         lose_gate(state, exchange, "nothing was sent", end);
@@ -554,8 +599,9 @@
         // Connections to one peer tend to go silent together.
         environment_.gates_.close_idle(exchange.peer().peer());
     }
+    const bool own_end = caller_is_gone() || stopped() == stop_reason::refused;
     end.report_.outcome_ =
-        caller_is_gone() ? call_outcome::cancelled : call_outcome::failed;
+        own_end ? call_outcome::cancelled : call_outcome::failed;
     end.failure_.message_ = fmt::format(
         "gate {}: {}", to_string(exchange.peer().peer()),
         stopped() == stop_reason::time_limit ? exchange.describe_silence()
