http: hold a short answer until it is whole

The entry began an answer towards the caller before it knew that the answer is whole. When the upstream broke off or garbled it, the entry reset the caller's connection, and pipelined requests behind it, which had been passed on to sound upstreams, ended without an answer.

A break becomes a retry where the retry rules allow it, else a 502 (504 at the deadline), on a connection that stays usable. Longer answers stream as before and are cut if they break. An answer that arrives in one read is written in one call, without a copy. The memory of a call is bounded by held_answer_bytes and one relay buffer.

Callers see 502 upstream_failed where the last attempt itself was a cut answer; before, a failed retry was always reported as outcome_unknown. A refusal after an attempt that may have run is still reported as outcome_unknown.

Holding at the gate is not needed: its cut reaches the entry as a break.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -138,8 +138,8 @@
         append_field(head, "Connection", "close");
     }
     head.append("\r\n");
-    const auto relayed =
-        co_await exchange.relay_answer(std::move(head), framing.chunked_);
+    const auto relayed = co_await exchange.relay_answer(
+        std::move(head), framing.chunked_, settings().held_answer_bytes_);
     if (relayed == relay_end::complete)
     {
         co_return keep;
@@ -284,7 +284,10 @@
         abandon(state);
         co_return false;
     }
-    if (state.may_have_run_)
+    const bool claims_not_run =
+        end.not_run_ ||
+        answer_for(end.failure_.kind_).execution_ == execution::not_run;
+    if (state.may_have_run_ && claims_not_run)
     {
         // The last attempt's proof says nothing about the attempts before.
         end.not_run_ = false;
@@ -518,8 +521,8 @@
     auto head =
         caller_head(answer.get(), framing, state.call_.request_id_, keep);
     limit(state.call_.deadline_);
-    const auto relayed =
-        co_await exchange.relay_answer(std::move(head), framing.chunked_);
+    const auto relayed = co_await exchange.relay_answer(
+        std::move(head), framing.chunked_, settings().held_answer_bytes_);
     if (relayed == relay_end::complete)
     {
         end.answered_ = true;
@@ -531,6 +534,10 @@
     }
     end.not_run_ = false;
     lose_gate(state, exchange, "the answer is not whole", end);
+    if (stopped() == stop_reason::none)
+    {
+        end.failure_.kind_ = error_kind::upstream_failed;
+    }
     if (exchange.answer_begun())
     {
         end.answered_ = true;
--- a/adapters/http/peer_exchange.cpp
+++ b/adapters/http/peer_exchange.cpp
@@ -209,15 +209,43 @@
     co_return http::error::bad_status;
 }
 
-asio::awaitable<relay_end>
-peer_exchange::relay_answer(std::string head, bool chunked)
+bool peer_exchange::may_hold(std::size_t hold_bytes) const
+{
+    const auto length = answer_->content_length();
+    return !answer_->is_done() && hold_bytes > 0 &&
+           (!length || *length <= hold_bytes);
+}
+
+asio::awaitable<error_code> peer_exchange::hold_answer(
+    std::string& held, std::span<char> space, std::size_t hold_bytes)
+{
+    error_code failure;
+    while (!failure && !answer_->is_done() && held.size() <= hold_bytes)
+    {
+        const auto count =
+            co_await read_body(peer_.connection(), *answer_, space, failure);
+        held.append(space.data(), count);
+    }
+    co_return failure;
+}
+
+asio::awaitable<relay_end> peer_exchange::relay_answer(
+    std::string head, bool chunked, std::size_t hold_bytes)
 {
     const auto memory =
         std::make_unique_for_overwrite<char[]>(settings_.relay_buffer_bytes_);
     const std::span<char> space(memory.get(), settings_.relay_buffer_bytes_);
     std::string_view start = head;
     error_code failure;
-    auto count = parse_body(peer_.connection(), *answer_, space, failure);
+    std::span<const char> piece =
+        space.first(parse_body(peer_.connection(), *answer_, space, failure));
+    std::string held;
+    if (!failure && may_hold(hold_bytes))
+    {
+        held.assign(piece.data(), piece.size());
+        failure = co_await hold_answer(held, space, hold_bytes);
+        piece = held;
+    }
     while (true)
     {
         if (failure)
@@ -225,11 +253,13 @@
             co_return relay_end::peer_failed;
         }
         const bool last = answer_->is_done();
-        const auto around = frame_piece(answer_line_, count, chunked, last);
+        const auto around =
+            frame_piece(answer_line_, piece.size(), chunked, last);
         answer_begun_ = true;
         const auto unwritten = co_await client_.write(
             to_buffer(start), to_buffer(around.before_),
-            asio::const_buffer(space.data(), count), to_buffer(around.after_));
+            asio::const_buffer(piece.data(), piece.size()),
+            to_buffer(around.after_));
         if (unwritten)
         {
             co_return relay_end::client_failed;
@@ -240,8 +270,8 @@
             co_return relay_end::complete;
         }
         start = {};
-        count =
-            co_await read_body(peer_.connection(), *answer_, space, failure);
+        piece = space.first(
+            co_await read_body(peer_.connection(), *answer_, space, failure));
     }
 }
 
--- a/adapters/http/peer_exchange.hpp
+++ b/adapters/http/peer_exchange.hpp
@@ -86,9 +86,10 @@
         return *answer_;
     }
 
-    /// Sends `head` and the answer's body to the client.
+    /// Sends `head` and the answer's body to the client. Nothing is sent before
+    /// an answer of at most `hold_bytes` bytes is whole.
     boost::asio::awaitable<relay_end>
-    relay_answer(std::string head, bool chunked);
+    relay_answer(std::string head, bool chunked, std::size_t hold_bytes = 0);
 
     /// Whether part of the answer may have reached the client.
     [[nodiscard]] bool answer_begun() const noexcept
@@ -146,6 +147,9 @@
     boost::asio::awaitable<boost::system::error_code>
     write_piece(std::string_view head, std::span<const char> piece);
     boost::asio::awaitable<void> pump();
+    [[nodiscard]] bool may_hold(std::size_t hold_bytes) const;
+    boost::asio::awaitable<boost::system::error_code> hold_answer(
+        std::string& held, std::span<char> space, std::size_t hold_bytes);
     void start_pump();
     [[nodiscard]] bool reusable() const;
 
