--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/relay_session.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <string>
@@ -11,6 +12,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/verb.hpp>
 
 #include "adapters/http/refusal.hpp"
 #include "adapters/telemetry/event_log.hpp"
@@ -29,6 +31,13 @@
 constexpr std::chrono::milliseconds close_timeout{500};
 constexpr std::size_t close_drop_bytes = std::size_t{256} * 1024;
 
+// A write that takes this long has waited for the client.
+constexpr std::chrono::milliseconds slow_write{1};
+
+// The peer's next bytes have been held up by a client that was waited for; they
+// come within this time if the peer has them.
+constexpr std::chrono::milliseconds next_piece_timeout{250};
+
 std::string describe(const std::exception_ptr& failure)
 {
     try
@@ -66,6 +75,14 @@
            failure != http::error::partial_message;
 }
 
+// The answer to a HEAD request has no body; its caller would take one for the
+// start of the next answer.
+void remove_body(std::string& message)
+{
+    constexpr std::string_view end_of_head = "\r\n\r\n";
+    message.resize(message.find(end_of_head) + end_of_head.size());
+}
+
 } // namespace
 
 std::string_view to_string(stop_reason value)
@@ -104,12 +121,12 @@
     group_.remove(this);
 }
 
-void relay_session::start(const std::shared_ptr<relay_session>& session)
+bool relay_session::start(const std::shared_ptr<relay_session>& session)
 {
     if (!session->group_.add(
             session, session->settings_.max_client_connections_))
     {
-        return;
+        return false;
     }
     error_code ignored;
     session->client_.socket().set_option(
@@ -126,6 +143,7 @@
             session->client_.close();
             session->timer_.cancel();
         });
+    return true;
 }
 
 void relay_session::cut()
@@ -235,12 +253,25 @@
     std::string_view extra_fields)
 {
     const bool keep = can_keep(request);
-    const auto text = refusal_text(
+    auto text = refusal_text(
         failure, claim == not_run_claim::by_kind, keep, extra_fields);
+    const bool to_head_request =
+        request.is_header_done() && request.get().method() == http::verb::head;
+    const bool sent = co_await write_refusal(std::move(text), to_head_request);
+    co_return keep&& sent;
+}
+
+asio::awaitable<bool>
+relay_session::write_refusal(std::string text, bool to_head_request)
+{
+    if (to_head_request)
+    {
+        remove_body(text);
+    }
     resume();
     limit(now() + settings_.refusal_timeout_);
-    const auto written = co_await client_.write(asio::buffer(text));
-    co_return keep && !written;
+    const auto failure = co_await client_.write(asio::buffer(text));
+    co_return !failure;
 }
 
 void relay_session::limit(steady_time when)
@@ -252,6 +283,32 @@
     }
 }
 
+void relay_session::begin_answer(steady_time deadline)
+{
+    answer_due_ = deadline;
+    answer_limit_ = std::max(deadline, now()) + settings_.answer_timeout_;
+    limit(deadline);
+}
+
+void relay_session::answer_write(bool begins)
+{
+    if (begins)
+    {
+        write_began_ = now();
+        limit(answer_limit_);
+        return;
+    }
+    const auto written_at = now();
+    const auto taken = written_at - write_began_;
+    answer_due_ += taken;
+    if (taken >= slow_write)
+    {
+        answer_due_ = std::max(answer_due_, written_at + next_piece_timeout);
+    }
+    answer_due_ = std::min(answer_due_, answer_limit_);
+    limit(answer_due_);
+}
+
 asio::awaitable<void> relay_session::pause(steady_time until)
 {
     if (stop_ != stop_reason::none)
@@ -313,8 +370,8 @@
 bool relay_session::can_keep(const request_parser& request) const
 {
     // A node that leaves still answers the requests that it has started.
-    return request.is_done() && request.keep_alive() &&
-           request.get().version() >= 11 && (!group_.draining() || has_ahead());
+    return request.is_done() && keeps_connection(request) &&
+           (!group_.draining() || has_ahead());
 }
 
 asio::awaitable<void> relay_session::close_gently()
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include <boost/asio/awaitable.hpp>
@@ -58,9 +59,9 @@
     relay_session(const relay_session&) = delete;
     relay_session& operator=(const relay_session&) = delete;
 
-    /// Serves the connection until it ends. Closes it at once if the group is
-    /// full.
-    static void start(const std::shared_ptr<relay_session>& session);
+    /// Serves the connection until it ends. Closes it at once and returns false
+    /// if the group is full.
+    static bool start(const std::shared_ptr<relay_session>& session);
 
     /// Ends the connection. May be called from any thread.
     void cut();
@@ -109,10 +110,23 @@
         not_run_claim claim = not_run_claim::by_kind,
         std::string_view extra_fields = {});
 
+    /// Writes an answer of the node itself, without its body if it answers a
+    /// HEAD request. Returns whether all was sent.
+    boost::asio::awaitable<bool>
+    write_refusal(std::string text, bool to_head_request);
+
     /// Ends the work on the request at `when` unless another limit replaces
     /// this one.
     void limit(steady_time when);
 
+    /// Begins the relay of an answer that has come. It ends at `deadline`, but
+    /// the time that the client takes does not count, up to the setting
+    /// `answer_timeout`.
+    void begin_answer(steady_time deadline);
+
+    /// Tells that a write of the answer to the client begins or has ended.
+    void answer_write(bool begins);
+
     /// Waits until `until`, `wake` or `stop`.
     boost::asio::awaitable<void> pause(steady_time until);
 
@@ -183,6 +197,11 @@
     bool timer_armed_ = false;
     steady_time armed_until_;
     steady_time limit_;
+    /// When the relay of the answer ends if the client takes what comes.
+    steady_time answer_due_;
+    /// When it ends however slow the client is.
+    steady_time answer_limit_;
+    steady_time write_began_;
     bool watching_ = false;
     bool in_call_ = false;
 };
