platform, node, gate: mend what the review of the fix found

Offers to other failure domains starved while versions came faster than they were made. A node that regained the platform while joining stayed marked as having lost it.

--- a/include/hemlockshelf/config/configuration_source.hpp
+++ b/include/hemlockshelf/config/configuration_source.hpp
@@ -20,7 +20,7 @@
 
     /// The newest configuration above the held revision; null if there is none.
     std::shared_ptr<const config_snapshot> newest_;
-    /// Why documents can't be used that are newer than that one; the first
+    /// Why documents that were looked at can't be used; the first
     /// `max_rejected` of them.
     std::vector<error> rejected_;
     /// Published documents in the read, and their bytes as stored.
--- a/include/hemlockshelf/gate/body_link.hpp
+++ b/include/hemlockshelf/gate/body_link.hpp
@@ -31,8 +31,8 @@
     std::map<work_kind, double> mean_bytes_;
 };
 
-/// Returns the bytes of the call's body that will cross the link: the mean of
-/// its kind if the call does not say; 0 if none is awaited.
+/// Returns the bytes of the call's body that are counted on the link: the mean
+/// of its kind if the call does not say; 0 if none is awaited or it is short.
 std::uint64_t body_bytes(const body_link& link, const gate_call& call);
 
 /// Returns whether a body of that size may begin now.
--- a/node/config_keeper.cpp
+++ b/node/config_keeper.cpp
@@ -108,7 +108,7 @@
     {
         return false;
     }
-    waiting_.insert_or_assign(delta.delta_.to_, delta);
+    waiting_.insert_or_assign({delta.delta_.to_, base_of(delta.delta_)}, delta);
     if (waiting_.size() > kept_deltas_)
     {
         waiting_.erase(std::prev(waiting_.end()));
--- a/node/config_keeper.hpp
+++ b/node/config_keeper.hpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "adapters/rpc/config_payload.hpp"
@@ -79,8 +80,9 @@
     mutable std::mutex mutex_;
     revision_applier applier_;
     change_log log_;
-    /// Deltas beyond the revision in force.
-    std::map<revision, accepted_delta> waiting_;
+    /// Deltas beyond the revision in force, by the revisions that they lead to
+    /// and apply to: those of two readers may lead to the same one.
+    std::map<std::pair<revision, revision>, accepted_delta> waiting_;
     /// When the edits of the log's deltas were accepted.
     std::map<revision, wall_time> accepted_at_;
 };
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -321,6 +321,7 @@
         lifecycle_.caught_up();
         publish_state();
         heartbeats_.reset();
+        records_.note_platform(platform_answers_);
         records_.announce();
         repairs_.hasten();
         choose_poll_mode();
--- a/node/push_intake.cpp
+++ b/node/push_intake.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "adapters/telemetry/event_log.hpp"
 #include "node/reader_duty.hpp"
@@ -65,10 +66,22 @@
         return;
     }
     log_rejected(request, applied.error());
-    if (const auto peer = address_of(context_, request.sender_.vm_))
+    const auto sender = address_of(context_, request.sender_.vm_);
+    if (!sender)
     {
-        repairs_.fetch_from(*peer, [](bool) {});
+        return;
     }
+    // The sender passes a push on although it may lack the same revision.
+    repairs_.fetch_from(
+        *sender,
+        [this, wanted = request.revision_, origin = request.origin_](bool)
+        {
+            const auto first = address_of(context_, origin);
+            if (first && context_.keeper_.held() < wanted)
+            {
+                repairs_.fetch_from(*first, [](bool) {});
+            }
+        });
 }
 
 void push_intake::push_accepted(const std::vector<accepted_delta>& deltas)
@@ -105,15 +118,23 @@
                 push_unless_noted(deltas);
             });
     }
+    offer_soon(deltas, delay + offer_delay);
+}
+
+void push_intake::offer_soon(
+    const std::vector<accepted_delta>& deltas, std::chrono::milliseconds delay)
+{
+    const bool waits = !offered_next_.empty();
+    offered_next_ = deltas;
+    if (waits)
+    {
+        return;
+    }
     context_.network_.after(
-        delay + offer_delay,
-        [this, deltas]
+        delay,
+        [this]
         {
-            // A later revision is offered by itself.
-            if (deltas.back().delta_.to_ >= last_pushed_)
-            {
-                pushes_.offer_deltas(deltas);
-            }
+            pushes_.offer_deltas(std::exchange(offered_next_, {}));
         });
 }
 
--- a/node/push_intake.hpp
+++ b/node/push_intake.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_NODE_PUSH_INTAKE_HPP
 #define HEMLOCKSHELF_NODE_PUSH_INTAKE_HPP
 
+#include <chrono>
 #include <vector>
 
 #include "adapters/rpc/config_payload.hpp"
@@ -38,6 +39,10 @@
 
 private:
     void push_unless_noted(const std::vector<accepted_delta>& deltas);
+    /// Offers the deltas, or those that follow until then, after `delay`.
+    void offer_soon(
+        const std::vector<accepted_delta>& deltas,
+        std::chrono::milliseconds delay);
     void note(revision number);
 
     control_context& context_;
@@ -45,6 +50,8 @@
     repair_agent& repairs_;
     /// Highest revision that was pushed to or by this node.
     revision last_pushed_;
+    /// What the planned offer will contain; empty if none is planned.
+    std::vector<accepted_delta> offered_next_;
 };
 
 } // namespace hemlockshelf
--- a/src/gate/body_link.cpp
+++ b/src/gate/body_link.cpp
@@ -16,6 +16,18 @@
 // Kinds come with routes, of which an operator may change many.
 constexpr std::size_t max_kinds = 256;
 
+// A few packets. Bodies up to this size neither wait for long ones nor keep
+// them from the link; what they take is in the part that bodies may not use.
+constexpr std::uint64_t short_body = 4096;
+
+std::uint64_t mean_of(const body_link& link, const gate_call& call)
+{
+    const auto found = link.mean_bytes_.find(kind_of(call));
+    return found == link.mean_bytes_.end()
+               ? 0
+               : static_cast<std::uint64_t>(found->second);
+}
+
 double rate_of(const gate_settings& settings)
 {
     return static_cast<double>(settings.link_.value()) / bits_per_byte *
@@ -37,14 +49,8 @@
     {
         return 0;
     }
-    if (call.body_)
-    {
-        return call.body_->value();
-    }
-    const auto found = link.mean_bytes_.find(kind_of(call));
-    return found == link.mean_bytes_.end()
-               ? 0
-               : static_cast<std::uint64_t>(found->second);
+    const auto bytes = call.body_ ? call.body_->value() : mean_of(link, call);
+    return bytes <= short_body ? 0 : bytes;
 }
 
 bool has_room(const body_link& link, std::uint64_t bytes)
--- a/src/gate/waiting_queue.cpp
+++ b/src/gate/waiting_queue.cpp
@@ -75,6 +75,17 @@
            !is_short_work(state, call);
 }
 
+// Returns the longest time that the entry lets the call wait here. A long body
+// takes longer to send elsewhere than it waits behind another one, and over
+// links that cost more.
+std::chrono::nanoseconds
+longest_wait(const gate_state& state, const gate_call& call)
+{
+    const std::chrono::nanoseconds grant = state.settings_.link_grant_;
+    return body_bytes(state.link_, call) > 0 ? std::max(call.max_wait_, grant)
+                                             : call.max_wait_;
+}
+
 // Calls with better claims may overtake a waiting one for long. It is refused
 // while its caller can still use the answer of another upstream.
 steady_time
@@ -88,9 +99,10 @@
             call.objective_ - service_time(state, call),
             now + call.target_latency_ / late_wait_divisor);
     }
-    if (call.max_wait_ != std::chrono::nanoseconds::max())
+    const auto longest = longest_wait(state, call);
+    if (longest != std::chrono::nanoseconds::max())
     {
-        give_up = std::min(give_up, now + overrun * call.max_wait_);
+        give_up = std::min(give_up, now + overrun * longest);
     }
     return give_up;
 }
@@ -204,7 +216,7 @@
     steady_time now)
 {
     const std::chrono::nanoseconds max_wait = state.settings_.max_wait_;
-    if (wait > std::min(max_wait, call.call_.max_wait_) ||
+    if (wait > std::min(max_wait, longest_wait(state, call.call_)) ||
         !ends_in_time(state, call.call_, wait, now) ||
         waits_too_long_for_late(state, call.call_, wait, now))
     {
--- a/test/gate/test_body_link.cpp
+++ b/test/gate/test_body_link.cpp
@@ -117,6 +117,35 @@
     cr_assert(events.started_.front() == longer.id_);
 }
 
+// Guards against requests with bodies of a few bytes that wait for uploads or
+// are refused because of them, and against long uploads that never find the
+// link idle because of them.
+Test(body_link, short_bodies_do_not_count)
+{
+    fixture gate;
+    offer_call(gate.state_, upload(gate.now_, 360'000), gate.now_);
+    const auto order =
+        offer_call(gate.state_, upload(gate.now_, 300), gate.now_);
+    cr_assert(order.admission_ == admission::admitted);
+    cr_assert(gate.state_.link_.granted_ == 360'000);
+}
+
+// Guards against uploads that are sent to other failure domains because one
+// body is on its way: their entries wait 50 ms at the first gate, and a body of
+// 60 kB takes 85 ms.
+Test(body_link, an_upload_waits_for_the_one_before_it)
+{
+    fixture gate;
+    offer_call(gate.state_, upload(gate.now_), gate.now_);
+    auto second = upload(gate.now_);
+    second.max_wait_ = 50ms;
+    const auto waiting = offer_call(gate.state_, second, gate.now_);
+    cr_assert(waiting.admission_ == admission::queued);
+    cr_assert(expire_waiting(gate.state_, gate.now_ + 140ms).refused_.empty());
+    const auto third = offer_call(gate.state_, second, gate.now_);
+    cr_assert(third.admission_ == admission::refused);
+}
+
 // Guards against a link that stays granted to a call that has ended, or to a
 // body that is never sent.
 Test(body_link, the_link_comes_back_once)
--- a/test/node/test_config_keeper.cpp
+++ b/test/node/test_config_keeper.cpp
@@ -135,6 +135,22 @@
     cr_assert(peer.keeper_.held() == revision{9});
 }
 
+// Guards against a waiting delta that is replaced by another reader's delta to
+// the same revision, after which neither applies.
+Test(config_keeper, deltas_of_two_readers_to_one_revision_both_wait)
+{
+    const auto published = make_published({10, 11, 12, 13});
+    const auto first = deltas_of_reader({published[1], published[3]});
+    const auto second = deltas_of_reader({published[2], published[3]});
+    const auto missing = deltas_of_reader({published[0], published[1]});
+    fixture peer;
+    static_cast<void>(peer.keeper_.adopt(published[0], apply_source::poll));
+    static_cast<void>(peer.keeper_.apply({first.back()}, apply_source::push));
+    static_cast<void>(peer.keeper_.apply({second.back()}, apply_source::push));
+    static_cast<void>(peer.keeper_.apply({missing.back()}, apply_source::push));
+    cr_assert(peer.keeper_.held() == revision{13});
+}
+
 // Guards against a node that goes back, or runs rows that no operator
 // published, whatever readers skip and in which order their deltas come
 // (promises P1 and P3).
