http: read an answer that has arrived before a call is given up for time

When the process was short of processor time, a loop found the end of a time limit and the peer's answer together, or the answer came while the end of the limit waited to be handled. The limit's handler interrupted the connection, the answer was dropped, and the call ended as outcome_unknown (504), or as gate_unreachable where it was a gate's 100.

At the end of a limit the session now looks at the socket of the peer. If bytes wait there, the limit is extended once by 20 ms, and the loop reads them in its next turn. The extension ends with the next limit that is set, so that a peer can't hold a call open. A 100 that is read after the deadline releases no body; the request is refused as not run.

Without the look an_answer_that_has_arrived_at_the_time_limit_is_passed_on and an_answer_that_has_arrived_at_the_deadline_is_passed_on failed with "HTTP/1.1 504 Gateway Timeout", a_100_that_has_arrived_at_the_time_limit_is_used with "HTTP/1.1 503 Service Unavailable".

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -106,11 +106,7 @@
     peer_exchange exchange(
         client(), body, connection_lease(local_, {}, pipeline_.next(), true),
         settings());
-    on_stop(
-        [&exchange]
-        {
-            exchange.interrupt();
-        });
+    set_exchange(&exchange);
     // The session that serves the request keeps its deadline.
     limit(now() + settings().drain_limit_);
     watch_client();
@@ -124,7 +120,7 @@
     {
         log_cut("no answer to a pipelined request: " + failure.message());
     }
-    on_stop({});
+    set_exchange(nullptr);
     exchange.finish(now());
     co_return keep;
 }
@@ -366,14 +362,10 @@
     }
     peer_exchange exchange(
         client(), state.body_, std::move(*lease), settings());
-    on_stop(
-        [&exchange]
-        {
-            exchange.interrupt();
-        });
+    set_exchange(&exchange);
     co_await use_gate(state, exchange, end);
     co_await exchange.close_request();
-    on_stop({});
+    set_exchange(nullptr);
     exchange.finish(now());
     // Until the request was closed, more of the body may have come than can be
     // held, so that another attempt would start in its middle.
@@ -421,6 +413,12 @@
         answered = go_on &&
                    exchange.answer().get().result() != http::status::continue_;
         head->clear();
+        // The 100 may have been read late: the body is not to follow it then.
+        if (go_on && !answered && now() >= state.call_.deadline_)
+        {
+            lose_gate(state, exchange, "the 100 came after the deadline", end);
+            go_on = false;
+        }
     }
     if (go_on && !answered)
     {
--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -278,15 +278,11 @@
     }
     peer_exchange exchange(
         client(), state.body_, std::move(*lease), settings());
-    on_stop(
-        [&exchange]
-        {
-            exchange.interrupt();
-        });
+    set_exchange(&exchange);
     attempt_end end;
     co_await use_upstream(state, exchange, end);
     co_await exchange.close_request();
-    on_stop({});
+    set_exchange(nullptr);
     exchange.finish(now());
     end_request(state, end.not_run_);
     failed = std::move(end.failed_);
--- a/adapters/http/peer_exchange.cpp
+++ b/adapters/http/peer_exchange.cpp
@@ -284,6 +284,12 @@
     peer_.connection().interrupt();
 }
 
+bool peer_exchange::answer_waits()
+{
+    return connected_ &&
+           peer_.connection().look_at_socket() == connection_look::readable;
+}
+
 std::string peer_exchange::describe_silence()
 {
     if (!connected_)
--- a/adapters/http/peer_exchange.hpp
+++ b/adapters/http/peer_exchange.hpp
@@ -106,6 +106,9 @@
     /// Ends the operations on the peer's connection.
     void interrupt();
 
+    /// Whether bytes of the peer wait to be read.
+    [[nodiscard]] bool answer_waits();
+
     /// Gives the connection back if the exchange was whole in both
     /// directions; closes it otherwise. Only after `close_request`.
     void finish(steady_time now);
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "adapters/http/peer_exchange.hpp"
 #include "adapters/http/refusal.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
@@ -29,6 +30,11 @@
 constexpr std::chrono::milliseconds close_timeout{500};
 constexpr std::size_t close_drop_bytes = std::size_t{256} * 1024;
 
+// Extension of a time limit for an answer that waits to be read. A loop that is
+// short of processor time may find both at once and take up the limit first; it
+// reads the answer in its next turn.
+constexpr std::chrono::milliseconds waiting_answer_time{20};
+
 std::string describe(const std::exception_ptr& failure)
 {
     try
@@ -246,6 +252,7 @@
 void relay_session::limit(steady_time when)
 {
     limit_ = when;
+    extended_ = false;
     if (!timer_armed_ || armed_until_ > when)
     {
         arm_timer(when);
@@ -304,9 +311,9 @@
     }
     client_.interrupt();
     wake();
-    if (stop_action_)
+    if (exchange_ != nullptr)
     {
-        stop_action_();
+        exchange_->interrupt();
     }
 }
 
@@ -357,6 +364,12 @@
         arm_timer(limit_);
         return;
     }
+    if (!extended_ && exchange_ != nullptr && exchange_->answer_waits())
+    {
+        extended_ = true;
+        arm_timer(now() + waiting_answer_time);
+        return;
+    }
     stop(stop_reason::time_limit);
 }
 
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -1,7 +1,6 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_RELAY_SESSION_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_RELAY_SESSION_HPP
 
-#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -17,6 +16,8 @@
 
 namespace hemlockshelf {
 
+class peer_exchange;
+
 /// Why the work on a request ends early.
 enum class stop_reason
 {
@@ -134,10 +135,12 @@
         return stop_;
     }
 
-    /// Sets what `stop` calls to end operations that the session does not know.
-    void on_stop(std::function<void()> action)
+    /// Sets the exchange in progress, if any. `stop` interrupts it. An answer
+    /// of its peer that waits at the end of a time limit is read before the
+    /// work is given up.
+    void set_exchange(peer_exchange* exchange) noexcept
     {
-        stop_action_ = std::move(action);
+        exchange_ = exchange;
     }
 
     /// Whether the connection can stay open after the answer to `request`.
@@ -176,11 +179,13 @@
     const clock& time_;
     session_group& group_;
     stop_reason stop_ = stop_reason::none;
-    std::function<void()> stop_action_;
+    peer_exchange* exchange_ = nullptr;
     /// Fires at or before `limit_`; a later limit needs no timer operation.
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer wake_;
     bool timer_armed_ = false;
+    /// Whether the current limit has been extended for an answer that waits.
+    bool extended_ = false;
     steady_time armed_until_;
     steady_time limit_;
     bool watching_ = false;
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -106,6 +106,111 @@
     std::atomic<int> released_ = 1;
 };
 
+/// Answers requests for `order` only when `arrived_` is set, others at once.
+class waiting_gate
+{
+public:
+    scripted_server::script script()
+    {
+        return [this](raw_connection& entry)
+        {
+            while (serve(entry))
+            {}
+        };
+    }
+
+    void await_order() const
+    {
+        while (!waiting_)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+    }
+
+    void answer_order()
+    {
+        arrived_ = true;
+        while (!sent_)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+    }
+
+    [[nodiscard]] int bodies() const
+    {
+        return bodies_;
+    }
+
+private:
+    bool serve(raw_connection& entry)
+    {
+        const auto head = entry.read_until("\r\n\r\n");
+        const bool handshake = contains(head, "100-continue");
+        const bool waits = contains(head, "X-Name: order");
+        waiting_ = waiting_ || waits;
+        while (waits && !arrived_)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+        if (handshake)
+        {
+            entry.send(continue_answer);
+            sent_ = true;
+            bodies_ += contains(entry.read_until("0\r\n\r\n"), "silk") ? 1 : 0;
+        }
+        entry.send(answer_to(head, waits ? "late" : "at once"));
+        sent_ = sent_ || waits;
+        return !head.empty();
+    }
+
+    std::atomic<bool> waiting_ = false;
+    std::atomic<bool> arrived_ = false;
+    std::atomic<bool> sent_ = false;
+    std::atomic<int> bodies_ = 0;
+};
+
+// The loop must be occupied before the limit, on a busy machine too.
+constexpr std::chrono::milliseconds late_loop_limit{2'000};
+
+call_settings late_loop_settings()
+{
+    auto settings = test_settings();
+    settings.threads_ = 1;
+    settings.silence_timeout_ = late_loop_limit;
+    settings.handshake_timeout_ = late_loop_limit;
+    return settings;
+}
+
+/// Lets the gate's answer to a call arrive when an entry's loop has found the
+/// end of a time limit of that call and has not acted on it yet: the process is
+/// short of processor time. Returns the answer to the call.
+std::string call_with_late_loop(
+    entry_under_test& entry, waiting_gate& gate, const std::string& request)
+{
+    constexpr std::chrono::milliseconds margin{200};
+    occupied_loop loop(entry);
+    // Accepted before the others.
+    raw_connection last(entry.where());
+    raw_connection caller(entry.where());
+    caller.send(request);
+    gate.await_order();
+    raw_connection first(entry.where());
+    first.send(caller_request("GET"));
+    loop.await_call(2);
+    std::this_thread::sleep_for(late_loop_limit + margin);
+    // The loop finds this request and the end of the time limit in one turn and
+    // takes up the request first.
+    last.send(caller_request("GET"));
+    loop.release(2);
+    loop.await_call(3);
+    gate.answer_order();
+    loop.release(3);
+    auto answer = caller.read_message();
+    first.read_message();
+    last.read_message();
+    return answer;
+}
+
 /// Returns an address where nothing listens any longer.
 endpoint closed_endpoint()
 {
@@ -870,3 +975,68 @@
         answer.c_str());
     cr_assert_eq(executions, 0);
 }
+
+// Guards against an answer that is dropped although it has arrived: the process
+// was short of processor time and acted on the end of a time limit first.
+Test(entry, an_answer_that_has_arrived_at_the_time_limit_is_passed_on)
+{
+    waiting_gate script;
+    scripted_server gate(script.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    const auto answer = call_with_late_loop(
+        entry, script, caller_request("GET", {}, "X-Name: order\r\n"));
+    cr_assert(contains(answer, "late"), "%s", answer.c_str());
+}
+
+// Guards against the same loss at the deadline of a call.
+Test(entry, an_answer_that_has_arrived_at_the_deadline_is_passed_on)
+{
+    waiting_gate script;
+    scripted_server gate(script.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    const auto answer = call_with_late_loop(
+        entry, script,
+        caller_request(
+            "GET", {},
+            "X-Name: order\r\nHemlockshelf-Deadline-Ms: " +
+                std::to_string(late_loop_limit.count()) + "\r\n"));
+    cr_assert(contains(answer, "late"), "%s", answer.c_str());
+}
+
+// Guards against a gate's 100 that is dropped in the same way, so that a
+// request with one gate is refused.
+Test(entry, a_100_that_has_arrived_at_the_time_limit_is_used)
+{
+    waiting_gate script;
+    scripted_server gate(script.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    const auto answer = call_with_late_loop(
+        entry, script, caller_request("POST", "silk", "X-Name: order\r\n"));
+    cr_assert(contains(answer, "late"), "%s", answer.c_str());
+}
+
+// Guards against a body that is sent after the deadline because the 100 had
+// arrived: the request would run for a caller that no longer waits.
+Test(entry, a_100_that_has_arrived_at_the_deadline_releases_no_body)
+{
+    waiting_gate script;
+    scripted_server gate(script.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    const auto answer = call_with_late_loop(
+        entry, script,
+        caller_request(
+            "POST", "silk",
+            "X-Name: order\r\nHemlockshelf-Deadline-Ms: " +
+                std::to_string(late_loop_limit.count()) + "\r\n"));
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(script.bodies(), 0);
+}
