--- a/test/http/scripted_server.cpp
+++ b/test/http/scripted_server.cpp
@@ -133,7 +133,10 @@
     // Closing would not do: the server holds another descriptor of the socket.
     sockaddr none{};
     none.sa_family = AF_UNSPEC;
-    ::connect(descriptor_, &none, sizeof none);
+    if (::connect(descriptor_, &none, sizeof none) != 0)
+    {
+        throw std::system_error(errno, std::system_category());
+    }
 }
 
 scripted_server::scripted_server(script run)
