--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -109,11 +109,7 @@
         client(), body,
         connection_lease(local_, {}, std::move(next.connection_), true),
         settings());
-    on_stop(
-        [&exchange]
-        {
-            exchange.interrupt();
-        });
+    set_exchange(&exchange);
     // The session that serves the request keeps its deadline and then answers
     // or closes its end.
     limit(steady_time::max());
@@ -127,7 +123,7 @@
         keep = co_await pass_ahead(exchange, next.to_head_request_);
         lost = "it is not whole";
     }
-    on_stop({});
+    set_exchange(nullptr);
     exchange.finish(now());
     if (!keep && !exchange.answer_begun() && !caller_is_gone())
     {
@@ -407,14 +403,10 @@
     }
     peer_exchange exchange(
         client(), state.body_, std::move(*lease), settings());
-    on_stop(
-        [&exchange]
-        {
-            exchange.interrupt();
-        });
+    set_exchange(&exchange);
     co_await use_gate(state, exchange, end);
     co_await exchange.close_request();
-    on_stop({});
+    set_exchange(nullptr);
     exchange.finish(now());
     // Until the request was closed, more of the body may have come than can be
     // held, so that another attempt would start in its middle.
@@ -462,6 +454,12 @@
         answered = go_on &&
                    exchange.answer().get().result() != http::status::continue_;
         head->clear();
+        // The 100 may have been read late: the body is not to follow it then.
+        if (go_on && !answered && now() >= state.call_.deadline_)
+        {
+            lose_gate(state, exchange, "the 100 came after the deadline", end);
+            go_on = false;
+        }
     }
     if (go_on && !answered)
     {
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/verb.hpp>
 
+#include "adapters/http/peer_exchange.hpp"
 #include "adapters/http/refusal.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
@@ -38,6 +39,11 @@
 // come within this time if the peer has them.
 constexpr std::chrono::milliseconds next_piece_timeout{250};
 
+// Extension of a time limit for an answer that waits to be read. A loop that is
+// short of processor time may find both at once and take up the limit first; it
+// reads the answer in its next turn.
+constexpr std::chrono::milliseconds waiting_answer_time{20};
+
 std::string describe(const std::exception_ptr& failure)
 {
     try
@@ -277,6 +283,7 @@
 void relay_session::limit(steady_time when)
 {
     limit_ = when;
+    extended_ = false;
     if (!timer_armed_ || armed_until_ > when)
     {
         arm_timer(when);
@@ -361,9 +368,9 @@
     }
     client_.interrupt();
     wake();
-    if (stop_action_)
+    if (exchange_ != nullptr)
     {
-        stop_action_();
+        exchange_->interrupt();
     }
 }
 
@@ -414,6 +421,12 @@
         arm_timer(limit_);
         return;
     }
+    if (!extended_ && exchange_ != nullptr && exchange_->answer_waits())
+    {
+        extended_ = true;
+        arm_timer(now() + waiting_answer_time);
+        return;
+    }
     stop(stop_reason::time_limit);
 }
 
