http: answer every pipelined request that is passed on

A caller's connection ended without an answer to a pipelined request in these cases, each of which a test of pipelined_answer reproduces:

- No session could be added for it because the node served as many connections as it may.
It now waits in the buffer and is served in turn.
- It took longer than drain_limit after the answer before it.
The session that serves it keeps its deadline; the one that waits no longer adds a limit.
- It was a HEAD request: the body that its answer names was awaited.
- Its answer's head could not be read.
It now ends in a 502 on a connection that stays usable (log event pipelined_answer_lost).
- It came behind a request with "Connection: close", or while the entry sent an answer that announces the end of the connection (drain).
It was passed on and then dropped.
Nothing is passed on any more once the end is decided.

A pipelined request with "Connection: close" left the connection open until the idle timeout; it is now served in turn, like one of HTTP/1.0.

A refusal of the node to a HEAD request carried a body, which the caller took for the start of the next answer; it is now sent without.

Evidence: before the change all eight tests of pipelined_answer failed, for example a_full_group_serves_pipelined_requests_in_turn with caller_cut "no answer to a pipelined request: Connection reset by peer", and nothing_is_passed_on_after_the_end_is_announced with two executions. All 70 tests of test_http pass.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include "adapters/http/gate_answer.hpp"
+#include "adapters/http/refusal.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 #include "hemlockshelf/core/random_source.hpp"
@@ -51,7 +52,7 @@
           },
           [this](http_connection::socket_type far)
           {
-              relay_session::start(std::make_shared<entry_session>(
+              return relay_session::start(std::make_shared<entry_session>(
                   std::move(far), environment_));
           })
 {}
@@ -97,38 +98,63 @@
     pipeline_.take();
     request_parser none;
     request_body body(client(), none, settings().relay_buffer_bytes_, 0);
+    auto next = pipeline_.next();
     peer_exchange exchange(
-        client(), body, connection_lease(local_, {}, pipeline_.next(), true),
+        client(), body,
+        connection_lease(local_, {}, std::move(next.connection_), true),
         settings());
     on_stop(
         [&exchange]
         {
             exchange.interrupt();
         });
-    // The session that serves the request keeps its deadline.
-    limit(now() + settings().drain_limit_);
+    // The session that serves the request keeps its deadline and then answers
+    // or closes its end.
+    limit(steady_time::max());
     watch_client();
+    const auto failure =
+        co_await exchange.read_answer_head(false, next.to_head_request_);
     bool keep = false;
-    const auto failure = co_await exchange.read_answer_head(false, false);
+    std::string lost = failure.message();
     if (!failure)
     {
-        keep = co_await pass_ahead(exchange);
-    }
-    else
-    {
-        log_cut("no answer to a pipelined request: " + failure.message());
+        keep = co_await pass_ahead(exchange, next.to_head_request_);
+        lost = "it is not whole";
     }
     on_stop({});
     exchange.finish(now());
+    if (!keep && !exchange.answer_begun() && !caller_is_gone())
+    {
+        keep = co_await refuse_ahead(next.to_head_request_, lost);
+    }
     co_return keep;
 }
 
-asio::awaitable<bool> entry_session::pass_ahead(peer_exchange& exchange)
+// The request may have run, since its session had started.
+asio::awaitable<bool>
+entry_session::refuse_ahead(bool to_head_request, const std::string& detail)
+{
+    const error failure{
+        error_kind::upstream_failed,
+        "no answer to a pipelined request: " + detail};
+    log_request_event<log_event_id::pipelined_answer_lost>(
+        log_fields::detail(failure.message_));
+    const bool keep = !group().draining() || has_ahead();
+    may_read_ahead_ = keep;
+    const bool sent = co_await write_refusal(
+        refusal_text(failure, false, keep, {}), to_head_request);
+    co_return keep&& sent;
+}
+
+asio::awaitable<bool>
+entry_session::pass_ahead(peer_exchange& exchange, bool to_head_request)
 {
     constexpr unsigned version = 11;
     auto& answer = exchange.answer();
     const bool keep = !group().draining() || has_ahead();
-    const auto framing = answer_framing(answer, false, version);
+    may_read_ahead_ = keep;
+    limit(now() + settings().drain_limit_);
+    const auto framing = answer_framing(answer, to_head_request, version);
     remove_connection_headers(answer.get());
     std::string head;
     append_head(head, answer.get());
@@ -144,6 +170,10 @@
     {
         co_return keep;
     }
+    if (!exchange.answer_begun())
+    {
+        co_return false;
+    }
     log_cut("the answer to a pipelined request is not whole");
     client().reset();
     co_return false;
@@ -151,6 +181,7 @@
 
 asio::awaitable<bool> entry_session::serve(request_parser& request)
 {
+    may_read_ahead_ = false;
     if (!environment_.ready_())
     {
         error failure{
@@ -187,7 +218,8 @@
         body.expect_continue();
     }
     environment_.router_.call_started(route, now());
-    may_read_ahead_ = request.is_done();
+    // What follows a request that ends the connection is not answered.
+    may_read_ahead_ = request.is_done() && keeps_connection(request);
     if (may_read_ahead_)
     {
         pipeline_.take();
@@ -301,6 +333,7 @@
     log_end(state, end);
     const auto claim =
         end.not_run_ ? not_run_claim::by_kind : not_run_claim::never;
+    may_read_ahead_ = may_read_ahead_ && can_keep(state.request_);
     co_return co_await refuse(state.request_, std::move(end.failure_), claim);
 }
 
@@ -413,7 +446,7 @@
     if (!failure)
     {
         failure = co_await exchange.read_answer_head(
-            true, false,
+            true, state.call_.to_head_request_,
             [&]
             {
                 limit_silence(state, settings().handshake_timeout_);
@@ -518,6 +551,8 @@
     const auto framing = answer_framing(
         answer, state.call_.to_head_request_, state.call_.version_);
     const bool keep = can_keep(state.request_) && exchange.request_sent();
+    // A request that is passed on after this has no answer to come.
+    may_read_ahead_ = may_read_ahead_ && keep;
     auto head =
         caller_head(answer.get(), framing, state.call_.request_id_, keep);
     limit(state.call_.deadline_);
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -148,7 +148,11 @@
     [[nodiscard]] bool caller_is_gone() const;
 
     [[nodiscard]] bool may_repeat(request_head& head) const;
-    boost::asio::awaitable<bool> pass_ahead(peer_exchange& exchange);
+    boost::asio::awaitable<bool>
+    pass_ahead(peer_exchange& exchange, bool to_head_request);
+    /// Answers a pipelined request whose answer is lost.
+    boost::asio::awaitable<bool>
+    refuse_ahead(bool to_head_request, const std::string& detail);
 
     entry_environment& environment_;
     local_connections local_;
--- a/adapters/http/message_reader.cpp
+++ b/adapters/http/message_reader.cpp
@@ -121,6 +121,12 @@
 
 } // namespace
 
+bool keeps_connection(const request_parser& request)
+{
+    constexpr unsigned first_version = 11;
+    return request.keep_alive() && request.get().version() >= first_version;
+}
+
 asio::awaitable<error_code>
 read_head(http_connection& source, request_parser& parser)
 {
--- a/adapters/http/message_reader.hpp
+++ b/adapters/http/message_reader.hpp
@@ -18,6 +18,10 @@
 using response_parser =
     boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+/// Whether the client asks that the connection stay open after the answer.
+/// Connections of HTTP/1.0 never do.
+bool keeps_connection(const request_parser& request);
+
 /// Reads the head of a message. `end_of_stream` if the connection ended before
 /// the first byte.
 boost::asio::awaitable<boost::system::error_code>
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/verb.hpp>
 
 #include "adapters/http/refusal.hpp"
 #include "adapters/telemetry/event_log.hpp"
@@ -66,6 +67,14 @@
            failure != http::error::partial_message;
 }
 
+// The answer to a HEAD request has no body; its caller would take one for the
+// start of the next answer.
+void remove_body(std::string& message)
+{
+    constexpr std::string_view end_of_head = "\r\n\r\n";
+    message.resize(message.find(end_of_head) + end_of_head.size());
+}
+
 } // namespace
 
 std::string_view to_string(stop_reason value)
@@ -102,12 +111,12 @@
     group_.remove(this);
 }
 
-void relay_session::start(const std::shared_ptr<relay_session>& session)
+bool relay_session::start(const std::shared_ptr<relay_session>& session)
 {
     if (!session->group_.add(
             session, session->settings_.max_client_connections_))
     {
-        return;
+        return false;
     }
     error_code ignored;
     session->client_.socket().set_option(
@@ -124,6 +133,7 @@
             session->client_.close();
             session->timer_.cancel();
         });
+    return true;
 }
 
 void relay_session::cut()
@@ -220,12 +230,25 @@
     std::string_view extra_fields)
 {
     const bool keep = can_keep(request);
-    const auto text = refusal_text(
+    auto text = refusal_text(
         failure, claim == not_run_claim::by_kind, keep, extra_fields);
+    const bool to_head_request =
+        request.is_header_done() && request.get().method() == http::verb::head;
+    const bool sent = co_await write_refusal(std::move(text), to_head_request);
+    co_return keep&& sent;
+}
+
+asio::awaitable<bool>
+relay_session::write_refusal(std::string text, bool to_head_request)
+{
+    if (to_head_request)
+    {
+        remove_body(text);
+    }
     resume();
     limit(now() + settings_.refusal_timeout_);
-    const auto written = co_await client_.write(asio::buffer(text));
-    co_return keep && !written;
+    const auto failure = co_await client_.write(asio::buffer(text));
+    co_return !failure;
 }
 
 void relay_session::limit(steady_time when)
@@ -298,8 +321,8 @@
 bool relay_session::can_keep(const request_parser& request) const
 {
     // A node that leaves still answers the requests that it has started.
-    return request.is_done() && request.keep_alive() &&
-           request.get().version() >= 11 && (!group_.draining() || has_ahead());
+    return request.is_done() && keeps_connection(request) &&
+           (!group_.draining() || has_ahead());
 }
 
 asio::awaitable<void> relay_session::close_gently()
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include <boost/asio/awaitable.hpp>
@@ -55,9 +56,9 @@
     relay_session(const relay_session&) = delete;
     relay_session& operator=(const relay_session&) = delete;
 
-    /// Serves the connection until it ends. Closes it at once if the group is
-    /// full.
-    static void start(const std::shared_ptr<relay_session>& session);
+    /// Serves the connection until it ends. Closes it at once and returns false
+    /// if the group is full.
+    static bool start(const std::shared_ptr<relay_session>& session);
 
     /// Ends the connection. May be called from any thread.
     void cut();
@@ -99,6 +100,11 @@
         not_run_claim claim = not_run_claim::by_kind,
         std::string_view extra_fields = {});
 
+    /// Writes an answer of the node itself, without its body if it answers a
+    /// HEAD request. Returns whether all was sent.
+    boost::asio::awaitable<bool>
+    write_refusal(std::string text, bool to_head_request);
+
     /// Ends the work on the request at `when` unless another limit replaces
     /// this one.
     void limit(steady_time when);
--- a/adapters/http/request_pipeline.cpp
+++ b/adapters/http/request_pipeline.cpp
@@ -4,12 +4,14 @@
 #include <utility>
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/verb.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
@@ -39,11 +41,11 @@
     }
 }
 
-std::unique_ptr<http_connection> request_pipeline::next()
+started_request request_pipeline::next()
 {
-    auto connection = std::move(started_.front());
+    auto request = std::move(started_.front());
     started_.pop_front();
-    return connection;
+    return request;
 }
 
 bool request_pipeline::take_one()
@@ -52,16 +54,17 @@
     parser.header_limit(settings_.max_header_bytes_);
     error_code failure;
     const auto used = parser.put(client_.buffer().data(), failure);
-    // What is incomplete, malformed or has a body is left to the session.
+    // What is incomplete, malformed, has a body or ends the connection is left
+    // to the session.
     if (failure || !parser.is_header_done() || !parser.is_done() ||
-        !may_repeat_(parser.get()))
+        !keeps_connection(parser) || !may_repeat_(parser.get()))
     {
         return false;
     }
-    return start_one(used);
+    return start_one(used, parser.get().method() == http::verb::head);
 }
 
-bool request_pipeline::start_one(std::size_t size)
+bool request_pipeline::start_one(std::size_t size, bool to_head_request)
 {
     std::array<int, 2> pair{};
     if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, pair.data()) != 0)
@@ -84,14 +87,15 @@
     const auto bytes = client_.buffer().data();
     const auto written =
         asio::write(near, asio::buffer(bytes.data(), size), failure);
-    if (failure || written != size)
+    if (failure || written != size || !start_(std::move(far)))
     {
         return false;
     }
     client_.buffer().consume(size);
-    started_.push_back(std::make_unique<http_connection>(
-        std::move(near), settings_.max_header_bytes_));
-    start_(std::move(far));
+    started_.push_back(
+        {std::make_unique<http_connection>(
+             std::move(near), settings_.max_header_bytes_),
+         to_head_request});
     return true;
 }
 
--- a/adapters/http/request_pipeline.hpp
+++ b/adapters/http/request_pipeline.hpp
@@ -24,18 +24,30 @@
     {}
 };
 
+/// A request that is served by a session of its own.
+struct started_request
+{
+    /// Brings the answer.
+    std::unique_ptr<http_connection> connection_;
+    /// Whether the answer has no body, whatever its head says.
+    bool to_head_request_ = false;
+};
+
 /// Requests that a caller sent before it had the answer to an earlier one. Each
 /// is served at once by a session of its own over a pair of local sockets, so
 /// that none waits for the work on those before it; the answers are passed on
 /// in the order of the requests. Only requests without a body that may run more
-/// than once are taken: the caller sends again what it has no answer to.
+/// than once are taken: the caller sends again what it has no answer to. A
+/// request that ends the connection is not taken either, because the session
+/// closes the connection after the answer to a request that it serves itself.
 class request_pipeline
 {
 public:
     /// Tells whether a request may run more than once.
     using filter = std::function<bool(request_head&)>;
-    /// Serves the requests that come from a socket.
-    using starter = std::function<void(http_connection::socket_type)>;
+    /// Serves the requests that come from a socket. Returns false if it can't;
+    /// the request then waits for its turn.
+    using starter = std::function<bool(http_connection::socket_type)>;
 
     request_pipeline(
         http_connection& client,
@@ -57,18 +69,18 @@
         return started_.empty();
     }
 
-    /// Returns the connection that brings the next answer.
-    std::unique_ptr<http_connection> next();
+    /// Returns the request whose answer is due next.
+    started_request next();
 
 private:
     bool take_one();
-    bool start_one(std::size_t size);
+    bool start_one(std::size_t size, bool to_head_request);
 
     http_connection& client_;
     const call_settings& settings_;
     filter may_repeat_;
     starter start_;
-    std::deque<std::unique_ptr<http_connection>> started_;
+    std::deque<started_request> started_;
 };
 
 } // namespace hemlockshelf
