settings: let operators set the longest held answer

call_path.held_answer_limit bounds what the entry holds of an answer until it is whole (64 KiB as before); 0 streams every answer. The field held_answer_bytes takes the name of the setting.

--- a/adapters/http/call_settings.hpp
+++ b/adapters/http/call_settings.hpp
@@ -24,7 +24,7 @@
     /// An answer that is no longer than this is held until it is whole, so that
     /// a break in its middle leaves the caller's connection usable and lets the
     /// request be sent again. Longer ones are streamed.
-    std::size_t held_answer_bytes_ = std::size_t{64} * 1024;
+    std::size_t held_answer_limit_ = std::size_t{64} * 1024;
     /// Connections that a listener serves at once; more are closed.
     std::size_t max_client_connections_ = 4096;
 
--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -165,7 +165,7 @@
     }
     head.append("\r\n");
     const auto relayed = co_await exchange.relay_answer(
-        std::move(head), framing.chunked_, settings().held_answer_bytes_);
+        std::move(head), framing.chunked_, settings().held_answer_limit_);
     if (relayed == relay_end::complete)
     {
         co_return keep;
@@ -557,7 +557,7 @@
         caller_head(answer.get(), framing, state.call_.request_id_, keep);
     limit(state.call_.deadline_);
     const auto relayed = co_await exchange.relay_answer(
-        std::move(head), framing.chunked_, settings().held_answer_bytes_);
+        std::move(head), framing.chunked_, settings().held_answer_limit_);
     if (relayed == relay_end::complete)
     {
         end.answered_ = true;
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -144,6 +144,12 @@
         {"retry_body_limit",
          "Longest body of a request that can be sent again."},
         settings.retry_body_limit_);
+    read_size(
+        section,
+        {"held_answer_limit",
+         "Longest answer that is held until it is whole; longer ones are "
+         "streamed."},
+        settings.held_answer_limit_);
     read_count(
         section,
         {"max_client_connections",
