--- a/test/http/scripted_server.cpp
+++ b/test/http/scripted_server.cpp
@@ -1,5 +1,6 @@
 #include "scripted_server.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstdlib>
@@ -68,9 +69,11 @@
     close();
 }
 
-void raw_connection::send(const std::string& text)
+bool raw_connection::send(const std::string& text)
 {
-    ::send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL);
+    const auto sent =
+        ::send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL);
+    return sent == static_cast<ssize_t>(text.size());
 }
 
 bool raw_connection::fill()
@@ -120,6 +123,16 @@
     return std::exchange(buffer_, {});
 }
 
+std::string raw_connection::drop_all()
+{
+    constexpr std::size_t kept = 16;
+    while (fill())
+    {
+        buffer_.erase(0, buffer_.size() - std::min(buffer_.size(), kept));
+    }
+    return std::exchange(buffer_, {});
+}
+
 void raw_connection::close()
 {
     if (descriptor_ >= 0)
--- a/test/http/scripted_server.hpp
+++ b/test/http/scripted_server.hpp
@@ -23,7 +23,8 @@
     raw_connection(const raw_connection&) = delete;
     raw_connection& operator=(const raw_connection&) = delete;
 
-    void send(const std::string& text);
+    /// Returns whether the connection took all of it.
+    bool send(const std::string& text);
 
     /// Reads up to and including `end`; what came if the connection ended.
     std::string read_until(const std::string& end);
@@ -34,6 +35,10 @@
     /// Reads up to the end of the connection.
     std::string read_all();
 
+    /// Reads up to the end of the connection and drops what comes. Returns its
+    /// last bytes.
+    std::string drop_all();
+
     void close();
 
 private:
