--- a/test/http/test_pipelined_answer.cpp
+++ b/test/http/test_pipelined_answer.cpp
@@ -112,7 +112,7 @@
 // answer of a pipelined request can't be read.
 Test(pipelined_answer, an_answer_that_cannot_be_read_becomes_a_502)
 {
-    constexpr std::size_t header_limit = 16 * 1024;
+    constexpr std::size_t header_limit = std::size_t{16} * 1024;
     scripted_server gate(
         [](raw_connection& entry)
         {
