--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -101,6 +101,8 @@
 asio::awaitable<bool> entry_session::answer_ahead()
 {
     may_read_ahead_ = true;
+    // The session that serves the request refuses it where that is true.
+    unsent_ = false;
     pipeline_.take();
     request_parser none;
     request_body body(client(), none, settings().relay_buffer_bytes_, 0);
