--- a/adapters/http/call_settings.hpp
+++ b/adapters/http/call_settings.hpp
@@ -21,6 +21,10 @@
     std::size_t relay_buffer_bytes_ = std::size_t{16} * 1024;
     /// A request can be sent again while its body is no longer than this.
     std::size_t retry_body_limit_ = std::size_t{64} * 1024;
+    /// An answer that is no longer than this is held until it is whole, so that
+    /// a break in its middle leaves the caller's connection usable and lets the
+    /// request be sent again. Longer ones are streamed.
+    std::size_t held_answer_limit_ = std::size_t{64} * 1024;
     /// Connections that a listener serves at once; more are closed.
     std::size_t max_client_connections_ = 4096;
 
@@ -28,6 +32,9 @@
     std::chrono::milliseconds idle_timeout_{60'000};
     /// Limit for writing an answer that the node makes itself.
     std::chrono::milliseconds refusal_timeout_{5'000};
+    /// How long after a call's deadline an answer that has come is still passed
+    /// on to a client that is slow to take it.
+    std::chrono::milliseconds answer_timeout_{5'000};
     std::chrono::milliseconds connect_timeout_{250};
     /// Limit for a gate's 100 or refusal. It exceeds the gate's longest queue
     /// time, so that only a lost or silent connection meets it.
--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include "adapters/http/gate_answer.hpp"
+#include "adapters/http/refusal.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
 #include "hemlockshelf/core/random_source.hpp"
@@ -32,6 +33,12 @@
     return {error_kind::bad_request, "body: " + failure.message()};
 }
 
+bool is_unavailable(error_kind kind)
+{
+    return answer_for(kind).http_status_ ==
+           static_cast<int>(http::status::service_unavailable);
+}
+
 } // namespace
 
 entry_session::entry_session(
@@ -51,7 +58,7 @@
           },
           [this](http_connection::socket_type far)
           {
-              relay_session::start(std::make_shared<entry_session>(
+              return relay_session::start(std::make_shared<entry_session>(
                   std::move(far), environment_));
           })
 {}
@@ -94,41 +101,69 @@
 asio::awaitable<bool> entry_session::answer_ahead()
 {
     may_read_ahead_ = true;
+    // The session that serves the request refuses it where that is true.
+    unsent_ = false;
     pipeline_.take();
     request_parser none;
     request_body body(client(), none, settings().relay_buffer_bytes_, 0);
+    auto next = pipeline_.next();
     peer_exchange exchange(
-        client(), body, connection_lease(local_, {}, pipeline_.next(), true),
+        client(), body,
+        connection_lease(local_, {}, std::move(next.connection_), true),
         settings());
-    on_stop(
-        [&exchange]
-        {
-            exchange.interrupt();
-        });
-    // The session that serves the request keeps its deadline.
-    limit(now() + settings().drain_limit_);
+    set_exchange(&exchange);
+    // The session that serves the request keeps its deadline and then answers
+    // or closes its end.
+    limit(steady_time::max());
     watch_client();
+    const auto failure =
+        co_await exchange.read_answer_head(false, next.to_head_request_);
     bool keep = false;
-    const auto failure = co_await exchange.read_answer_head(false, false);
+    std::string lost = failure.message();
     if (!failure)
     {
-        keep = co_await pass_ahead(exchange);
+        keep = co_await pass_ahead(exchange, next.to_head_request_);
+        lost = "it is not whole";
     }
-    else
+    set_exchange(nullptr);
+    exchange.finish(now());
+    if (!keep && !exchange.answer_begun() && !caller_is_gone())
     {
-        log_cut("no answer to a pipelined request: " + failure.message());
+        keep = co_await refuse_ahead(next.to_head_request_, lost);
     }
-    on_stop({});
-    exchange.finish(now());
     co_return keep;
 }
 
-asio::awaitable<bool> entry_session::pass_ahead(peer_exchange& exchange)
+// The request may have run, since its session had started.
+asio::awaitable<bool>
+entry_session::refuse_ahead(bool to_head_request, const std::string& detail)
+{
+    const error failure{
+        error_kind::upstream_failed,
+        "no answer to a pipelined request: " + detail};
+    log_request_event<log_event_id::pipelined_answer_lost>(
+        log_fields::detail(failure.message_));
+    const bool keep = !group().draining() || has_ahead();
+    may_read_ahead_ = keep;
+    const bool sent = co_await write_refusal(
+        refusal_text(failure, false, keep, {}), to_head_request);
+    co_return keep&& sent;
+}
+
+asio::awaitable<bool>
+entry_session::pass_ahead(peer_exchange& exchange, bool to_head_request)
 {
     constexpr unsigned version = 11;
     auto& answer = exchange.answer();
     const bool keep = !group().draining() || has_ahead();
-    const auto framing = answer_framing(answer, false, version);
+    may_read_ahead_ = keep;
+    begin_answer(now() + settings().drain_limit_);
+    exchange.on_answer_write(
+        [this](bool begins)
+        {
+            answer_write(begins);
+        });
+    const auto framing = answer_framing(answer, to_head_request, version);
     remove_connection_headers(answer.get());
     std::string head;
     append_head(head, answer.get());
@@ -138,12 +173,16 @@
         append_field(head, "Connection", "close");
     }
     head.append("\r\n");
-    const auto relayed =
-        co_await exchange.relay_answer(std::move(head), framing.chunked_);
+    const auto relayed = co_await exchange.relay_answer(
+        std::move(head), framing.chunked_, settings().held_answer_limit_);
     if (relayed == relay_end::complete)
     {
         co_return keep;
     }
+    if (!exchange.answer_begun())
+    {
+        co_return false;
+    }
     log_cut("the answer to a pipelined request is not whole");
     client().reset();
     co_return false;
@@ -151,6 +190,13 @@
 
 asio::awaitable<bool> entry_session::serve(request_parser& request)
 {
+    may_read_ahead_ = false;
+    if (group().refusing())
+    {
+        error failure{error_kind::draining, "the node stops"};
+        co_return co_await fail(request, std::move(failure), true);
+    }
+    unsent_ = true;
     if (!environment_.ready_())
     {
         error failure{
@@ -187,7 +233,8 @@
         body.expect_continue();
     }
     environment_.router_.call_started(route, now());
-    may_read_ahead_ = request.is_done();
+    // What follows a request that ends the connection is not answered.
+    may_read_ahead_ = request.is_done() && keeps_connection(request);
     if (may_read_ahead_)
     {
         pipeline_.take();
@@ -209,6 +256,14 @@
     attempt_end end;
     while (true)
     {
+        if (group().refusing())
+        {
+            if (end.not_run_)
+            {
+                end.failure_ = {error_kind::draining, "the node stops"};
+            }
+            co_return co_await finish_failed(state, end);
+        }
         const auto choice =
             environment_.router_.choose(route, state.tried_, now());
         if (!choice)
@@ -239,11 +294,16 @@
         {
             co_return co_await finish_failed(state, end);
         }
+        if (group().refusing())
+        {
+            continue;
+        }
         environment_.metrics_.add(
             metric_id::retries, answer_for(end.failure_.kind_).name_);
         log_retry(state, end, choice->vm_);
         state.may_have_run_ = state.may_have_run_ || !end.not_run_;
         state.body_.rewind();
+        unsent_ = true;
         resume();
         limit(state.call_.deadline_);
         if (end.decision_.delay_.count() > 0)
@@ -284,7 +344,11 @@
         abandon(state);
         co_return false;
     }
-    if (state.may_have_run_)
+    unsent_ = false;
+    const bool claims_not_run =
+        end.not_run_ ||
+        answer_for(end.failure_.kind_).execution_ == execution::not_run;
+    if (state.may_have_run_ && claims_not_run)
     {
         // The last attempt's proof says nothing about the attempts before.
         end.not_run_ = false;
@@ -293,17 +357,26 @@
             "an earlier attempt may have run; the last one: " +
                 end.failure_.message_};
     }
+    else if (!end.not_run_ && is_unavailable(end.failure_.kind_))
+    {
+        // Callers take 503 for a request that was not run.
+        end.failure_ = {
+            error_kind::outcome_unknown,
+            "without proof that nothing ran: " + end.failure_.message_};
+    }
     end.failure_.retry_after_ = return_delay(state.room_in_, thread_random());
     count_call(state, answer_for(end.failure_.kind_).name_);
     log_end(state, end);
     const auto claim =
         end.not_run_ ? not_run_claim::by_kind : not_run_claim::never;
+    may_read_ahead_ = may_read_ahead_ && can_keep(state.request_);
     co_return co_await refuse(state.request_, std::move(end.failure_), claim);
 }
 
 asio::awaitable<bool>
 entry_session::fail(const request_parser& request, error failure, bool not_run)
 {
+    unsent_ = false;
     environment_.metrics_.add(
         metric_id::calls, answer_for(failure.kind_).name_);
     log_request_event<log_event_id::call_rejected>(
@@ -332,14 +405,10 @@
     }
     peer_exchange exchange(
         client(), state.body_, std::move(*lease), settings());
-    on_stop(
-        [&exchange]
-        {
-            exchange.interrupt();
-        });
+    set_exchange(&exchange);
     co_await use_gate(state, exchange, end);
     co_await exchange.close_request();
-    on_stop({});
+    set_exchange(nullptr);
     exchange.finish(now());
     // Until the request was closed, more of the body may have come than can be
     // held, so that another attempt would start in its middle.
@@ -387,6 +456,12 @@
         answered = go_on &&
                    exchange.answer().get().result() != http::status::continue_;
         head->clear();
+        // The 100 may have been read late: the body is not to follow it then.
+        if (go_on && !answered && now() >= state.call_.deadline_)
+        {
+            lose_gate(state, exchange, "the 100 came after the deadline", end);
+            go_on = false;
+        }
     }
     if (go_on && !answered)
     {
@@ -410,7 +485,7 @@
     if (!failure)
     {
         failure = co_await exchange.read_answer_head(
-            true, false,
+            true, state.call_.to_head_request_,
             [&]
             {
                 limit_silence(state, settings().handshake_timeout_);
@@ -435,10 +510,21 @@
     limit_silence(state, settings().silence_timeout_);
     end.not_run_ = false;
     end.arrived_ = true;
+    unsent_ = false;
     ++state.attempts_;
-    // After a failed write the gate may still have answered, but not if the
-    // request's body is bad from the start, when nothing was sent.
-    co_await exchange.send(std::move(head), chunked);
+    // After a failed write the gate may still have answered, but not if nothing
+    // was sent, because the request's body is bad from the start or the
+    // connection was lost before.
+    const auto unsent = co_await exchange.send(std::move(head), chunked);
+    if (exchange.nothing_sent())
+    {
+        end.not_run_ = true;
+        end.arrived_ = false;
+        --state.attempts_;
+        lose_gate(
+            state, exchange, "nothing was sent: " + unsent.message(), end);
+        co_return false;
+    }
     if (exchange.client_failure())
     {
         lose_gate(state, exchange, "nothing was sent", end);
@@ -515,11 +601,18 @@
     const auto framing = answer_framing(
         answer, state.call_.to_head_request_, state.call_.version_);
     const bool keep = can_keep(state.request_) && exchange.request_sent();
+    // A request that is passed on after this has no answer to come.
+    may_read_ahead_ = may_read_ahead_ && keep;
     auto head =
         caller_head(answer.get(), framing, state.call_.request_id_, keep);
-    limit(state.call_.deadline_);
-    const auto relayed =
-        co_await exchange.relay_answer(std::move(head), framing.chunked_);
+    begin_answer(state.call_.deadline_);
+    exchange.on_answer_write(
+        [this](bool begins)
+        {
+            answer_write(begins);
+        });
+    const auto relayed = co_await exchange.relay_answer(
+        std::move(head), framing.chunked_, settings().held_answer_limit_);
     if (relayed == relay_end::complete)
     {
         end.answered_ = true;
@@ -531,6 +624,10 @@
     }
     end.not_run_ = false;
     lose_gate(state, exchange, "the answer is not whole", end);
+    if (stopped() == stop_reason::none)
+    {
+        end.failure_.kind_ = error_kind::upstream_failed;
+    }
     if (exchange.answer_begun())
     {
         end.answered_ = true;
@@ -554,8 +651,9 @@
         // Connections to one peer tend to go silent together.
         environment_.gates_.close_idle(exchange.peer().peer());
     }
+    const bool own_end = caller_is_gone() || stopped() == stop_reason::refused;
     end.report_.outcome_ =
-        caller_is_gone() ? call_outcome::cancelled : call_outcome::failed;
+        own_end ? call_outcome::cancelled : call_outcome::failed;
     end.failure_.message_ = fmt::format(
         "gate {}: {}", to_string(exchange.peer().peer()),
         stopped() == stop_reason::time_limit ? exchange.describe_silence()
--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -91,6 +91,7 @@
     }
     call_state state{request, std::move(*read), std::move(body), now()};
     report_progress(true);
+    unsent_ = true;
     const bool usable = co_await run(state);
     report_progress(false);
     co_return usable;
@@ -282,15 +283,11 @@
     }
     peer_exchange exchange(
         client(), state.body_, std::move(*lease), settings());
-    on_stop(
-        [&exchange]
-        {
-            exchange.interrupt();
-        });
+    set_exchange(&exchange);
     attempt_end end;
     co_await use_upstream(state, exchange, end);
     co_await exchange.close_request();
-    on_stop({});
+    set_exchange(nullptr);
     exchange.finish(now());
     end_request(state, end.not_run_);
     failed = std::move(end.failed_);
@@ -348,6 +345,7 @@
     auto head = upstream_head(
         state.request_, settings().protocol_, environment_.gate_.instance(),
         state.request_.call_.deadline_ - now());
+    unsent_ = false;
     // After a failed write the upstream may still have answered, but not if
     // the body is bad from the start, when nothing was sent.
     co_await exchange.send(std::move(head), state.request_.framing_.chunked_);
@@ -413,6 +411,12 @@
         answer, state.request_.to_head_request_, state.request_.version_);
     end.keep_connection_ = can_keep(state.parser_) && exchange.request_sent();
     auto head = answer_head(state, answer.get(), framing, end);
+    begin_answer(state.request_.call_.deadline_);
+    exchange.on_answer_write(
+        [this](bool begins)
+        {
+            answer_write(begins);
+        });
     const auto relayed =
         co_await exchange.relay_answer(std::move(head), framing.chunked_);
     if (relayed == relay_end::complete)
@@ -433,6 +437,11 @@
 gate_session::fail(call_state& state, call_failure failure)
 {
     report_progress(false);
+    if (stopped() == stop_reason::refused)
+    {
+        failure = call_failure{{error_kind::draining, "gate: the node stops"}};
+    }
+    unsent_ = false;
     log_failure(state, failure);
     if (stopped() == stop_reason::client_gone)
     {
--- a/adapters/http/peer_exchange.hpp
+++ b/adapters/http/peer_exchange.hpp
@@ -70,6 +70,13 @@
         on_request_sent_ = std::move(handler);
     }
 
+    /// Calls `handler` with true before each write of the answer to the client
+    /// and with false after it.
+    void on_answer_write(std::function<void(bool)> handler)
+    {
+        on_answer_write_ = std::move(handler);
+    }
+
     /// Sends the head alone.
     boost::asio::awaitable<boost::system::error_code>
     send_head(std::string head);
@@ -86,9 +93,10 @@
         return *answer_;
     }
 
-    /// Sends `head` and the answer's body to the client.
+    /// Sends `head` and the answer's body to the client. Nothing is sent before
+    /// an answer of at most `hold_bytes` bytes is whole.
     boost::asio::awaitable<relay_end>
-    relay_answer(std::string head, bool chunked);
+    relay_answer(std::string head, bool chunked, std::size_t hold_bytes = 0);
 
     /// Whether part of the answer may have reached the client.
     [[nodiscard]] bool answer_begun() const noexcept
@@ -106,6 +114,9 @@
     /// Ends the operations on the peer's connection.
     void interrupt();
 
+    /// Whether bytes of the peer wait to be read.
+    [[nodiscard]] bool answer_waits();
+
     /// Gives the connection back if the exchange was whole in both
     /// directions; closes it otherwise. Only after `close_request`.
     void finish(steady_time now);
@@ -116,6 +127,13 @@
         return request_sent_;
     }
 
+    /// Whether `send` failed before a byte of what it was to write had left, so
+    /// that the peer can't have begun to run the request.
+    [[nodiscard]] bool nothing_sent() const noexcept
+    {
+        return nothing_sent_;
+    }
+
     /// Whether part of the body may have reached the peer.
     [[nodiscard]] bool body_released() const noexcept
     {
@@ -146,6 +164,10 @@
     boost::asio::awaitable<boost::system::error_code>
     write_piece(std::string_view head, std::span<const char> piece);
     boost::asio::awaitable<void> pump();
+    void report_write(bool begins);
+    [[nodiscard]] bool may_hold(std::size_t hold_bytes) const;
+    boost::asio::awaitable<boost::system::error_code> hold_answer(
+        std::string& held, std::span<char> space, std::size_t hold_bytes);
     void start_pump();
     [[nodiscard]] bool reusable() const;
 
@@ -159,9 +181,11 @@
     std::optional<std::uint64_t> promised_;
     std::uint64_t body_sent_ = 0;
     std::function<void()> on_request_sent_;
+    std::function<void(bool)> on_answer_write_;
     bool connected_ = false;
     bool chunked_ = false;
     bool request_sent_ = false;
+    bool nothing_sent_ = false;
     bool body_released_ = false;
     bool answer_begun_ = false;
     bool answer_whole_ = false;
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/relay_session.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <string>
@@ -11,7 +12,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/verb.hpp>
 
+#include "adapters/http/peer_exchange.hpp"
 #include "adapters/http/refusal.hpp"
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
@@ -29,6 +32,18 @@
 constexpr std::chrono::milliseconds close_timeout{500};
 constexpr std::size_t close_drop_bytes = std::size_t{256} * 1024;
 
+// A write that takes this long has waited for the client.
+constexpr std::chrono::milliseconds slow_write{1};
+
+// The peer's next bytes have been held up by a client that was waited for; they
+// come within this time if the peer has them.
+constexpr std::chrono::milliseconds next_piece_timeout{250};
+
+// Extension of a time limit for an answer that waits to be read. A loop that is
+// short of processor time may find both at once and take up the limit first; it
+// reads the answer in its next turn.
+constexpr std::chrono::milliseconds waiting_answer_time{20};
+
 std::string describe(const std::exception_ptr& failure)
 {
     try
@@ -66,6 +81,14 @@
            failure != http::error::partial_message;
 }
 
+// The answer to a HEAD request has no body; its caller would take one for the
+// start of the next answer.
+void remove_body(std::string& message)
+{
+    constexpr std::string_view end_of_head = "\r\n\r\n";
+    message.resize(message.find(end_of_head) + end_of_head.size());
+}
+
 } // namespace
 
 std::string_view to_string(stop_reason value)
@@ -82,6 +105,8 @@
         return "node_stops";
     case stop_reason::drained:
         return "drained";
+    case stop_reason::refused:
+        return "refused";
     }
     return "unknown";
 }
@@ -102,12 +127,12 @@
     group_.remove(this);
 }
 
-void relay_session::start(const std::shared_ptr<relay_session>& session)
+bool relay_session::start(const std::shared_ptr<relay_session>& session)
 {
     if (!session->group_.add(
             session, session->settings_.max_client_connections_))
     {
-        return;
+        return false;
     }
     error_code ignored;
     session->client_.socket().set_option(
@@ -124,6 +149,7 @@
             session->client_.close();
             session->timer_.cancel();
         });
+    return true;
 }
 
 void relay_session::cut()
@@ -159,6 +185,19 @@
         });
 }
 
+void relay_session::refuse_unsent()
+{
+    asio::post(
+        client_.socket().get_executor(),
+        [self = shared_from_this()]
+        {
+            if (self->in_call_ && self->is_unsent())
+            {
+                self->stop(stop_reason::refused);
+            }
+        });
+}
+
 asio::awaitable<void> relay_session::run()
 {
     bool usable = true;
@@ -220,23 +259,63 @@
     std::string_view extra_fields)
 {
     const bool keep = can_keep(request);
-    const auto text = refusal_text(
+    auto text = refusal_text(
         failure, claim == not_run_claim::by_kind, keep, extra_fields);
+    const bool to_head_request =
+        request.is_header_done() && request.get().method() == http::verb::head;
+    const bool sent = co_await write_refusal(std::move(text), to_head_request);
+    co_return keep&& sent;
+}
+
+asio::awaitable<bool>
+relay_session::write_refusal(std::string text, bool to_head_request)
+{
+    if (to_head_request)
+    {
+        remove_body(text);
+    }
     resume();
     limit(now() + settings_.refusal_timeout_);
-    const auto written = co_await client_.write(asio::buffer(text));
-    co_return keep && !written;
+    const auto failure = co_await client_.write(asio::buffer(text));
+    co_return !failure;
 }
 
 void relay_session::limit(steady_time when)
 {
     limit_ = when;
+    extended_ = false;
     if (!timer_armed_ || armed_until_ > when)
     {
         arm_timer(when);
     }
 }
 
+void relay_session::begin_answer(steady_time deadline)
+{
+    answer_due_ = deadline;
+    answer_limit_ = std::max(deadline, now()) + settings_.answer_timeout_;
+    limit(deadline);
+}
+
+void relay_session::answer_write(bool begins)
+{
+    if (begins)
+    {
+        write_began_ = now();
+        limit(answer_limit_);
+        return;
+    }
+    const auto written_at = now();
+    const auto taken = written_at - write_began_;
+    answer_due_ += taken;
+    if (taken >= slow_write)
+    {
+        answer_due_ = std::max(answer_due_, written_at + next_piece_timeout);
+    }
+    answer_due_ = std::min(answer_due_, answer_limit_);
+    limit(answer_due_);
+}
+
 asio::awaitable<void> relay_session::pause(steady_time until)
 {
     if (stop_ != stop_reason::none)
@@ -289,17 +368,17 @@
     }
     client_.interrupt();
     wake();
-    if (stop_action_)
+    if (exchange_ != nullptr)
     {
-        stop_action_();
+        exchange_->interrupt();
     }
 }
 
 bool relay_session::can_keep(const request_parser& request) const
 {
     // A node that leaves still answers the requests that it has started.
-    return request.is_done() && request.keep_alive() &&
-           request.get().version() >= 11 && (!group_.draining() || has_ahead());
+    return request.is_done() && keeps_connection(request) &&
+           (!group_.draining() || has_ahead());
 }
 
 asio::awaitable<void> relay_session::close_gently()
@@ -342,6 +421,12 @@
         arm_timer(limit_);
         return;
     }
+    if (!extended_ && exchange_ != nullptr && exchange_->answer_waits())
+    {
+        extended_ = true;
+        arm_timer(now() + waiting_answer_time);
+        return;
+    }
     stop(stop_reason::time_limit);
 }
 
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -1,8 +1,8 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_RELAY_SESSION_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_RELAY_SESSION_HPP
 
-#include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include <boost/asio/awaitable.hpp>
@@ -17,6 +17,8 @@
 
 namespace hemlockshelf {
 
+class peer_exchange;
+
 /// Why the work on a request ends early.
 enum class stop_reason
 {
@@ -26,6 +28,8 @@
     node_stops,
     /// The node drains and the connection carried no request.
     drained,
+    /// The node is about to stop and nothing of the request was passed on.
+    refused,
 };
 
 /// Returns the reason's name, for logs.
@@ -41,7 +45,8 @@
 };
 
 /// A client's connection, which carries one request after another. Everything
-/// but `cut` and `end_if_idle` runs on the thread of the connection.
+/// but `cut`, `end_if_idle` and `refuse_unsent` runs on the thread of the
+/// connection.
 class relay_session : public std::enable_shared_from_this<relay_session>
 {
 public:
@@ -55,9 +60,9 @@
     relay_session(const relay_session&) = delete;
     relay_session& operator=(const relay_session&) = delete;
 
-    /// Serves the connection until it ends. Closes it at once if the group is
-    /// full.
-    static void start(const std::shared_ptr<relay_session>& session);
+    /// Serves the connection until it ends. Closes it at once and returns false
+    /// if the group is full.
+    static bool start(const std::shared_ptr<relay_session>& session);
 
     /// Ends the connection. May be called from any thread.
     void cut();
@@ -66,11 +71,18 @@
     /// arrive. May be called from any thread.
     void end_if_idle();
 
+    /// Ends the work on a request of which nothing was passed on, so that the
+    /// session refuses it. May be called from any thread.
+    void refuse_unsent();
+
 protected:
     /// Serves one request whose head has been read. Returns whether the
     /// connection can carry another one.
     virtual boost::asio::awaitable<bool> serve(request_parser& request) = 0;
 
+    /// Whether nothing of the request that is served has been passed on.
+    [[nodiscard]] virtual bool is_unsent() const = 0;
+
     /// Reads what the client sends while its request is served. Returns whether
     /// the session should go on watching the client.
     virtual bool read_ahead()
@@ -99,10 +111,23 @@
         not_run_claim claim = not_run_claim::by_kind,
         std::string_view extra_fields = {});
 
+    /// Writes an answer of the node itself, without its body if it answers a
+    /// HEAD request. Returns whether all was sent.
+    boost::asio::awaitable<bool>
+    write_refusal(std::string text, bool to_head_request);
+
     /// Ends the work on the request at `when` unless another limit replaces
     /// this one.
     void limit(steady_time when);
 
+    /// Begins the relay of an answer that has come. It ends at `deadline`, but
+    /// the time that the client takes does not count, up to the setting
+    /// `answer_timeout`.
+    void begin_answer(steady_time deadline);
+
+    /// Tells that a write of the answer to the client begins or has ended.
+    void answer_write(bool begins);
+
     /// Waits until `until`, `wake` or `stop`.
     boost::asio::awaitable<void> pause(steady_time until);
 
@@ -124,10 +149,12 @@
         return stop_;
     }
 
-    /// Sets what `stop` calls to end operations that the session does not know.
-    void on_stop(std::function<void()> action)
+    /// Sets the exchange in progress, if any. `stop` interrupts it. An answer
+    /// of its peer that waits at the end of a time limit is read before the
+    /// work is given up.
+    void set_exchange(peer_exchange* exchange) noexcept
     {
-        stop_action_ = std::move(action);
+        exchange_ = exchange;
     }
 
     /// Whether the connection can stay open after the answer to `request`.
@@ -166,13 +193,20 @@
     const clock& time_;
     session_group& group_;
     stop_reason stop_ = stop_reason::none;
-    std::function<void()> stop_action_;
+    peer_exchange* exchange_ = nullptr;
     /// Fires at or before `limit_`; a later limit needs no timer operation.
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer wake_;
     bool timer_armed_ = false;
+    /// Whether the current limit has been extended for an answer that waits.
+    bool extended_ = false;
     steady_time armed_until_;
     steady_time limit_;
+    /// When the relay of the answer ends if the client takes what comes.
+    steady_time answer_due_;
+    /// When it ends however slow the client is.
+    steady_time answer_limit_;
+    steady_time write_began_;
     bool watching_ = false;
     bool in_call_ = false;
 };
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -144,6 +144,12 @@
         {"retry_body_limit",
          "Longest body of a request that can be sent again."},
         settings.retry_body_limit_);
+    read_size(
+        section,
+        {"held_answer_limit",
+         "Longest answer that is held until it is whole; longer ones are "
+         "streamed."},
+        settings.held_answer_limit_);
     read_count(
         section,
         {"max_client_connections",
@@ -159,6 +165,12 @@
         {"refusal_timeout",
          "Limit for writing an answer that the node makes itself."},
         settings.refusal_timeout_);
+    read_duration(
+        section,
+        {"answer_timeout",
+         "Time after a call's deadline for which an answer that has come is "
+         "still passed on to a slow client."},
+        settings.answer_timeout_);
     read_duration(
         section, {"connect_timeout", "Limit for opening a connection."},
         settings.connect_timeout_);
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -2,9 +2,11 @@
 #define HEMLOCKSHELF_TEST_HTTP_CALL_FIXTURE_HPP
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "adapters/http/call_quota.hpp"
@@ -91,6 +93,13 @@
         ready_ = ready;
     }
 
+    /// Sets what the entry's loop runs where it begins to serve a request, so
+    /// that a test can occupy the loop. Set before the first call.
+    void on_call(std::function<void()> action)
+    {
+        on_call_ = std::move(action);
+    }
+
     /// Stops the entry where it begins to serve a request, or lets it go on.
     void set_paused(bool paused)
     {
@@ -100,6 +109,7 @@
 private:
     std::atomic<bool> ready_ = true;
     std::atomic<bool> paused_ = false;
+    std::function<void()> on_call_;
     call_settings settings_;
     retry_settings retry_;
     real_clock time_;
@@ -121,7 +131,8 @@
     gate_under_test(
         const endpoint& upstream,
         std::uint32_t slots = 4,
-        std::uint32_t connections = 8);
+        std::uint32_t connections = 8,
+        const call_settings& settings = test_settings());
     ~gate_under_test();
 
     gate_under_test(const gate_under_test&) = delete;
@@ -134,6 +145,11 @@
         return gate_;
     }
 
+    [[nodiscard]] session_group& group()
+    {
+        return group_;
+    }
+
     /// Lets the upstream announce that it drains, or that it serves again.
     void announce_draining(bool draining);
 
@@ -142,7 +158,7 @@
 private:
     upstream_announcement announced() const;
 
-    call_settings settings_ = test_settings();
+    call_settings settings_;
     real_clock time_;
     null_metrics metrics_;
     const upstream_announcement announced_;
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -70,6 +70,147 @@
     };
 }
 
+/// Occupies the loop of an entry in each call after the first one until the
+/// test lets that call go on.
+class occupied_loop
+{
+public:
+    explicit occupied_loop(entry_under_test& entry)
+    {
+        entry.on_call(
+            [this]
+            {
+                const int call = ++begun_;
+                while (released_ < call)
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds{1});
+                }
+            });
+    }
+
+    void await_call(int number) const
+    {
+        while (begun_ < number)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+    }
+
+    void release(int number)
+    {
+        released_ = number;
+    }
+
+private:
+    std::atomic<int> begun_ = 0;
+    std::atomic<int> released_ = 1;
+};
+
+/// Answers requests for `order` only when `arrived_` is set, others at once.
+class waiting_gate
+{
+public:
+    scripted_server::script script()
+    {
+        return [this](raw_connection& entry)
+        {
+            while (serve(entry))
+            {}
+        };
+    }
+
+    void await_order() const
+    {
+        while (!waiting_)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+    }
+
+    void answer_order()
+    {
+        arrived_ = true;
+        while (!sent_)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+    }
+
+    [[nodiscard]] int bodies() const
+    {
+        return bodies_;
+    }
+
+private:
+    bool serve(raw_connection& entry)
+    {
+        const auto head = entry.read_until("\r\n\r\n");
+        const bool handshake = contains(head, "100-continue");
+        const bool waits = contains(head, "X-Name: order");
+        waiting_ = waiting_ || waits;
+        while (waits && !arrived_)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+        if (handshake)
+        {
+            entry.send(continue_answer);
+            sent_ = true;
+            bodies_ += contains(entry.read_until("0\r\n\r\n"), "silk") ? 1 : 0;
+        }
+        entry.send(answer_to(head, waits ? "late" : "at once"));
+        sent_ = sent_ || waits;
+        return !head.empty();
+    }
+
+    std::atomic<bool> waiting_ = false;
+    std::atomic<bool> arrived_ = false;
+    std::atomic<bool> sent_ = false;
+    std::atomic<int> bodies_ = 0;
+};
+
+// The loop must be occupied before the limit, on a busy machine too.
+constexpr std::chrono::milliseconds late_loop_limit{2'000};
+
+call_settings late_loop_settings()
+{
+    auto settings = test_settings();
+    settings.threads_ = 1;
+    settings.silence_timeout_ = late_loop_limit;
+    settings.handshake_timeout_ = late_loop_limit;
+    return settings;
+}
+
+/// Lets the gate's answer to a call arrive when an entry's loop has found the
+/// end of a time limit of that call and has not acted on it yet: the process is
+/// short of processor time. Returns the answer to the call.
+std::string call_with_late_loop(
+    entry_under_test& entry, waiting_gate& gate, const std::string& request)
+{
+    constexpr std::chrono::milliseconds margin{200};
+    occupied_loop loop(entry);
+    // Accepted before the others.
+    raw_connection last(entry.where());
+    raw_connection caller(entry.where());
+    caller.send(request);
+    gate.await_order();
+    raw_connection first(entry.where());
+    first.send(caller_request("GET"));
+    loop.await_call(2);
+    std::this_thread::sleep_for(late_loop_limit + margin);
+    // The loop finds this request and the end of the time limit in one turn and
+    // takes up the request first.
+    last.send(caller_request("GET"));
+    loop.release(2);
+    loop.await_call(3);
+    gate.answer_order();
+    loop.release(3);
+    auto answer = caller.read_message();
+    first.read_message();
+    last.read_message();
+    return answer;
+}
+
 /// Returns an address where nothing listens any longer.
 endpoint closed_endpoint()
 {
@@ -608,3 +749,294 @@
     cr_assert(contains(answer, "HTTP/1.1 503"));
     cr_assert(!header_of(answer, "Retry-After").empty());
 }
+
+// Guards against a request that is reported as 504, after which an unsafe
+// request can't be sent again, although the gate was given no body to run.
+Test(entry, deadline_in_the_handshake_is_a_true_not_run)
+{
+    scripted_server silent(
+        [](raw_connection& entry)
+        {
+            entry.read_all();
+        });
+    entry_under_test entry({silent.where()}, std::chrono::milliseconds{300});
+    const auto answer = entry.call(caller_request("POST", "order"));
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "deadline_exceeded");
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert(!header_of(answer, "Retry-After").empty());
+}
+
+// Guards against the same status for a request whose deadline passed in a
+// gate's queue.
+Test(entry, deadline_at_the_gate_is_a_true_not_run)
+{
+    scripted_server gate(refusing_gate("deadline_exceeded"));
+    entry_under_test entry({gate.where()});
+    const auto answer = entry.call(caller_request("POST", "order"));
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert(!header_of(answer, "Retry-After").empty());
+}
+
+// Guards against a 503 for a request that may have run: the gate names a kind
+// whose usual answer is 503, without the proof that nothing ran.
+Test(entry, refusal_without_proof_leaves_the_outcome_unknown)
+{
+    for (const auto* kind : {"deadline_exceeded", "draining"})
+    {
+        scripted_server gate(
+            [kind](raw_connection& entry)
+            {
+                const auto head = entry.read_until("\r\n\r\n");
+                entry.send(continue_answer);
+                entry.read_until("0\r\n\r\n");
+                entry.send(
+                    "HTTP/1.1 503 Service Unavailable\r\n"
+                    "Hemlockshelf-Request-Id: " +
+                    header_of(head, "Hemlockshelf-Request-Id") +
+                    "\r\nHemlockshelf-Error: " + kind +
+                    "\r\nContent-Length: 0\r\n\r\n");
+                entry.read_all();
+            });
+        entry_under_test entry({gate.where()});
+        const auto answer = entry.call(caller_request("POST", "order"));
+        cr_assert(contains(answer, "HTTP/1.1 504"), "%s", answer.c_str());
+        cr_assert_eq(
+            header_of(answer, "Hemlockshelf-Error"), "outcome_unknown");
+        cr_assert(!contains(answer, "Not-Run"));
+    }
+}
+
+// Guards against an unsafe request that ends as 504 although no byte of its
+// body was written: the gate was lost between its 100 and the body, which the
+// entry, short of processor time, noticed when it wrote.
+Test(entry, gate_lost_between_its_100_and_the_body_is_replaced)
+{
+    std::atomic<int> executions = 0;
+    auto settings = test_settings();
+    settings.threads_ = 1;
+    std::atomic<bool> occupied = false;
+    std::atomic<bool> lost = false;
+    scripted_server losing(
+        [&](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+            while (!occupied)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+            entry.send(continue_answer);
+            entry.reset();
+            lost = true;
+        });
+    scripted_server honest(honest_gate(executions));
+    entry_under_test entry(
+        {losing.where(), honest.where()}, std::chrono::seconds{20}, 200,
+        settings);
+    occupied_loop loop(entry);
+    raw_connection caller(entry.where());
+    caller.send(caller_request("POST", "order"));
+    while (losing.connections() == 0)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    raw_connection other(entry.where());
+    other.send(caller_request("DELETE"));
+    loop.await_call(2);
+    occupied = true;
+    while (!lost)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    loop.release(2);
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "served"), "%s", answer.c_str());
+}
+
+// Guards against a request that waits for a gate's 100 when its node stops and
+// ends with its connection, without an answer, although it has not run.
+Test(entry, a_stop_answers_a_request_that_waits_for_a_gate)
+{
+    scripted_server silent(
+        [](raw_connection& entry)
+        {
+            entry.read_all();
+        });
+    auto settings = test_settings();
+    settings.handshake_timeout_ = std::chrono::seconds{10};
+    entry_under_test entry(
+        {silent.where(), silent.where()}, std::chrono::seconds{20}, 200,
+        settings);
+    raw_connection caller(entry.where());
+    caller.send(caller_request("POST", "order"));
+    while (silent.connections() == 0)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    entry.group().drain();
+    entry.group().refuse_unsent();
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    entry.group().cut_all();
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Error"), "draining");
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert(!header_of(answer, "Retry-After").empty());
+    cr_assert_eq(silent.connections(), 1);
+}
+
+// Guards against the same end of a request that arrives whole in the last
+// moment before a stop.
+Test(entry, a_stop_answers_a_request_that_arrives_last)
+{
+    std::atomic<int> executions = 0;
+    scripted_server gate(honest_gate(executions));
+    entry_under_test entry({gate.where()});
+    raw_connection caller(entry.where());
+    const auto request = caller_request("GET");
+    caller.send(request.substr(0, 10));
+    std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    entry.group().drain();
+    entry.group().refuse_unsent();
+    caller.send(request.substr(10));
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(executions, 0);
+}
+
+// Guards against a request whose upstream is at work and which is broken off
+// with an answer of the stopping node.
+Test(entry, a_stop_leaves_a_request_alone_that_was_passed_on)
+{
+    std::atomic<bool> arrived = false;
+    std::atomic<bool> refused = false;
+    scripted_server gate(
+        [&](raw_connection& entry)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            entry.send(continue_answer);
+            entry.read_until("0\r\n\r\n");
+            arrived = true;
+            while (!refused)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            entry.send(answer_to(head, "served"));
+            entry.read_all();
+        });
+    entry_under_test entry({gate.where()});
+    raw_connection caller(entry.where());
+    caller.send(caller_request("POST", "order"));
+    while (!arrived)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    entry.group().drain();
+    entry.group().refuse_unsent();
+    refused = true;
+    const auto answer = caller.read_message();
+    cr_assert(contains(answer, "served"), "%s", answer.c_str());
+}
+
+// Guards against another attempt that a stop cuts: the one before ended after
+// the node began to refuse.
+Test(entry, a_stop_begins_no_further_attempt)
+{
+    std::atomic<int> executions = 0;
+    std::atomic<bool> arrived = false;
+    std::atomic<bool> refused = false;
+    scripted_server losing(
+        [&](raw_connection& entry)
+        {
+            entry.read_until("\r\n\r\n");
+            arrived = true;
+            while (!refused)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+        });
+    scripted_server honest(honest_gate(executions));
+    entry_under_test entry({losing.where(), honest.where()});
+    raw_connection caller(entry.where());
+    caller.send(caller_request("GET"));
+    while (!arrived)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    entry.group().drain();
+    entry.group().refuse_unsent();
+    refused = true;
+    const auto answer = caller.read_message();
+    cr_assert_eq(
+        header_of(answer, "Hemlockshelf-Error"), "outcome_unknown", "%s",
+        answer.c_str());
+    cr_assert_eq(executions, 0);
+}
+
+// Guards against an answer that is dropped although it has arrived: the process
+// was short of processor time and acted on the end of a time limit first.
+Test(entry, an_answer_that_has_arrived_at_the_time_limit_is_passed_on)
+{
+    waiting_gate script;
+    scripted_server gate(script.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    const auto answer = call_with_late_loop(
+        entry, script, caller_request("GET", {}, "X-Name: order\r\n"));
+    cr_assert(contains(answer, "late"), "%s", answer.c_str());
+}
+
+// Guards against the same loss at the deadline of a call.
+Test(entry, an_answer_that_has_arrived_at_the_deadline_is_passed_on)
+{
+    waiting_gate script;
+    scripted_server gate(script.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    const auto answer = call_with_late_loop(
+        entry, script,
+        caller_request(
+            "GET", {},
+            "X-Name: order\r\nHemlockshelf-Deadline-Ms: " +
+                std::to_string(late_loop_limit.count()) + "\r\n"));
+    cr_assert(contains(answer, "late"), "%s", answer.c_str());
+}
+
+// Guards against a gate's 100 that is dropped in the same way, so that a
+// request with one gate is refused.
+Test(entry, a_100_that_has_arrived_at_the_time_limit_is_used)
+{
+    waiting_gate script;
+    scripted_server gate(script.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    const auto answer = call_with_late_loop(
+        entry, script, caller_request("POST", "silk", "X-Name: order\r\n"));
+    cr_assert(contains(answer, "late"), "%s", answer.c_str());
+}
+
+// Guards against a body that is sent after the deadline because the 100 had
+// arrived: the request would run for a caller that no longer waits.
+Test(entry, a_100_that_has_arrived_at_the_deadline_releases_no_body)
+{
+    waiting_gate script;
+    scripted_server gate(script.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    const auto answer = call_with_late_loop(
+        entry, script,
+        caller_request(
+            "POST", "silk",
+            "X-Name: order\r\nHemlockshelf-Deadline-Ms: " +
+                std::to_string(late_loop_limit.count()) + "\r\n"));
+    cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
+    cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
+    cr_assert_eq(script.bodies(), 0);
+}
