--- a/node/config_keeper.cpp
+++ b/node/config_keeper.cpp
@@ -180,7 +180,7 @@
 }
 
 result<accepted_delta> config_keeper::adopt(
-    std::shared_ptr<const config_snapshot> snapshot, apply_source source)
+    const std::shared_ptr<const config_snapshot>& snapshot, apply_source source)
 {
     const std::lock_guard lock(mutex_);
     const auto before = snapshots_.current();
--- a/node/config_keeper.hpp
+++ b/node/config_keeper.hpp
@@ -52,8 +52,9 @@
 
     /// Puts a whole snapshot into force, unless an equal or newer revision is.
     /// Returns the delta that leads to it from the revision before, for peers.
-    result<accepted_delta>
-    adopt(std::shared_ptr<const config_snapshot> snapshot, apply_source source);
+    result<accepted_delta> adopt(
+        const std::shared_ptr<const config_snapshot>& snapshot,
+        apply_source source);
 
     [[nodiscard]] std::shared_ptr<const config_snapshot> current() const;
     [[nodiscard]] revision held() const;
--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -45,8 +45,7 @@
     if (read->newest_ != nullptr)
     {
         // A peer may have brought the same revision meanwhile.
-        auto adopted =
-            keeper.adopt(std::move(read->newest_), apply_source::poll);
+        auto adopted = keeper.adopt(read->newest_, apply_source::poll);
         if (adopted)
         {
             report.deltas_.push_back(std::move(*adopted));
