node: start the legs of pushes and offers in one place

offer_deltas repeated the loop of forward that starts a task for each leg; both now call start_legs. Legs within the own failure domain never begin with an offer, as before.

--- a/node/push_agent.cpp
+++ b/node/push_agent.cpp
@@ -43,14 +43,7 @@
         {
             return is_local(leg);
         });
-    for (auto& leg : legs)
-    {
-        auto task = std::make_shared<leg_task>();
-        task->message_ = message;
-        task->offer_ = true;
-        task->leg_ = std::move(leg);
-        send(task);
-    }
+    start_legs(message, std::move(legs), true);
 }
 
 push_message push_agent::make_push(
@@ -118,15 +111,24 @@
     }
     message.sender_ = context_.self_;
     const auto& settings = context_.settings_.dissemination_;
-    auto legs = plan_push(
-        message.duty_, context_.self_, view_for(message.duty_.scope_),
-        settings.domain_fanout_);
+    start_legs(
+        message,
+        plan_push(
+            message.duty_, context_.self_, view_for(message.duty_.scope_),
+            settings.domain_fanout_),
+        settings.offer_first_ && !message.deltas_.empty());
+}
+
+void push_agent::start_legs(
+    const push_message& message,
+    std::vector<push_leg> legs,
+    bool offer_to_other_domains)
+{
     for (auto& leg : legs)
     {
         auto task = std::make_shared<leg_task>();
         task->message_ = message;
-        task->offer_ =
-            settings.offer_first_ && !is_local(leg) && !message.deltas_.empty();
+        task->offer_ = offer_to_other_domains && !is_local(leg);
         task->leg_ = std::move(leg);
         send(task);
     }
--- a/node/push_agent.hpp
+++ b/node/push_agent.hpp
@@ -37,6 +37,12 @@
     void forward(push_message message);
 
 private:
+    /// Sends the message along each leg. Legs to other failure domains may
+    /// begin with an offer, which holds no deltas.
+    void start_legs(
+        const push_message& message,
+        std::vector<push_leg> legs,
+        bool offer_to_other_domains);
     [[nodiscard]] push_message make_push(
         const std::vector<accepted_delta>& deltas, push_scope scope) const;
     struct leg_task
