http: let a relay that never waits yield to its loop

Reads and writes that the system completes at once do not go through the loop. A relay whose peers are faster than the process therefore ran without a pause: other sessions of the loop stood still, and its own time limit could not end it.

A connection now yields after 16 reads and writes (128 KiB) without a wait, which costs one turn of the loop.

--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -24,6 +25,11 @@
 
 constexpr std::size_t read_bytes = std::size_t{8} * 1024;
 
+// A relay whose peers are faster than this process never waits. Without a limit
+// it would keep the loop from running other sessions and expiring timers, such
+// as the one that ends the relay at its deadline. 16 reads are 128 KiB.
+constexpr unsigned max_unwaited = 16;
+
 } // namespace
 
 http_connection::http_connection(
@@ -31,8 +37,23 @@
     : socket_(std::move(socket)), buffer_(max_header_bytes + read_bytes)
 {}
 
+bool http_connection::must_yield() noexcept
+{
+    if (unwaited_ < max_unwaited)
+    {
+        ++unwaited_;
+        return false;
+    }
+    unwaited_ = 0;
+    return true;
+}
+
 asio::awaitable<error_code> http_connection::fill()
 {
+    if (must_yield())
+    {
+        co_await asio::post(socket_.get_executor(), asio::use_awaitable);
+    }
     while (true)
     {
         if (interrupted_)
@@ -50,6 +71,7 @@
         {
             buffer_.shrink_to_fit();
         }
+        unwaited_ = 0;
         co_await socket_.async_wait(
             asio::socket_base::wait_read,
             asio::redirect_error(asio::use_awaitable, failure));
@@ -92,6 +114,10 @@
     asio::const_buffer third,
     asio::const_buffer fourth)
 {
+    if (must_yield())
+    {
+        co_await asio::post(socket_.get_executor(), asio::use_awaitable);
+    }
     error_code failure;
     if (interrupted_)
     {
@@ -107,6 +133,7 @@
     boost::beast::buffers_suffix<std::array<asio::const_buffer, 4>> rest(
         buffers);
     rest.consume(written);
+    unwaited_ = 0;
     written_ += co_await asio::async_write(
         socket_, rest, asio::redirect_error(asio::use_awaitable, failure));
     co_return failure;
--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -90,6 +90,10 @@
     }
 
 private:
+    /// Counts a read or write. Returns whether the loop's other work has to run
+    /// first.
+    [[nodiscard]] bool must_yield() noexcept;
+
     /// Writes what the system takes without waiting and returns the number of
     /// bytes, 0 if it takes none now.
     std::size_t write_at_once(
@@ -99,6 +103,8 @@
     socket_type socket_;
     boost::beast::flat_buffer buffer_;
     std::uint64_t written_ = 0;
+    /// Reads and writes since the last one that waited.
+    unsigned unwaited_ = 0;
     bool interrupted_ = false;
 };
 
