http: extend the time limit of an answer once

A caller's answer, or a gate's, that never ended was cut late or not at all: CTest saw 8.7 and 19.7 s for a limit of 6 s.

At the end of a time limit an answer that waits in the socket is read first, 20 ms longer, once for a limit. Each write of the relay set the limit anew and so allowed the next extension; a relay that was slower than its peer found bytes at every look and never ended. The writes now move the limit and leave its extension as it is.

The two new tests slow the relay down by its clock, so that bytes always wait.

--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -282,8 +282,13 @@
 
 void relay_session::limit(steady_time when)
 {
-    limit_ = when;
     extended_ = false;
+    move_limit(when);
+}
+
+void relay_session::move_limit(steady_time when)
+{
+    limit_ = when;
     if (!timer_armed_ || armed_until_ > when)
     {
         arm_timer(when);
@@ -302,7 +307,7 @@
     if (begins)
     {
         write_began_ = now();
-        limit(answer_limit_);
+        move_limit(answer_limit_);
         return;
     }
     const auto written_at = now();
@@ -313,7 +318,7 @@
         answer_due_ = std::max(answer_due_, written_at + next_piece_timeout);
     }
     answer_due_ = std::min(answer_due_, answer_limit_);
-    limit(answer_due_);
+    move_limit(answer_due_);
 }
 
 asio::awaitable<void> relay_session::pause(steady_time until)
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -184,6 +184,9 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> serve_next();
     boost::asio::awaitable<void> close_gently();
+    /// Changes the time of the current limit. Whether it has been extended
+    /// stays as it is.
+    void move_limit(steady_time when);
     void arm_timer(steady_time when);
     void check_time();
     void check_client(bool readable);
--- a/test/http/call_fixture.cpp
+++ b/test/http/call_fixture.cpp
@@ -49,6 +49,21 @@
 
 } // namespace
 
+steady_time delayed_clock::now() const
+{
+    const auto delay = delay_.load();
+    if (delay.count() > 0)
+    {
+        std::this_thread::sleep_for(delay);
+    }
+    return time_.now();
+}
+
+wall_time delayed_clock::wall_now() const
+{
+    return time_.wall_now();
+}
+
 fixed_router::fixed_router(std::vector<endpoint> gates)
     : gates_(std::move(gates))
 {}
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_TEST_HTTP_CALL_FIXTURE_HPP
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -31,6 +32,24 @@
     void observe(metric_id, std::string_view, double) override {}
 };
 
+/// A clock whose readings take a time of their own, so that what reads it is
+/// slower than its peers.
+class delayed_clock final : public clock
+{
+public:
+    [[nodiscard]] steady_time now() const override;
+    [[nodiscard]] wall_time wall_now() const override;
+
+    void set_delay(std::chrono::microseconds delay)
+    {
+        delay_ = delay;
+    }
+
+private:
+    real_clock time_;
+    std::atomic<std::chrono::microseconds> delay_{};
+};
+
 /// Offers gates in a fixed order.
 class fixed_router final : public call_router
 {
@@ -87,6 +106,11 @@
         return group_;
     }
 
+    [[nodiscard]] delayed_clock& time()
+    {
+        return time_;
+    }
+
     /// Sets whether the node has joined.
     void set_ready(bool ready)
     {
@@ -112,7 +136,7 @@
     std::function<void()> on_call_;
     call_settings settings_;
     retry_settings retry_;
-    real_clock time_;
+    delayed_clock time_;
     null_metrics metrics_;
     snapshot_store snapshots_;
     session_group group_;
@@ -150,6 +174,11 @@
         return group_;
     }
 
+    [[nodiscard]] delayed_clock& time()
+    {
+        return time_;
+    }
+
     /// Lets the upstream announce that it drains, or that it serves again.
     void announce_draining(bool draining);
 
@@ -159,7 +188,7 @@
     upstream_announcement announced() const;
 
     call_settings settings_;
-    real_clock time_;
+    delayed_clock time_;
     null_metrics metrics_;
     const upstream_announcement announced_;
     std::atomic<bool> draining_ = false;
--- a/test/http/test_endless_answer.cpp
+++ b/test/http/test_endless_answer.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds timeout{1'000};
 constexpr milliseconds reserve{1'500};
 constexpr milliseconds trickle_interval{20};
+constexpr milliseconds short_answer_timeout{500};
+// With a few readings for each piece, a peer without a pause is faster.
+constexpr std::chrono::microseconds slow_clock_reading{200};
 constexpr std::size_t max_growth_kib = std::size_t{48} * 1024;
 constexpr std::size_t piece_bytes = 4096;
 
@@ -165,6 +168,13 @@
     cr_expect(!caller.drop_all().ends_with("\r\n0\r\n\r\n"));
 }
 
+call_settings short_answer_settings()
+{
+    auto settings = test_settings();
+    settings.answer_timeout_ = short_answer_timeout;
+    return settings;
+}
+
 void expect_gate_cut(const flood& what, const std::string& after_head)
 {
     scripted_server upstream(flooding(what, after_head));
@@ -276,6 +286,33 @@
     expect_gate_cut(endless_body, "\r\n");
 }
 
+// Guards against a time limit that is extended again and again, because bytes
+// of the endless body wait to be read each time it passes.
+Test(endless_answer, slow_entry_ends_a_body)
+{
+    scripted_server gate(flooding(endless_body, "\r\n"));
+    const auto settings = short_answer_settings();
+    entry_under_test entry({gate.where()}, timeout, 200, settings);
+    entry.time().set_delay(slow_clock_reading);
+    const cost_check cost(short_answer_timeout);
+    raw_connection caller(entry.where());
+    caller.send(caller_request("GET"));
+    caller.drop_all();
+}
+
+// Guards against the same at the gate.
+Test(endless_answer, slow_gate_ends_a_body)
+{
+    scripted_server upstream(flooding(endless_body, "\r\n"));
+    const auto settings = short_answer_settings();
+    gate_under_test gate(upstream.where(), 4, 8, settings);
+    gate.time().set_delay(slow_clock_reading);
+    const cost_check cost(short_answer_timeout);
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("GET", {}, timeout.count()));
+    entry.drop_all();
+}
+
 // Guards against a head that comes byte by byte and keeps the entry waiting
 // beyond the deadline.
 Test(endless_answer, entry_ends_a_head_that_trickles)
