http: take no further pipelined requests while a node drains

A node that stopped kept a caller's connection open as long as pipelined requests were in progress on it, and read the next ones meanwhile. With long requests among them the chain went on until the cut at the end of the grace time, where requests that upstreams were working on, or had answered behind a longer one, ended without an answer.

A draining node now reads nothing ahead: the requests that it has passed on are answered, and the last of these answers announces the close. The new test failed before (a third request ran and the connection stayed open).

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -71,7 +71,9 @@
 
 bool entry_session::read_ahead()
 {
-    if (!may_read_ahead_)
+    // Requests that follow one another would keep the connection, and the node,
+    // in use until the cut.
+    if (!may_read_ahead_ || group().draining())
     {
         return false;
     }
@@ -100,10 +102,13 @@
 
 asio::awaitable<bool> entry_session::answer_ahead()
 {
-    may_read_ahead_ = true;
+    may_read_ahead_ = !group().draining();
     // The session that serves the request refuses it where that is true.
     unsent_ = false;
-    pipeline_.take();
+    if (may_read_ahead_)
+    {
+        pipeline_.take();
+    }
     request_parser none;
     request_body body(client(), none, settings().relay_buffer_bytes_, 0);
     auto next = pipeline_.next();
@@ -234,7 +239,8 @@
     }
     environment_.router_.call_started(route, now());
     // What follows a request that ends the connection is not answered.
-    may_read_ahead_ = request.is_done() && keeps_connection(request);
+    may_read_ahead_ =
+        request.is_done() && keeps_connection(request) && !group().draining();
     if (may_read_ahead_)
     {
         pipeline_.take();
--- a/test/http/test_pipelined_answer.cpp
+++ b/test/http/test_pipelined_answer.cpp
@@ -211,6 +211,34 @@
     cr_assert_eq(executions, 1);
 }
 
+// Guards against a draining node that takes one pipelined request after another
+// because an earlier one is in progress, until it cuts the last ones: the
+// connection is to end after the requests that were passed on before.
+Test(pipelined_answer, a_draining_node_takes_no_further_pipelined_requests)
+{
+    constexpr std::chrono::milliseconds run_time{300};
+    std::atomic<int> executions = 0;
+    scripted_server gate(counting_gate(executions, run_time));
+    entry_under_test entry({gate.where()});
+    const auto slow = caller_request("GET", {}, slow_field);
+    raw_connection caller(entry.where());
+    caller.send(slow + slow);
+    while (executions < 2)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    entry.group().drain();
+    caller.send(slow);
+    const auto first = caller.read_message();
+    cr_assert(first.starts_with("HTTP/1.1 200"), "%s", first.c_str());
+    caller.send(slow);
+    const auto second = caller.read_message();
+    cr_assert(second.starts_with("HTTP/1.1 200"), "%s", second.c_str());
+    cr_expect(contains(second, "Connection: close"));
+    cr_expect_eq(caller.read_all(), "");
+    cr_expect_eq(executions, 2);
+}
+
 // Guards against a refused HEAD request whose answer has a body: the caller
 // takes it for the start of the next answer.
 Test(pipelined_answer, a_refused_head_request_has_no_body)
