http: keep the extension of a time limit while an answer is passed on

An answer that waits when its time is over gets 20 ms. Since the extension is given once, the first piece that was written set the limit back to the time that was over and ended the relay, so that the rest of the answer was cut although it was at hand. Found by review; no run has shown it, and a test would depend on 20 ms.

--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -429,7 +429,9 @@
     if (!extended_ && exchange_ != nullptr && exchange_->answer_waits())
     {
         extended_ = true;
-        arm_timer(now() + waiting_answer_time);
+        limit_ = now() + waiting_answer_time;
+        answer_due_ = std::max(answer_due_, limit_);
+        arm_timer(limit_);
         return;
     }
     stop(stop_reason::time_limit);
