gate: refuse a request whose entry has closed behind its body

A gate that stood still while an entry gave up and closed found the body of the request in its socket when it woke, took that for a connection in use and passed the request on. For an idempotent request that the entry had tried elsewhere meanwhile this is work that nobody waits for.

The gate now asks the system whether the peer has closed, whatever waits to be read. The new test failed before (the upstream ran the request).

--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -206,8 +206,8 @@
             {error_kind::deadline_exceeded, "gate: the deadline has passed"}};
     }
     // Guards against work for an entry that has given up while this process
-    // was paused.
-    if (client().look() == connection_look::closed)
+    // was paused. Its body may still wait to be read.
+    if (client().peer_has_closed())
     {
         stop(stop_reason::client_gone);
         co_return call_failure{
--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -227,6 +228,17 @@
     return nothing_yet ? connection_look::quiet : connection_look::closed;
 }
 
+bool http_connection::peer_has_closed()
+{
+    if (!socket_.is_open())
+    {
+        return true;
+    }
+    pollfd look{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&look, 1, 0) > 0 &&
+           (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 std::optional<std::size_t> http_connection::unacknowledged()
 {
     int bytes = 0;
--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -78,6 +78,10 @@
     /// Like `look`, whatever the buffer holds.
     [[nodiscard]] connection_look look_at_socket();
 
+    /// Tells whether the peer has closed the connection, also where bytes wait
+    /// to be read before its end.
+    [[nodiscard]] bool peer_has_closed();
+
     /// Bytes that were written and that the peer's system has not acknowledged;
     /// nothing if the system does not say. Any that stay show a link that is
     /// full or cut, none a peer whose process does not answer.
--- a/test/http/test_gate.cpp
+++ b/test/http/test_gate.cpp
@@ -400,6 +400,27 @@
     cr_assert(contains(entry.read_until("\r\n\r\n"), "102 Processing"));
 }
 
+// Guards against work for an entry that has given up and closed while the gate
+// stood still: its body waits in the socket before the end of the connection.
+Test(gate, nothing_runs_for_an_entry_that_closed_after_its_body)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(honest_upstream(executions));
+    gate_under_test gate(upstream.where());
+    {
+        raw_connection entry(gate.where());
+        entry.send(gate_request_text("POST", handshake_fields));
+        cr_assert(contains(entry.read_until("\r\n\r\n"), "100 Continue"));
+        // The gate reads the time between the arrival of the body and its
+        // decision.
+        gate.time().set_delay(std::chrono::milliseconds{100});
+        const std::string chunk(0x10000, 'x');
+        entry.send("10000\r\n" + chunk + "\r\n0\r\n\r\n");
+    }
+    std::this_thread::sleep_for(std::chrono::seconds{2});
+    cr_assert_eq(executions.load(), 0);
+}
+
 // Guards against a call that a stopping gate holds without having passed it on
 // and then cuts: the entry can't tell that it has not run.
 Test(gate, a_stop_answers_a_call_whose_body_is_awaited)
