rpc: look for timers while the control loop is busy

kj looks for timers and new I/O only when its queue is empty, unless told otherwise, so that a node under a steady load of control calls runs its tick late; after 2 s it holds itself to have been paused and refuses calls. It now looks after 64 turns.

--- a/adapters/rpc/control_network.cpp
+++ b/adapters/rpc/control_network.cpp
@@ -18,6 +18,10 @@
 
 namespace {
 
+// By default kj looks for timers and I/O only when its queue is empty. Under a
+// steady load of calls the timers, among them the node's tick, would be late.
+constexpr unsigned max_turns_without_poll = 64;
+
 kj::Duration to_kj(std::chrono::milliseconds value)
 {
     return value.count() * kj::MILLISECONDS;
@@ -232,6 +236,7 @@
     void run()
     {
         auto io = kj::setupAsyncIo();
+        io.waitScope.setBusyPollInterval(max_turns_without_poll);
         control_loop loop(settings_, handler_, metrics_, io, kj::mv(listener_));
         loop_ = &loop;
         while (run_posted(io.waitScope))
