gate: wake up when a body on the link is overdue

An upload that waited for the link of a body which its entry did not send started at the next regular refresh, up to 200 ms after the link could have been taken back.

`next_expiry` did not count the time at which a granted body is overdue, and the node's refresh did not ask for it. It now counts that time even while no call waits: a body is overdue 500 ms after its grant at the earliest, so that each refresh, at most 200 ms apart, sees it before it comes, whichever call comes to wait in between. `upstream_gate::next_refresh` bounds the pause to 5 to 200 ms: work that is due may have to wait for a call with a better claim, which would otherwise keep the loop busy. Waiting calls that expire are refused at their time as well, where a refresh knew of them.

--- a/adapters/http/upstream_gate.cpp
+++ b/adapters/http/upstream_gate.cpp
@@ -1,5 +1,8 @@
 #include "adapters/http/upstream_gate.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 #include <fmt/format.h>
 
 #include "hemlockshelf/config/traffic_class.hpp"
@@ -9,6 +12,15 @@
 
 namespace {
 
+// The gate learns of a drain or a changed capacity within this time even when
+// no call arrives. It is shorter than the time after which a body can be
+// overdue, so that the owner learns of that time before it comes.
+constexpr std::chrono::milliseconds longest_refresh{200};
+
+// Bounds the processor time of refreshes where work that is due must wait for
+// something else, such as a call with a better claim.
+constexpr std::chrono::milliseconds shortest_refresh{5};
+
 /// Whether an announcement tells the gate nothing new.
 bool same_capacity(
     const upstream_announcement& left, const upstream_announcement& right)
@@ -212,6 +224,15 @@
     call(decided);
 }
 
+steady_time upstream_gate::next_refresh() const
+{
+    const auto now = time_.now();
+    const std::lock_guard lock(mutex_);
+    const auto latest = now + longest_refresh;
+    return std::clamp(
+        next_expiry(state_).value_or(latest), now + shortest_refresh, latest);
+}
+
 void upstream_gate::close_idle()
 {
     const std::lock_guard lock(mutex_);
--- a/adapters/http/upstream_gate.hpp
+++ b/adapters/http/upstream_gate.hpp
@@ -85,10 +85,14 @@
     /// Refuses every waiting and every later call as not run.
     void leave();
 
-    /// Takes over what the upstream announces, drops expired calls and closes
-    /// aged connections. Called at least every second.
+    /// Takes over what the upstream announces, drops expired calls, takes the
+    /// link back from overdue bodies and closes aged connections. Called at
+    /// `next_refresh`.
     void refresh();
 
+    /// Returns when `refresh` is to be called next: 5 to 200 ms from now.
+    [[nodiscard]] steady_time next_refresh() const;
+
     void close_idle();
 
     /// Counts a long body that begins and one that ends to arrive.
--- a/include/hemlockshelf/gate/admission.hpp
+++ b/include/hemlockshelf/gate/admission.hpp
@@ -24,12 +24,15 @@
 /// not wait (a call that holds a slot is released instead).
 bool cancel_waiting(gate_state& state, gate_call_id id);
 
-/// Refuses the waiting calls that can't be served in time any more, and starts
-/// those for which the lookups' reserve is lent. The gate's owner calls it at
+/// Refuses the waiting calls that can't be served in time any more, takes the
+/// link back from overdue bodies, and starts the calls for which the link or
+/// the lookups' reserve is free then. The gate's owner calls it at
 /// `next_expiry`.
 gate_events expire_waiting(gate_state& state, steady_time now);
 
-/// Returns when `expire_waiting` has work next, or nothing if no call waits.
+/// Returns when `expire_waiting` has work next, or nothing if no call waits and
+/// no body is on its way. The time at which a body is overdue counts even if no
+/// call waits, since a call that comes to wait later does not wake the owner.
 std::optional<steady_time> next_expiry(const gate_state& state);
 
 /// Sets what the upstream announces. Running calls are never cut: after a
--- a/node/call_plane.cpp
+++ b/node/call_plane.cpp
@@ -27,9 +27,6 @@
 
 namespace {
 
-// The gate learns of a drain or a changed capacity within this time even when
-// no call arrives.
-constexpr std::chrono::milliseconds refresh_interval{200};
 constexpr std::chrono::seconds cut_timeout{2};
 
 bool shed_is_not_run(const snapshot_store& snapshots, std::string_view pool)
@@ -214,7 +211,7 @@
         {
             upstream_gate_.refresh();
             gates_.close_aged(time_.now());
-            timer.expires_after(refresh_interval);
+            timer.expires_at(upstream_gate_.next_refresh());
             co_await timer.async_wait(asio::use_awaitable);
         }
     }
--- a/src/gate/admission.cpp
+++ b/src/gate/admission.cpp
@@ -73,6 +73,24 @@
     }
 }
 
+std::optional<steady_time> next_overdue_body(const gate_state& state)
+{
+    std::optional<steady_time> next;
+    if (state.link_.granted_ == 0)
+    {
+        return next;
+    }
+    for (const auto& [id, call] : state.running_)
+    {
+        if (call.granted_ > 0)
+        {
+            next =
+                std::min(next.value_or(call.body_due_at_), call.body_due_at_);
+        }
+    }
+    return next;
+}
+
 void start_waiting(gate_state& state, gate_events& events, steady_time now)
 {
     drop_expired(state, events, now);
@@ -245,7 +263,7 @@
 
 std::optional<steady_time> next_expiry(const gate_state& state)
 {
-    std::optional<steady_time> next;
+    auto next = next_overdue_body(state);
     const auto lent_at = reserve_lent_at(state);
     for (const auto& call : state.queue_)
     {
--- a/test/gate/test_body_link.cpp
+++ b/test/gate/test_body_link.cpp
@@ -167,6 +167,26 @@
     cr_assert(events.started_.front() == waiting.id_);
 }
 
+// Guards against waiting uploads that get the link only some time after the
+// body that holds it is overdue, and against an owner that does not wake
+// because the first upload came to wait after it had asked for the time.
+Test(body_link, an_overdue_body_wakes_the_owner)
+{
+    fixture gate;
+    cr_assert(!next_expiry(gate.state_));
+    offer_call(gate.state_, upload(gate.now_), gate.now_);
+    const auto alone = next_expiry(gate.state_);
+    cr_assert(alone.has_value());
+    const auto waiting = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    cr_assert(waiting.admission_ == admission::queued);
+    cr_assert(next_expiry(gate.state_) == alone);
+    cr_assert(expire_waiting(gate.state_, *alone - 1ms).started_.empty());
+    const auto events = expire_waiting(gate.state_, *alone);
+    cr_assert(events.started_.size() == 1);
+    cr_assert(events.started_.front() == waiting.id_);
+    cr_assert(next_expiry(gate.state_) > alone);
+}
+
 // Guards against an upload that is asked for its body although the link can't
 // bring it in time, and against a refusal that blames the slots.
 Test(body_link, what_the_link_cannot_bring_is_refused)
