gate: assume 64 KiB for bodies of a kind not yet seen

A body of unknown length counted as the mean of its kind, and as nothing until one of the kind had arrived. Any number of chunked uploads that came at a gate's start, or after a change of routes, were asked for at once over a narrow link.

Such a body now counts 64 KiB, about the size of a photograph, until the first of its kind has arrived. Where that is too much, the first bodies of the kind wait for each other and no later ones do.

The test failed before: the first chunked body was granted 0 bytes.

--- a/include/hemlockshelf/gate/body_link.hpp
+++ b/include/hemlockshelf/gate/body_link.hpp
@@ -32,7 +32,8 @@
 };
 
 /// Returns the bytes of the call's body that are counted on the link: the mean
-/// of its kind if the call does not say; 0 if none is awaited or it is short.
+/// of its kind if the call does not say, 64 KiB until one of the kind has
+/// arrived; 0 if none is awaited or it is short.
 std::uint64_t body_bytes(const body_link& link, const gate_call& call);
 
 /// Returns whether a body of that size may begin now.
--- a/src/gate/body_link.cpp
+++ b/src/gate/body_link.cpp
@@ -20,11 +20,16 @@
 // them from the link; what they take is in the part that bodies may not use.
 constexpr std::uint64_t short_body = 4096;
 
+// Bytes of a body of unknown size until one of its kind has arrived. Uploads
+// of photographs have about this size; too large an assumption only delays the
+// first bodies of a kind.
+constexpr std::uint64_t assumed_body = std::uint64_t{64} * 1024;
+
 std::uint64_t mean_of(const body_link& link, const gate_call& call)
 {
     const auto found = link.mean_bytes_.find(kind_of(call));
     return found == link.mean_bytes_.end()
-               ? 0
+               ? assumed_body
                : static_cast<std::uint64_t>(found->second);
 }
 
--- a/test/gate/test_body_link.cpp
+++ b/test/gate/test_body_link.cpp
@@ -218,6 +218,27 @@
     cr_assert(gate.state_.link_.granted_ == upload_bytes);
 }
 
+// Guards against bodies of unknown size that are all asked for at once because
+// none of their kind has been seen, and against an assumption that outlives the
+// first body.
+Test(body_link, an_unknown_size_of_an_unseen_kind_is_assumed)
+{
+    fixture gate;
+    auto chunked = upload(gate.now_);
+    chunked.body_ = std::nullopt;
+    const auto first = offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(first.admission_ == admission::admitted);
+    cr_assert(gate.state_.link_.granted_ > 0);
+    const auto second = offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(second.admission_ == admission::queued);
+    const auto events =
+        receive_body(gate.state_, first.id_, byte_count{300}, gate.now_);
+    cr_assert(events.started_.size() == 1);
+    cr_assert(gate.state_.link_.granted_ == 0);
+    const auto third = offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(third.admission_ == admission::admitted);
+}
+
 // Guards against a link whose capacity is not known and that grants nothing.
 Test(body_link, without_a_capacity_every_body_is_granted)
 {
