gate: count long bodies in the gate's state

The gauge of long bodies had a counter, a lease and three functions of its own beside the gate's list of running calls, and each body of a few bytes took the gate's lock when it had arrived, although it holds no grant.

The gate's state now counts the running calls whose long bodies have not arrived; the gauge and `body_delayed` show the same figures as before. It is not the number of calls with granted bytes: that is 0 where the link's capacity is not known, and leaves out the overdue bodies. The size of a short body is learned when its call starts, since it is known then, so that its arrival needs no lock. Parts of bodies are not reported where the link's capacity is not known.

A body counts as long beyond 16 KiB; that was the size of the relay's buffer, which is 16 KiB unless it is set.

`long_bodies_are_counted_while_they_arrive` passed before and passes now. `a_short_body_does_not_take_the_lock` and `short_bodies_are_learned_without_a_report` failed before.

--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -182,11 +182,6 @@
     {
         report_progress(false);
         state.body_awaited_at_ = now();
-        if (state.request_.framing_.length_.value_or(0) >
-            settings().relay_buffer_bytes_)
-        {
-            state.long_body_.emplace(environment_.gate_);
-        }
         limit(std::min(
             state.request_.call_.deadline_,
             now() + settings().first_byte_timeout_));
@@ -227,21 +222,16 @@
     environment_.gate_.receive_part(state.id_, byte_count{part});
 }
 
-void gate_session::end_body(call_state& state, byte_count bytes)
+void gate_session::end_body(const call_state& state, byte_count bytes)
 {
-    if (state.request_.call_.awaits_body_)
-    {
-        environment_.gate_.receive_body(state.id_, bytes);
-    }
-    if (!state.long_body_)
+    if (!is_reported(state.request_.call_))
     {
         return;
     }
-    const auto bodies = environment_.gate_.bodies();
-    state.long_body_.reset();
+    const auto bodies = environment_.gate_.receive_body(state.id_, bytes);
     const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
         now() - state.body_awaited_at_);
-    if (taken < delayed_body)
+    if (!is_long(state.request_.call_) || taken < delayed_body)
     {
         return;
     }
--- a/adapters/http/gate_session.hpp
+++ b/adapters/http/gate_session.hpp
@@ -55,8 +55,6 @@
         steady_time arrived_at_;
         /// Set once the call is admitted.
         gate_call_id id_{};
-        /// Set while a long body arrives.
-        std::optional<body_lease> long_body_{};
         steady_time body_awaited_at_{};
         /// Bytes of the body of which the gate has been told.
         std::uint64_t told_bytes_ = 0;
@@ -107,7 +105,7 @@
     /// Tells the gate of a part of a body of which so many bytes have arrived.
     void receive_part(call_state& state, std::uint64_t bytes);
     /// Ends the wait for a body of so many bytes and reports a long one.
-    void end_body(call_state& state, byte_count bytes);
+    void end_body(const call_state& state, byte_count bytes);
     std::optional<call_failure> begin_request(const call_state& state);
     void end_request(const call_state& state, bool not_run);
     [[nodiscard]] std::string answer_head(
--- a/adapters/http/upstream_gate.cpp
+++ b/adapters/http/upstream_gate.cpp
@@ -41,8 +41,8 @@
     std::function<std::optional<upstream_announcement>()> upstream,
     metric_sink& metrics)
     : settings_(settings), time_(time), upstream_(std::move(upstream)),
-      metrics_(metrics), pace_(limits.new_connections_), state_(limits),
-      records_(limits)
+      metrics_(metrics), pace_(limits.new_connections_),
+      link_known_(limits.link_.value() > 0), state_(limits), records_(limits)
 {}
 
 admission_result
@@ -75,6 +75,10 @@
 
 void upstream_gate::receive_part(gate_call_id id, byte_count bytes)
 {
+    if (!link_known_)
+    {
+        return;
+    }
     decision_list decided;
     {
         const std::lock_guard lock(mutex_);
@@ -86,17 +90,20 @@
     call(decided);
 }
 
-void upstream_gate::receive_body(gate_call_id id, byte_count bytes)
+std::uint32_t upstream_gate::receive_body(gate_call_id id, byte_count bytes)
 {
+    std::uint32_t bodies = 0;
     decision_list decided;
     {
         const std::lock_guard lock(mutex_);
+        bodies = state_.long_bodies_;
         collect(
             hemlockshelf::receive_body(state_, id, bytes, time_.now()),
             decided);
         report();
     }
     call(decided);
+    return bodies;
 }
 
 void upstream_gate::release_slot(gate_call_id id)
@@ -252,21 +259,6 @@
     drop_idle(idle_.clear());
 }
 
-void upstream_gate::begin_body()
-{
-    metrics_.set(metric_id::gate_bodies, {}, static_cast<double>(++bodies_));
-}
-
-void upstream_gate::end_body()
-{
-    metrics_.set(metric_id::gate_bodies, {}, static_cast<double>(--bodies_));
-}
-
-std::uint32_t upstream_gate::bodies() const
-{
-    return bodies_;
-}
-
 std::uint32_t upstream_gate::free_slots() const
 {
     const std::lock_guard lock(mutex_);
@@ -385,6 +377,12 @@
     metrics_.set(
         metric_id::gate_queue_length, {},
         static_cast<double>(state_.queue_.size()));
+    if (state_.long_bodies_ != reported_bodies_)
+    {
+        reported_bodies_ = state_.long_bodies_;
+        metrics_.set(
+            metric_id::gate_bodies, {}, static_cast<double>(reported_bodies_));
+    }
 }
 
 void upstream_gate::call(decision_list& decided)
--- a/adapters/http/upstream_gate.hpp
+++ b/adapters/http/upstream_gate.hpp
@@ -1,7 +1,6 @@
 #ifndef HEMLOCKSHELF_ADAPTERS_HTTP_UPSTREAM_GATE_HPP
 #define HEMLOCKSHELF_ADAPTERS_HTTP_UPSTREAM_GATE_HPP
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -59,8 +58,9 @@
     /// arrived.
     void receive_part(gate_call_id id, byte_count bytes);
 
-    /// Notes that the body of an admitted call has arrived whole.
-    void receive_body(gate_call_id id, byte_count bytes);
+    /// Notes that the body of an admitted call has arrived whole. Returns how
+    /// many long bodies were arriving until then.
+    std::uint32_t receive_body(gate_call_id id, byte_count bytes);
 
     /// Gives the slot of an admitted call back.
     void release_slot(gate_call_id id);
@@ -99,12 +99,6 @@
 
     void close_idle();
 
-    /// Counts a long body that begins and one that ends to arrive.
-    void begin_body();
-    void end_body();
-    /// Long bodies that are arriving.
-    [[nodiscard]] std::uint32_t bodies() const;
-
     [[nodiscard]] std::uint32_t free_slots() const;
 
     /// Name of the announced instance; empty if it has none.
@@ -134,8 +128,12 @@
     std::function<std::optional<upstream_announcement>()> upstream_;
     metric_sink& metrics_;
     token_rate pace_;
+    /// Whether the link's capacity is known, so that bodies are granted.
+    const bool link_known_;
     mutable std::mutex mutex_;
     gate_state state_;
+    /// Value of the gauge of long bodies, which seldom changes.
+    std::uint32_t reported_bodies_ = 0;
     idempotency_records records_;
     connection_ledger ledger_;
     idle_connections idle_;
@@ -144,7 +142,6 @@
     /// Start of the upstream to which the idle connections belong.
     announcement_order start_;
     bool leaving_ = false;
-    std::atomic<std::uint32_t> bodies_ = 0;
     std::unordered_map<gate_call_id, decision_handler> waiting_;
 };
 
@@ -167,27 +164,6 @@
     gate_call_id id_;
 };
 
-/// Counts a long body while it arrives.
-class body_lease
-{
-public:
-    explicit body_lease(upstream_gate& gate) : gate_(gate)
-    {
-        gate_.begin_body();
-    }
-
-    ~body_lease()
-    {
-        gate_.end_body();
-    }
-
-    body_lease(const body_lease&) = delete;
-    body_lease& operator=(const body_lease&) = delete;
-
-private:
-    upstream_gate& gate_;
-};
-
 } // namespace hemlockshelf
 
 #endif
--- a/include/hemlockshelf/gate/admission.hpp
+++ b/include/hemlockshelf/gate/admission.hpp
@@ -49,7 +49,8 @@
     gate_state& state, gate_call_id id, byte_count bytes, steady_time now);
 
 /// Notes that the body of a running call has arrived, so that the link is free
-/// for others. `bytes` is its size.
+/// for others. `bytes` is its size. Only for bodies whose arrival
+/// `is_reported`.
 gate_events receive_body(
     gate_state& state, gate_call_id id, byte_count bytes, steady_time now);
 
--- a/include/hemlockshelf/gate/body_link.hpp
+++ b/include/hemlockshelf/gate/body_link.hpp
@@ -41,6 +41,14 @@
 /// arrived; 0 if none is awaited or it is short.
 std::uint64_t body_bytes(const body_link& link, const gate_call& call);
 
+/// Returns whether the arrival of the call's body is to be reported: one is
+/// awaited and is not known to be short.
+bool is_reported(const gate_call& call);
+
+/// Returns whether the call's body is known to be so long that an operator
+/// wants to see it.
+bool is_long(const gate_call& call);
+
 /// Returns whether a body of that size may begin now.
 bool has_room(const body_link& link, std::uint64_t bytes);
 
--- a/include/hemlockshelf/gate/gate_state.hpp
+++ b/include/hemlockshelf/gate/gate_state.hpp
@@ -28,6 +28,8 @@
     std::chrono::nanoseconds charged_{0};
     /// Bytes of the body that were granted and have not arrived.
     std::uint64_t granted_ = 0;
+    /// Whether the body is long and has not arrived whole, granted or not.
+    bool long_body_ = false;
     /// Time after which they are no longer waited for.
     steady_time body_due_at_{};
 };
@@ -61,6 +63,8 @@
     bool draining_ = false;
     std::uint64_t next_id_ = 1;
     body_link link_;
+    /// Running calls whose long bodies have not arrived whole.
+    std::uint32_t long_bodies_ = 0;
     std::unordered_map<gate_call_id, running_call> running_;
     std::array<std::uint32_t, traffic_class_count> running_by_class_{};
     /// In the order of arrival.
--- a/src/gate/admission.cpp
+++ b/src/gate/admission.cpp
@@ -32,12 +32,22 @@
     state.entry_usage_.charge(call.entry_usage_, slot_time, now);
 }
 
+// The arrival of a short body is not reported; its size is known before.
+void learn_short_body(body_link& link, const gate_call& call)
+{
+    if (call.awaits_body_ && call.body_ && !is_reported(call))
+    {
+        learn_body(link, call, call.body_->value());
+    }
+}
+
 // The expected service time is charged at once; otherwise all calls of a burst
 // would be judged by the use before the burst.
 void start(gate_state& state, waiting_call waiting, steady_time now)
 {
     const auto expected = service_time(state, waiting.call_);
     const auto bytes = body_bytes(state.link_, waiting.call_);
+    const bool long_body = is_long(waiting.call_);
     running_call call{
         std::move(waiting.call_),
         now,
@@ -45,8 +55,11 @@
         std::move(waiting.entry_usage_),
         expected,
         bytes,
+        long_body,
         now + transfer_limit(state.link_, bytes)};
     state.link_.granted_ += bytes;
+    state.long_bodies_ += call.long_body_ ? 1 : 0;
+    learn_short_body(state.link_, call.call_);
     charge(state, call, call.charged_, now);
     ++state.running_by_class_.at(class_index(call.call_));
     state.running_.emplace(waiting.id_, std::move(call));
@@ -57,6 +70,13 @@
     state.link_.granted_ -= std::exchange(call.granted_, 0);
 }
 
+// The body has arrived or the call ends.
+void end_body(gate_state& state, running_call& call)
+{
+    give_back_link(state, call);
+    state.long_bodies_ -= std::exchange(call.long_body_, false) ? 1 : 0;
+}
+
 // Takes the link back from bodies whose entries are slow to send them.
 void reclaim_link(gate_state& state, steady_time now)
 {
@@ -216,7 +236,7 @@
     {
         return std::nullopt;
     }
-    give_back_link(state, found->second);
+    end_body(state, found->second);
     const auto call = std::move(found->second);
     note_slot_free(state, now);
     state.running_.erase(found);
@@ -258,7 +278,7 @@
         return events;
     }
     learn_body(state.link_, found->second.call_, bytes.value());
-    give_back_link(state, found->second);
+    end_body(state, found->second);
     start_waiting(state, events, now);
     return events;
 }
--- a/src/gate/body_link.cpp
+++ b/src/gate/body_link.cpp
@@ -20,6 +20,10 @@
 // them from the link; what they take is in the part that bodies may not use.
 constexpr std::uint64_t short_body = 4096;
 
+// Bodies beyond this size take part of the time of a narrow link that callers
+// notice: 19 ms at 7 Mbit/s.
+constexpr std::uint64_t long_body = std::uint64_t{16} * 1024;
+
 // Bytes of a body of unknown size until one of its kind has arrived. Uploads
 // of photographs have about this size; too large an assumption only delays the
 // first bodies of a kind.
@@ -58,6 +62,17 @@
     return bytes <= short_body ? 0 : bytes;
 }
 
+bool is_reported(const gate_call& call)
+{
+    return call.awaits_body_ &&
+           (!call.body_ || call.body_->value() > short_body);
+}
+
+bool is_long(const gate_call& call)
+{
+    return call.awaits_body_ && call.body_ && call.body_->value() > long_body;
+}
+
 bool has_room(const body_link& link, std::uint64_t bytes)
 {
     return bytes == 0 || link.granted_ == 0 ||
--- a/test/gate/test_body_link.cpp
+++ b/test/gate/test_body_link.cpp
@@ -274,6 +274,20 @@
     cr_assert(gate.state_.link_.granted_ == upload_bytes);
 }
 
+// Guards against a mean that leaves out short bodies, whose arrival is not
+// reported: bodies of unknown size of their kind would count as long.
+Test(body_link, short_bodies_are_learned_without_a_report)
+{
+    fixture gate;
+    const auto known =
+        offer_call(gate.state_, upload(gate.now_, 300), gate.now_);
+    release_call(gate.state_, known.id_, gate.now_);
+    auto chunked = upload(gate.now_);
+    chunked.body_ = std::nullopt;
+    offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(gate.state_.link_.granted_ == 0);
+}
+
 // Guards against bodies of unknown size that are all asked for at once because
 // none of their kind has been seen, and against an assumption that outlives the
 // first body.
--- a/test/http/call_fixture.cpp
+++ b/test/http/call_fixture.cpp
@@ -49,6 +49,27 @@
 
 } // namespace
 
+void recorded_gauges::set(
+    metric_id metric, std::string_view /*label*/, double value)
+{
+    const std::lock_guard lock(mutex_);
+    values_[metric] = value;
+    ++writes_;
+}
+
+double recorded_gauges::value(metric_id metric) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = values_.find(metric);
+    return found == values_.end() ? 0 : found->second;
+}
+
+std::size_t recorded_gauges::writes() const
+{
+    const std::lock_guard lock(mutex_);
+    return writes_;
+}
+
 steady_time delayed_clock::now() const
 {
     const auto delay = delay_.load();
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -3,7 +3,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -32,6 +34,23 @@
     void observe(metric_id, std::string_view, double) override {}
 };
 
+/// Keeps the last value of each gauge and how often one was set.
+class recorded_gauges final : public metric_sink
+{
+public:
+    void add(metric_id, std::string_view, double) override {}
+    void set(metric_id metric, std::string_view label, double value) override;
+    void observe(metric_id, std::string_view, double) override {}
+
+    [[nodiscard]] double value(metric_id metric) const;
+    [[nodiscard]] std::size_t writes() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<metric_id, double> values_;
+    std::size_t writes_ = 0;
+};
+
 /// A clock whose readings take a time of their own, so that what reads it is
 /// slower than its peers.
 class delayed_clock final : public clock
@@ -170,6 +189,11 @@
         return gate_;
     }
 
+    [[nodiscard]] const recorded_gauges& gauges() const
+    {
+        return metrics_;
+    }
+
     [[nodiscard]] session_group& group()
     {
         return group_;
@@ -190,7 +214,7 @@
 
     call_settings settings_;
     delayed_clock time_;
-    null_metrics metrics_;
+    recorded_gauges metrics_;
     const upstream_announcement announced_;
     std::atomic<bool> draining_ = false;
     session_group group_;
--- a/test/http/test_gate.cpp
+++ b/test/http/test_gate.cpp
@@ -479,3 +479,71 @@
     first.send("2710\r\n" + std::string(10'000, 'x') + "\r\n0\r\n\r\n");
     cr_assert(contains(final_answer(first), "served"));
 }
+
+// Guards against a gauge that shows no long bodies where the link's capacity is
+// not known, counts short ones, or keeps those that have arrived or broken off.
+Test(gate, long_bodies_are_counted_while_they_arrive)
+{
+    std::atomic<int> executions = 0;
+    scripted_server upstream(honest_upstream(executions));
+    gate_under_test gate(upstream.where());
+    const auto bodies = [&]
+    {
+        return gate.gauges().value(metric_id::gate_bodies);
+    };
+    const auto upload = gate_request_text(
+        "POST", handshake_fields + "Hemlockshelf-Body-Length: 60000\r\n");
+    raw_connection first(gate.where());
+    first.send(upload);
+    cr_assert(contains(first.read_until("\r\n\r\n"), "100 Continue"));
+    cr_assert_eq(bodies(), 1);
+    raw_connection second(gate.where());
+    second.send(gate_request_text(
+        "POST", handshake_fields + "Hemlockshelf-Body-Length: 300\r\n"));
+    cr_assert(contains(second.read_until("\r\n\r\n"), "100 Continue"));
+    cr_assert_eq(bodies(), 1);
+    first.send("ea60\r\n" + std::string(60'000, 'x') + "\r\n0\r\n\r\n");
+    cr_assert(contains(final_answer(first), "served"));
+    cr_assert_eq(bodies(), 0);
+    raw_connection third(gate.where());
+    third.send(upload);
+    cr_assert(contains(third.read_until("\r\n\r\n"), "100 Continue"));
+    cr_assert_eq(bodies(), 1);
+    cr_assert(contains(final_answer(third), "no body after the 100"));
+    for (int wait = 0; wait < 200 && bodies() > 0; ++wait)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    cr_assert_eq(bodies(), 0);
+}
+
+// Guards against a gate whose lock each short body takes once more than its
+// call needs it: the lock's holder reports the gauges.
+Test(gate, a_short_body_does_not_take_the_lock)
+{
+    std::promise<void> received;
+    std::promise<void> answer;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            gate.read_message();
+            received.set_value();
+            answer.get_future().wait();
+            gate.send(ok_answer);
+        });
+    gate_settings limits;
+    limits.link_ = bit_rate{7'000'000};
+    gate_under_test gate(upstream.where(), 4, 8, test_settings(), limits);
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text(
+        "POST", handshake_fields + "Hemlockshelf-Body-Length: 300\r\n"));
+    cr_assert(contains(entry.read_until("\r\n\r\n"), "100 Continue"));
+    const auto before = gate.gauges().writes();
+    entry.send("12c\r\n" + std::string(300, 'x') + "\r\n0\r\n\r\n");
+    received.get_future().wait();
+    std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    const auto after = gate.gauges().writes();
+    answer.set_value();
+    cr_assert(contains(final_answer(entry), "served"));
+    cr_assert_eq(after, before);
+}
