--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -182,11 +182,6 @@
     {
         report_progress(false);
         state.body_awaited_at_ = now();
-        if (state.request_.framing_.length_.value_or(0) >
-            settings().relay_buffer_bytes_)
-        {
-            state.long_body_.emplace(environment_.gate_);
-        }
         limit(std::min(
             state.request_.call_.deadline_,
             now() + settings().first_byte_timeout_));
@@ -216,21 +211,27 @@
     co_return std::nullopt;
 }
 
-void gate_session::end_body(call_state& state, byte_count bytes)
+void gate_session::receive_part(call_state& state, std::uint64_t bytes)
 {
-    if (state.request_.call_.awaits_body_)
+    const auto part = bytes - state.told_bytes_;
+    if (!state.request_.call_.awaits_body_ || part < body_part)
     {
-        environment_.gate_.receive_body(state.id_, bytes);
+        return;
     }
-    if (!state.long_body_)
+    state.told_bytes_ = bytes;
+    environment_.gate_.receive_part(state.id_, byte_count{part});
+}
+
+void gate_session::end_body(const call_state& state, byte_count bytes)
+{
+    if (!is_reported(state.request_.call_))
     {
         return;
     }
-    const auto bodies = environment_.gate_.bodies();
-    state.long_body_.reset();
+    const auto bodies = environment_.gate_.receive_body(state.id_, bytes);
     const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
         now() - state.body_awaited_at_);
-    if (taken < delayed_body)
+    if (!is_long(state.request_.call_) || taken < delayed_body)
     {
         return;
     }
@@ -342,6 +343,11 @@
         {
             end_body(state, byte_count{exchange.body_sent()});
         });
+    exchange.on_piece_sent(
+        [this, &state, &exchange]
+        {
+            receive_part(state, exchange.body_sent());
+        });
     auto head = upstream_head(
         state.request_, settings().protocol_, environment_.gate_.instance(),
         state.request_.call_.deadline_ - now());
--- a/adapters/http/upstream_gate.cpp
+++ b/adapters/http/upstream_gate.cpp
@@ -1,5 +1,8 @@
 #include "adapters/http/upstream_gate.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 #include <fmt/format.h>
 
 #include "hemlockshelf/config/traffic_class.hpp"
@@ -9,6 +12,15 @@
 
 namespace {
 
+// The gate learns of a drain or a changed capacity within this time even when
+// no call arrives. It is shorter than the time after which a body can be
+// overdue, so that the owner learns of that time before it comes.
+constexpr std::chrono::milliseconds longest_refresh{200};
+
+// Bounds the processor time of refreshes where work that is due must wait for
+// something else, such as a call with a better claim.
+constexpr std::chrono::milliseconds shortest_refresh{5};
+
 /// Whether an announcement tells the gate nothing new.
 bool same_capacity(
     const upstream_announcement& left, const upstream_announcement& right)
@@ -29,8 +41,8 @@
     std::function<std::optional<upstream_announcement>()> upstream,
     metric_sink& metrics)
     : settings_(settings), time_(time), upstream_(std::move(upstream)),
-      metrics_(metrics), pace_(limits.new_connections_), state_(limits),
-      records_(limits)
+      metrics_(metrics), pace_(limits.new_connections_),
+      link_known_(limits.link_.value() > 0), state_(limits), records_(limits)
 {}
 
 admission_result
@@ -61,17 +73,37 @@
     return answer;
 }
 
-void upstream_gate::receive_body(gate_call_id id, byte_count bytes)
+void upstream_gate::receive_part(gate_call_id id, byte_count bytes)
 {
+    if (!link_known_)
+    {
+        return;
+    }
     decision_list decided;
     {
         const std::lock_guard lock(mutex_);
+        collect(
+            hemlockshelf::receive_part(state_, id, bytes, time_.now()),
+            decided);
+        report();
+    }
+    call(decided);
+}
+
+std::uint32_t upstream_gate::receive_body(gate_call_id id, byte_count bytes)
+{
+    std::uint32_t bodies = 0;
+    decision_list decided;
+    {
+        const std::lock_guard lock(mutex_);
+        bodies = state_.long_bodies_;
         collect(
             hemlockshelf::receive_body(state_, id, bytes, time_.now()),
             decided);
         report();
     }
     call(decided);
+    return bodies;
 }
 
 void upstream_gate::release_slot(gate_call_id id)
@@ -212,25 +244,19 @@
     call(decided);
 }
 
-void upstream_gate::close_idle()
+steady_time upstream_gate::next_refresh() const
 {
+    const auto now = time_.now();
     const std::lock_guard lock(mutex_);
-    drop_idle(idle_.clear());
+    const auto latest = now + longest_refresh;
+    return std::clamp(
+        next_expiry(state_).value_or(latest), now + shortest_refresh, latest);
 }
 
-void upstream_gate::begin_body()
-{
-    metrics_.set(metric_id::gate_bodies, {}, static_cast<double>(++bodies_));
-}
-
-void upstream_gate::end_body()
-{
-    metrics_.set(metric_id::gate_bodies, {}, static_cast<double>(--bodies_));
-}
-
-std::uint32_t upstream_gate::bodies() const
+void upstream_gate::close_idle()
 {
-    return bodies_;
+    const std::lock_guard lock(mutex_);
+    drop_idle(idle_.clear());
 }
 
 std::uint32_t upstream_gate::free_slots() const
@@ -351,6 +377,12 @@
     metrics_.set(
         metric_id::gate_queue_length, {},
         static_cast<double>(state_.queue_.size()));
+    if (state_.long_bodies_ != reported_bodies_)
+    {
+        reported_bodies_ = state_.long_bodies_;
+        metrics_.set(
+            metric_id::gate_bodies, {}, static_cast<double>(reported_bodies_));
+    }
 }
 
 void upstream_gate::call(decision_list& decided)
--- a/include/hemlockshelf/gate/body_link.hpp
+++ b/include/hemlockshelf/gate/body_link.hpp
@@ -12,6 +12,11 @@
 
 namespace hemlockshelf {
 
+/// Bytes of a body after whose arrival the gate is told. A link of 7 Mbit/s
+/// brings them in 37 ms, by which the expected wait can be too long; a shorter
+/// part would cost the gate's lock more often.
+inline constexpr std::uint64_t body_part = std::uint64_t{32} * 1024;
+
 /// The VM's link as a resource of the gate. Bodies of requests that arrive at
 /// once share it, so that each is late; and what else crosses it, such as
 /// lookups and heartbeats, waits behind them. The gate therefore lets only so
@@ -32,9 +37,18 @@
 };
 
 /// Returns the bytes of the call's body that are counted on the link: the mean
-/// of its kind if the call does not say; 0 if none is awaited or it is short.
+/// of its kind if the call does not say, 64 KiB until one of the kind has
+/// arrived; 0 if none is awaited or it is short.
 std::uint64_t body_bytes(const body_link& link, const gate_call& call);
 
+/// Returns whether the arrival of the call's body is to be reported: one is
+/// awaited and is not known to be short.
+bool is_reported(const gate_call& call);
+
+/// Returns whether the call's body is known to be so long that an operator
+/// wants to see it.
+bool is_long(const gate_call& call);
+
 /// Returns whether a body of that size may begin now.
 bool has_room(const body_link& link, std::uint64_t bytes);
 
--- a/test/gate/test_body_link.cpp
+++ b/test/gate/test_body_link.cpp
@@ -167,6 +167,82 @@
     cr_assert(events.started_.front() == waiting.id_);
 }
 
+// Guards against waiting uploads that get the link only some time after the
+// body that holds it is overdue, and against an owner that does not wake
+// because the first upload came to wait after it had asked for the time.
+Test(body_link, an_overdue_body_wakes_the_owner)
+{
+    fixture gate;
+    cr_assert(!next_expiry(gate.state_));
+    offer_call(gate.state_, upload(gate.now_), gate.now_);
+    const auto alone = next_expiry(gate.state_);
+    cr_assert(alone.has_value());
+    const auto waiting = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    cr_assert(waiting.admission_ == admission::queued);
+    cr_assert(next_expiry(gate.state_) == alone);
+    cr_assert(expire_waiting(gate.state_, *alone - 1ms).started_.empty());
+    const auto events = expire_waiting(gate.state_, *alone);
+    cr_assert(events.started_.size() == 1);
+    cr_assert(events.started_.front() == waiting.id_);
+    cr_assert(next_expiry(gate.state_) > alone);
+}
+
+// Guards against an expected wait, from which callers are told when to come
+// back, that counts bytes which have arrived.
+Test(body_link, what_has_arrived_is_not_waited_for)
+{
+    fixture gate;
+    const auto first =
+        offer_call(gate.state_, upload(gate.now_, 300'000), gate.now_);
+    auto hasty = upload(gate.now_);
+    hasty.max_wait_ = 10ms;
+    const auto early = offer_call(gate.state_, hasty, gate.now_);
+    cr_assert(early.reason_ == refusal_reason::link_full);
+    receive_part(gate.state_, first.id_, byte_count{body_part}, gate.now_);
+    receive_part(gate.state_, first.id_, byte_count{body_part}, gate.now_);
+    cr_assert(gate.state_.link_.granted_ == 300'000 - 2 * body_part);
+    const auto later = offer_call(gate.state_, hasty, gate.now_);
+    cr_assert(later.reason_ == refusal_reason::link_full);
+    const auto saved = transfer_time(gate.state_.link_, 2 * body_part);
+    cr_assert(early.expected_wait_ - later.expected_wait_ >= saved - 1us);
+    release_call(gate.state_, first.id_, gate.now_);
+    cr_assert(gate.state_.link_.granted_ == 0);
+}
+
+// Guards against a link that stands idle in part because the next upload waits
+// for bytes that have arrived.
+Test(body_link, an_upload_starts_when_enough_has_arrived)
+{
+    fixture gate;
+    const auto first = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    const auto second = offer_call(gate.state_, upload(gate.now_), gate.now_);
+    cr_assert(second.admission_ == admission::queued);
+    const auto events =
+        receive_part(gate.state_, first.id_, byte_count{body_part}, gate.now_);
+    cr_assert(events.started_.size() == 1);
+    cr_assert(events.started_.front() == second.id_);
+}
+
+// Guards against a body that is longer than it was assumed to be and no longer
+// counts while it arrives, and against one that is counted again after the link
+// was taken back from it.
+Test(body_link, the_rest_of_a_body_of_unknown_size_counts)
+{
+    fixture gate;
+    auto chunked = upload(gate.now_);
+    chunked.body_ = std::nullopt;
+    const auto first = offer_call(gate.state_, chunked, gate.now_);
+    for (int part = 0; part < 10; ++part)
+    {
+        receive_part(gate.state_, first.id_, byte_count{body_part}, gate.now_);
+    }
+    cr_assert(gate.state_.link_.granted_ == body_part);
+    expire_waiting(gate.state_, gate.now_ + 2s);
+    cr_assert(gate.state_.link_.granted_ == 0);
+    receive_part(gate.state_, first.id_, byte_count{body_part}, gate.now_ + 2s);
+    cr_assert(gate.state_.link_.granted_ == 0);
+}
+
 // Guards against an upload that is asked for its body although the link can't
 // bring it in time, and against a refusal that blames the slots.
 Test(body_link, what_the_link_cannot_bring_is_refused)
@@ -198,6 +274,41 @@
     cr_assert(gate.state_.link_.granted_ == upload_bytes);
 }
 
+// Guards against a mean that leaves out short bodies, whose arrival is not
+// reported: bodies of unknown size of their kind would count as long.
+Test(body_link, short_bodies_are_learned_without_a_report)
+{
+    fixture gate;
+    const auto known =
+        offer_call(gate.state_, upload(gate.now_, 300), gate.now_);
+    release_call(gate.state_, known.id_, gate.now_);
+    auto chunked = upload(gate.now_);
+    chunked.body_ = std::nullopt;
+    offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(gate.state_.link_.granted_ == 0);
+}
+
+// Guards against bodies of unknown size that are all asked for at once because
+// none of their kind has been seen, and against an assumption that outlives the
+// first body.
+Test(body_link, an_unknown_size_of_an_unseen_kind_is_assumed)
+{
+    fixture gate;
+    auto chunked = upload(gate.now_);
+    chunked.body_ = std::nullopt;
+    const auto first = offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(first.admission_ == admission::admitted);
+    cr_assert(gate.state_.link_.granted_ > 0);
+    const auto second = offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(second.admission_ == admission::queued);
+    const auto events =
+        receive_body(gate.state_, first.id_, byte_count{300}, gate.now_);
+    cr_assert(events.started_.size() == 1);
+    cr_assert(gate.state_.link_.granted_ == 0);
+    const auto third = offer_call(gate.state_, chunked, gate.now_);
+    cr_assert(third.admission_ == admission::admitted);
+}
+
 // Guards against a link whose capacity is not known and that grants nothing.
 Test(body_link, without_a_capacity_every_body_is_granted)
 {
