node: delay the return of a node that lost the platform

A node whose polls of the platform failed now and then changed its member record with each outcome, and each change was pushed to every node of the fleet: 41 changes in 20 outages of 40 ms within 1.6 s.

The record said what the last poll had brought. It now says at once that the platform is lost, and says after 5 s without a failure that it answers, so that it changes at most once each way in that time. Until then the node polls the head; otherwise it would never learn that the platform is steady.

The test a_flapping_platform_changes_the_record_once failed before (41 changes instead of 1). a_replaced_reader_takes_its_duty_back passed before and fails if the choice of the poll mode uses the last outcome instead. The only reader of a failure domain reads as before. The fixtures of test_join move to a header; its tests are unchanged.

--- a/include/hemlockshelf/dissemination/readers.hpp
+++ b/include/hemlockshelf/dissemination/readers.hpp
@@ -21,7 +21,7 @@
     vm_id vm_;
     /// Capacity of the VM's link.
     bit_rate link_{};
-    /// Whether its last read of the platform got no answer.
+    /// Whether it has lost the platform, as its record says.
     bool platform_lost_ = false;
 };
 
--- a/include/hemlockshelf/membership/member_record.hpp
+++ b/include/hemlockshelf/membership/member_record.hpp
@@ -54,7 +54,8 @@
     connection_count connections_;
     /// Capacity of the VM's link.
     bit_rate link_{};
-    /// Whether the node's last read of the platform got no answer.
+    /// Whether the node gets no answers from the platform, or got none a few
+    /// seconds ago.
     bool platform_lost_ = false;
 
     friend bool
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -17,6 +17,7 @@
 #include "node/directory_agent.hpp"
 #include "node/heartbeat_agent.hpp"
 #include "node/join_agent.hpp"
+#include "node/platform_contact.hpp"
 #include "node/platform_poller.hpp"
 #include "node/push_agent.hpp"
 #include "node/push_intake.hpp"
@@ -321,7 +322,7 @@
         lifecycle_.caught_up();
         publish_state();
         heartbeats_.reset();
-        records_.note_platform(platform_answers_);
+        records_.note_platform(platform_contact_.lost_);
         records_.announce();
         repairs_.hasten();
         choose_poll_mode();
@@ -342,9 +343,10 @@
             platform_answers_ = report.answered_;
             log_platform();
         }
+        note_poll(platform_contact_, report.answered_, time_.now());
         if (lifecycle_.state() != node_state::joining)
         {
-            records_.note_platform(platform_answers_);
+            records_.note_platform(platform_contact_.lost_);
         }
         if (!report.answered_)
         {
@@ -434,7 +436,7 @@
         return {
             reader_place(
                 context_, settings_.dissemination_.readers_per_domain_),
-            !platform_answers_, time_.now() - heartbeats_.last_contact()};
+            platform_contact_.lost_, time_.now() - heartbeats_.last_contact()};
     }
 
     /// Chooses again as soon as a record of the failure domain has changed or
@@ -486,7 +488,9 @@
     std::atomic<steady_time> last_tick_;
     steady_time join_grace_until_;
     bool running_ = false;
+    /// Outcome of the last poll.
     bool platform_answers_ = true;
+    platform_contact platform_contact_;
     /// Whether operators publish whole configurations on the platform.
     bool published_ = false;
     std::shared_ptr<const member_table::entry_pointers> domain_members_;
--- a/node/reader_duty.hpp
+++ b/node/reader_duty.hpp
@@ -14,7 +14,7 @@
 {
     /// Place among the readers of the failure domain, if the node is one.
     std::optional<std::size_t> place_;
-    /// Whether the node's last read of the platform got no answer.
+    /// Whether the node has lost the platform (`platform_contact`).
     bool platform_lost_ = false;
     /// Time since the last contact with another node.
     std::chrono::nanoseconds silence_{0};
--- a/node/record_keeper.cpp
+++ b/node/record_keeper.cpp
@@ -126,14 +126,14 @@
     return true;
 }
 
-void record_keeper::note_platform(bool answers)
+void record_keeper::note_platform(bool lost)
 {
-    if (record_.platform_lost_ == !answers)
+    if (record_.platform_lost_ == lost)
     {
         return;
     }
     auto next = record_;
-    next.platform_lost_ = !answers;
+    next.platform_lost_ = lost;
     publish(std::move(next));
 }
 
--- a/node/record_keeper.hpp
+++ b/node/record_keeper.hpp
@@ -29,8 +29,8 @@
     /// update that claims this node is down or has a newer version is refuted.
     std::vector<member_update> merge(const std::vector<member_update>& updates);
 
-    /// Tells the other nodes whether this one reaches the platform.
-    void note_platform(bool answers);
+    /// Tells the other nodes whether this one has lost the platform.
+    void note_platform(bool lost);
 
     void drain();
     void leave();
--- /dev/null
+++ b/test/node/scripted_source.hpp
@@ -0,0 +1,83 @@
+#ifndef HEMLOCKSHELF_TEST_NODE_SCRIPTED_SOURCE_HPP
+#define HEMLOCKSHELF_TEST_NODE_SCRIPTED_SOURCE_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include "hemlockshelf/config/configuration_source.hpp"
+
+namespace hemlockshelf {
+
+/// Source of published configurations whose answers a test decides.
+/// Thread-safe.
+class scripted_source final : public configuration_source
+{
+public:
+    result<published_read> wait_for_newer(
+        const config_snapshot& held, std::chrono::milliseconds wait) override
+    {
+        std::unique_lock lock(mutex_);
+        const auto is_newer = [this, &held]
+        {
+            return published_ && published_->number() > held.number();
+        };
+        changed_.wait_for(
+            lock, std::min(wait, longest_wait),
+            [&]
+            {
+                return cancelled_ || !answers_ || is_newer();
+            });
+        if (!answers_)
+        {
+            return make_error(
+                error_kind::platform_unavailable, "refused by the test");
+        }
+        published_read read;
+        if (is_newer())
+        {
+            read.newest_ = published_;
+            read.documents_ = 1;
+        }
+        return read;
+    }
+
+    void cancel() override
+    {
+        const std::lock_guard lock(mutex_);
+        cancelled_ = true;
+        changed_.notify_all();
+    }
+
+    void set_answers(bool answers)
+    {
+        const std::lock_guard lock(mutex_);
+        answers_ = answers;
+        changed_.notify_all();
+    }
+
+    void publish(std::shared_ptr<const config_snapshot> snapshot)
+    {
+        const std::lock_guard lock(mutex_);
+        published_ = std::move(snapshot);
+        changed_.notify_all();
+    }
+
+private:
+    /// Shorter than the pause between two changes of a test, so that each
+    /// answer is seen.
+    static constexpr std::chrono::milliseconds longest_wait{10};
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool answers_ = true;
+    bool cancelled_ = false;
+    std::shared_ptr<const config_snapshot> published_;
+};
+
+} // namespace hemlockshelf
+
+#endif
