test: check that member records cross the wire whole

No test had `link` and `platformLost` of a member record, by which the readers of the platform are chosen, cross the codec. The tests were seen to fail when the link is not written, is cut to 32 bits, and when `platformLost` is not read.

--- /dev/null
+++ b/test/rpc/test_message_codec.cpp
@@ -0,0 +1,69 @@
+#include "adapters/rpc/message_codec.hpp"
+
+#include <capnp/message.h>
+#include <rapidcheck.h>
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+
+namespace {
+
+member_update sent_and_read(const member_update& update)
+{
+    capnp::MallocMessageBuilder message;
+    auto wire = message.initRoot<wire::MemberRecord>();
+    write(wire, update);
+    return read(wire.asReader());
+}
+
+member_update make_update()
+{
+    member_update update;
+    auto& record = update.record_;
+    record.vm_ = vm_id{"order-desk-2"};
+    record.failure_domain_ = failure_domain_id{"salle-belair"};
+    record.region_ = region_id{"quebec-centre"};
+    record.gate_address_ = "127.0.0.1:1";
+    record.control_address_ = "127.0.0.1:2";
+    record.admin_address_ = "127.0.0.1:3";
+    record.incarnation_ = incarnation{4};
+    record.sequence_ = sequence{5};
+    record.state_ = upstream_state::draining;
+    record.account_ = client_account_id{"regie"};
+    record.service_ = service_name{"order-desk"};
+    record.slots_ = slot_count{20};
+    record.connections_ = connection_count{110};
+    record.link_ = bit_rate{7'000'000};
+    record.platform_lost_ = true;
+    update.down_ = true;
+    return update;
+}
+
+} // namespace
+
+// Guards against a field of a member record that is lost on its way, such as
+// those by which the readers of the platform are chosen.
+Test(message_codec, every_field_of_a_member_record_arrives)
+{
+    const auto update = make_update();
+    cr_assert(sent_and_read(update) == update);
+}
+
+// Guards against a capacity that is cut, and against one of the two marks of a
+// record that is read for the other.
+Test(message_codec, link_and_marks_of_a_member_record_arrive)
+{
+    cr_assert(rc::check(
+        [](std::uint64_t link, bool platform_lost, bool down)
+        {
+            auto update = make_update();
+            update.record_.link_ = bit_rate{link};
+            update.record_.platform_lost_ = platform_lost;
+            update.down_ = down;
+            const auto arrived = sent_and_read(update);
+            RC_ASSERT(arrived.record_.link_ == bit_rate{link});
+            RC_ASSERT(arrived.record_.platform_lost_ == platform_lost);
+            RC_ASSERT(arrived.down_ == down);
+        }));
+}
