test: check fetches, offers and lost platforms of real nodes

Four ways of published configurations had no test. Each test was seen to fail with its code broken by hand:

- a taker fetches from the origin what the sender of a push lacks: without the second fetch, and with the origin asked first;
- an offer reaches a failure domain whose readers are silent: without offers, and with one candidate for each domain;
- a node that loses the platform while it joins says so: without the note at the end of the join;
- a reader that loses it later says so: without the note of each poll.

--- /dev/null
+++ b/test/node/test_publication.cpp
@@ -0,0 +1,232 @@
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "adapters/rpc/config_payload.hpp"
+#include "hemlockshelf/config/table_changes.hpp"
+#include "test/node/control_node.hpp"
+#include "test/node/scripted_peer.hpp"
+#include "test/node/scripted_source.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Returns settings of a node that differs from the others in its port.
+node_settings settings_of_one(
+    std::uint16_t number, const std::string& vm, const std::string& domain)
+{
+    auto control = own_address(1);
+    control.port_ = static_cast<std::uint16_t>(control.port_ + number);
+    return settings_at(control, vm, domain);
+}
+
+row_change pool_change(std::uint64_t number)
+{
+    return {
+        table_id::pools, row_key{"regie/catalogue"},
+        pool_row{
+            service_name{"catalogue"},
+            {},
+            false,
+            static_cast<std::uint32_t>(number)}};
+}
+
+std::shared_ptr<const config_snapshot> snapshot_of(std::uint64_t number)
+{
+    config_tables tables;
+    apply_change(tables, pool_change(number));
+    return *config_snapshot::build(revision{number}, tables);
+}
+
+/// Returns a push of the delta that leads from one revision to another.
+push_message
+push_between(const scripted_peer& sender, std::uint64_t from, std::uint64_t to)
+{
+    push_message message;
+    message.sender_ = sender.sender();
+    message.origin_ = sender.record().vm_;
+    message.duty_ = {push_scope::domain, to, {}};
+    message.revision_ = revision{to};
+    message.deltas_ = encode_deltas(
+        {{{revision{to},
+           {pool_change(to)},
+           snapshot_of(to)->tables().hash_,
+           revision{from}},
+          {}}});
+    return message;
+}
+
+bool holds_revision_within(
+    std::chrono::milliseconds time,
+    const control_node& node,
+    std::uint64_t number)
+{
+    return holds_within(
+        time,
+        [&]
+        {
+            return node.snapshots_.current()->number() == revision{number};
+        });
+}
+
+} // namespace
+
+// Guards against a node that runs an old revision until a digest repairs it:
+// the sender of a push passes it on although it lacks the same revision, so
+// that only its origin can send what is missing.
+Test(publication, a_taker_fetches_from_the_origin_what_the_sender_lacks)
+{
+    memory_tables tables;
+    control_node taker(settings_of_one(1, "taker", "salle-belair"), tables);
+    scripted_peer sender(settings_of_one(2, "sender", "salle-belair"));
+    scripted_peer origin(settings_of_one(3, "origin", "salle-belair"));
+    cr_assert(serves_within(5s, taker));
+    taker.members_.merge(sender.record());
+    taker.members_.merge(origin.record());
+    origin.serve(
+        {config_answer_kind::snapshot, encode_snapshot(*snapshot_of(9)), {}});
+    auto message = push_between(sender, 7, 9);
+    message.origin_ = origin.record().vm_;
+    sender.push(taker.settings_.control_, message);
+    cr_assert(holds_revision_within(2s, taker, 9));
+    cr_assert(sender.fetches().size() == 1);
+    cr_assert(origin.fetches().size() == 1);
+}
+
+// Guards against an origin that every taker of a push asks, although the sender
+// holds what is missing.
+Test(publication, a_taker_asks_the_sender_first)
+{
+    memory_tables tables;
+    control_node taker(settings_of_one(1, "taker", "salle-belair"), tables);
+    scripted_peer sender(settings_of_one(2, "sender", "salle-belair"));
+    scripted_peer origin(settings_of_one(3, "origin", "salle-belair"));
+    cr_assert(serves_within(5s, taker));
+    taker.members_.merge(sender.record());
+    taker.members_.merge(origin.record());
+    sender.serve(
+        {config_answer_kind::snapshot, encode_snapshot(*snapshot_of(9)), {}});
+    auto message = push_between(sender, 7, 9);
+    message.origin_ = origin.record().vm_;
+    sender.push(taker.settings_.control_, message);
+    cr_assert(holds_revision_within(2s, taker, 9));
+    cr_assert(origin.fetches().empty());
+}
+
+// Guards against a failure domain that keeps an old revision because its
+// readers are silent and the offers of others go to them only. The order in
+// which the members of a domain are tried is random, hence several domains.
+Test(publication, an_offer_reaches_a_domain_whose_readers_are_silent)
+{
+    constexpr std::uint16_t domains = 4;
+    memory_tables tables;
+    scripted_source source;
+    control_node reader(
+        settings_of_one(1, "reader", "salle-belair"),
+        polled_services{tables, tables, &source});
+    const silent_server silent({own_address(1).address_, 17100});
+    std::vector<std::unique_ptr<scripted_peer>> answering;
+    cr_assert(serves_within(5s, reader));
+    for (std::uint16_t domain = 1; domain <= domains; ++domain)
+    {
+        const auto suffix = std::to_string(domain);
+        answering.push_back(std::make_unique<scripted_peer>(settings_of_one(
+            1 + domain, "answering-" + suffix, "salle-" + suffix)));
+        reader.members_.merge(answering.back()->record());
+        for (const auto* name : {"first-", "second-"})
+        {
+            auto record = answering.back()->record();
+            record.vm_ = vm_id{name + suffix};
+            record.control_address_ = to_string(silent.where_);
+            record.link_ = bit_rate{1000};
+            reader.members_.merge(record);
+        }
+    }
+    source.publish(snapshot_of(9));
+    for (const auto& peer : answering)
+    {
+        // Each silent node costs a deadline of 800 ms.
+        cr_assert(holds_within(
+            4s,
+            [&]
+            {
+                return std::ranges::any_of(
+                    peer->pushes(),
+                    [](const push_message& message)
+                    {
+                        return message.revision_ == revision{9} &&
+                               !message.deltas_.empty();
+                    });
+            }));
+        const auto pushes = peer->pushes();
+        const auto offer =
+            std::ranges::find(pushes, revision{9}, &push_message::revision_);
+        cr_assert(
+            offer->deltas_.empty(), "the delta was sent without an offer");
+    }
+}
+
+// Guards against a node that others choose as their reader although it lost the
+// platform while it joined, when its record does not tell of it.
+Test(publication, a_node_that_joins_without_the_platform_says_so)
+{
+    memory_tables tables;
+    scripted_source steady;
+    scripted_source failing;
+    failing.set_answers(false);
+    auto peer_settings = settings_of_one(1, "peer", "salle-belair");
+    peer_settings.link_ = bit_rate{200};
+    peer_settings.dissemination_.readers_per_domain_ = 1;
+    control_node peer(peer_settings, polled_services{tables, tables, &steady});
+    cr_assert(serves_within(5s, peer));
+    auto settings = settings_of_one(2, "joining", "salle-belair");
+    settings.peers_ = {peer_settings.control_};
+    settings.link_ = bit_rate{100};
+    settings.dissemination_.readers_per_domain_ = 1;
+    // One poll ends before the join does, and none soon after it.
+    settings.dissemination_.poll_interval_ = 60s;
+    settings.membership_.join_timeout_ = 1s;
+    const control_node joining(
+        settings, polled_services{tables, tables, &failing});
+    cr_assert(serves_within(5s, joining));
+    cr_assert(holds_within(
+        2s,
+        [&]
+        {
+            const auto entry = peer.members_.find(settings.vm_);
+            return entry && entry->record_.platform_lost_;
+        }));
+}
+
+// Guards against a record that still names the state of the join after the
+// platform has fallen silent.
+Test(publication, a_reader_that_loses_the_platform_later_says_so)
+{
+    memory_tables tables;
+    scripted_source steady;
+    scripted_source failing;
+    control_node peer(
+        settings_of_one(1, "peer", "salle-belair"),
+        polled_services{tables, tables, &steady});
+    cr_assert(serves_within(5s, peer));
+    auto settings = settings_of_one(2, "joining", "salle-belair");
+    settings.peers_ = {peer.settings_.control_};
+    const control_node joined(
+        settings, polled_services{tables, tables, &failing});
+    cr_assert(serves_within(5s, joined));
+    const auto is_lost = [&]
+    {
+        const auto entry = peer.members_.find(settings.vm_);
+        return entry && entry->record_.platform_lost_;
+    };
+    cr_assert_not(is_lost());
+    failing.set_answers(false);
+    cr_assert(holds_within(2s, is_lost));
+}
