test: guard the refusal at once of uploads that full links can't bring

An upload was reported to wait up to 1.2 s at its entry's gates before its refusal reached the caller.

Other uploads still wait long before they are refused: those that a gate expected to start and that did not, because the body before them stalled. The gates do not know that before: the stalled body is overdue only after 786 ms or later.

--- a/test/http/call_fixture.cpp
+++ b/test/http/call_fixture.cpp
@@ -15,13 +15,16 @@
 constexpr std::chrono::seconds stop_timeout{5};
 
 std::shared_ptr<const config_snapshot> make_snapshot(
-    std::chrono::milliseconds timeout, std::uint32_t max_concurrent_calls)
+    std::chrono::milliseconds timeout,
+    std::chrono::milliseconds target_latency,
+    std::uint32_t max_concurrent_calls)
 {
     const row_key key{"regie/catalogue"};
     auto route = std::make_shared<route_row>();
     route->host_ = "catalogue.regie";
     route->pool_ = key;
     route->timeout_ = timeout;
+    route->target_latency_ = target_latency;
     auto pool = std::make_shared<pool_row>();
     pool->service_ = service_name{"catalogue"};
     pool->max_concurrent_calls_ = max_concurrent_calls;
@@ -139,7 +142,8 @@
     std::vector<endpoint> gates,
     std::chrono::milliseconds timeout,
     std::uint32_t max_concurrent_calls,
-    const call_settings& settings)
+    const call_settings& settings,
+    std::chrono::milliseconds target_latency)
     : settings_(settings), router_(std::move(gates)), gates_(settings_),
       environment_{
           settings_,
@@ -175,7 +179,8 @@
                   std::move(socket), environment_);
           })
 {
-    snapshots_.advance(make_snapshot(timeout, max_concurrent_calls));
+    snapshots_.advance(
+        make_snapshot(timeout, target_latency, max_concurrent_calls));
     threads_.start();
 }
 
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -109,7 +109,8 @@
         std::vector<endpoint> gates,
         std::chrono::milliseconds timeout = std::chrono::seconds{20},
         std::uint32_t max_concurrent_calls = 200,
-        const call_settings& settings = test_settings());
+        const call_settings& settings = test_settings(),
+        std::chrono::milliseconds target_latency = {});
     ~entry_under_test();
 
     entry_under_test(const entry_under_test&) = delete;
