http: pass no request on behind an answer that is streamed

An answer longer than held_answer_limit that breaks off costs the caller's connection, because HTTP/1.1 has no other way to say so. Requests behind it that had been passed on ran and got no answer.

A request that comes while such an answer is streamed need not be passed on before its end: the caller can't get its answer earlier, and only the time of the work itself is saved. The session goes on reading it, so that it notices a caller that leaves, and starts it when the stream has ended. A held answer is whole before its first write; requests behind it run at once as before.

Requests that were passed on before the first bytes of a long answer, such as those that came together with its request, are still cut with it. To hold these back as well would make each pipelined request wait for the head of the answer before it.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -89,10 +89,24 @@
         stop(stop_reason::client_gone);
         return false;
     }
-    pipeline_.take();
+    if (!streaming_)
+    {
+        pipeline_.take();
+    }
     return true;
 }
 
+void entry_session::follow_answer(peer_exchange& exchange)
+{
+    exchange.on_answer_write(
+        [this, &answer = exchange.answer()](bool begins)
+        {
+            // A held answer is whole before its first write.
+            streaming_ = streaming_ || !answer.is_done();
+            answer_write(begins);
+        });
+}
+
 bool entry_session::has_ahead() const
 {
     return !pipeline_.empty();
@@ -101,6 +115,7 @@
 asio::awaitable<bool> entry_session::answer_ahead()
 {
     may_read_ahead_ = true;
+    streaming_ = false;
     // The session that serves the request refuses it where that is true.
     unsent_ = false;
     pipeline_.take();
@@ -158,11 +173,7 @@
     const bool keep = !group().draining() || has_ahead();
     may_read_ahead_ = keep;
     begin_answer(now() + settings().drain_limit_);
-    exchange.on_answer_write(
-        [this](bool begins)
-        {
-            answer_write(begins);
-        });
+    follow_answer(exchange);
     const auto framing = answer_framing(answer, to_head_request, version);
     remove_connection_headers(answer.get());
     std::string head;
@@ -191,6 +202,7 @@
 asio::awaitable<bool> entry_session::serve(request_parser& request)
 {
     may_read_ahead_ = false;
+    streaming_ = false;
     if (group().refusing())
     {
         error failure{error_kind::draining, "the node stops"};
@@ -606,11 +618,7 @@
     auto head =
         caller_head(answer.get(), framing, state.call_.request_id_, keep);
     begin_answer(state.call_.deadline_);
-    exchange.on_answer_write(
-        [this](bool begins)
-        {
-            answer_write(begins);
-        });
+    follow_answer(exchange);
     const auto relayed = co_await exchange.relay_answer(
         std::move(head), framing.chunked_, settings().held_answer_limit_);
     if (relayed == relay_end::complete)
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -152,6 +152,8 @@
     [[nodiscard]] bool caller_is_gone() const;
 
     [[nodiscard]] bool may_repeat(request_head& head) const;
+    /// Follows the writes of the exchange's answer to the caller.
+    void follow_answer(peer_exchange& exchange);
     boost::asio::awaitable<bool>
     pass_ahead(peer_exchange& exchange, bool to_head_request);
     /// Answers a pipelined request whose answer is lost.
@@ -166,6 +168,10 @@
     /// Whether what the client sends now belongs to a later request. The body
     /// of the request that is served has a reader of its own.
     bool may_read_ahead_ = false;
+    /// Whether part of an answer has been written that is not held until it is
+    /// whole. Its break costs the connection, and the caller gets no answer to
+    /// a request behind it: what comes now waits for its end.
+    bool streaming_ = false;
     request_pipeline pipeline_;
 };
 
--- a/adapters/http/request_pipeline.hpp
+++ b/adapters/http/request_pipeline.hpp
@@ -40,6 +40,7 @@
 /// than once are taken: the caller sends again what it has no answer to. A
 /// request that ends the connection is not taken either, because the session
 /// closes the connection after the answer to a request that it serves itself.
+/// The session takes none while it streams an answer.
 class request_pipeline
 {
 public:
--- a/test/http/test_pipelined_answer.cpp
+++ b/test/http/test_pipelined_answer.cpp
@@ -49,8 +49,111 @@
     };
 }
 
+/// Begins a long answer to each request for `slow_field`. The rest follows when
+/// `go_on` is set, or the connection ends then. Serves other requests at once.
+scripted_server::script streaming_gate(
+    std::atomic<int>& executions, const std::atomic<bool>& go_on, bool cut)
+{
+    return [&executions, &go_on, cut](raw_connection& entry)
+    {
+        auto head = entry.read_until("\r\n\r\n");
+        for (; !head.empty(); head = entry.read_until("\r\n\r\n"))
+        {
+            ++executions;
+            if (!contains(head, slow_field))
+            {
+                entry.send(head_to(head, "Content-Length: 6\r\n") + "served");
+                continue;
+            }
+            const std::string half(streamed_bytes / 2, 'x');
+            entry.send(
+                head_to(
+                    head, "Content-Length: " + std::to_string(streamed_bytes) +
+                              "\r\n") +
+                half);
+            while (!go_on)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+            if (cut)
+            {
+                return;
+            }
+            entry.send(half);
+        }
+    };
+}
+
 } // namespace
 
+// Guards against a request that is passed on and gets no answer because the
+// long answer before it is cut, and its connection with it.
+Test(pipelined_answer, nothing_is_passed_on_behind_a_long_answer)
+{
+    std::atomic<int> executions = 0;
+    std::atomic<bool> go_on = false;
+    scripted_server gate(streaming_gate(executions, go_on, true));
+    entry_under_test entry({gate.where()});
+    raw_connection caller(entry.where());
+    caller.send(caller_request("GET", {}, slow_field));
+    cr_assert(contains(caller.read_until("xxxx"), "xxxx"));
+    caller.send(caller_request("GET"));
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    go_on = true;
+    cr_assert(!contains(caller.read_all(), "served"));
+    cr_assert_eq(executions, 1);
+}
+
+// Guards against requests that are forgotten because they came during a long
+// answer, to the first request of a connection and to a pipelined one.
+Test(pipelined_answer, requests_that_come_during_a_long_answer_are_answered)
+{
+    std::atomic<int> executions = 0;
+    std::atomic<bool> go_on = false;
+    scripted_server gate(streaming_gate(executions, go_on, false));
+    entry_under_test entry({gate.where()});
+    for (const bool pipelined : {false, true})
+    {
+        go_on = false;
+        raw_connection caller(entry.where());
+        caller.send(
+            (pipelined ? caller_request("GET") : "") +
+            caller_request("GET", {}, slow_field));
+        const auto start = caller.read_until("xxxx");
+        cr_assert_eq(contains(start, "served"), pipelined);
+        caller.send(caller_request("GET") + caller_request("GET"));
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+        go_on = true;
+        const std::string rest(streamed_bytes - 4, 'x');
+        cr_assert_eq(caller.read_until(rest).size(), rest.size());
+        cr_assert(contains(caller.read_message(), "served"));
+        cr_assert(contains(caller.read_message(), "served"));
+    }
+    cr_assert_eq(executions, 7);
+}
+
+// Guards against work for a caller that leaves during a long answer and has
+// sent another request before.
+Test(pipelined_answer, a_caller_that_leaves_during_a_long_answer_is_noticed)
+{
+    constexpr std::chrono::seconds below_the_deadline{15};
+    std::atomic<int> executions = 0;
+    std::atomic<bool> go_on = false;
+    scripted_server gate(streaming_gate(executions, go_on, true));
+    entry_under_test entry({gate.where()});
+    {
+        raw_connection caller(entry.where());
+        caller.send(caller_request("GET", {}, slow_field));
+        caller.read_until(std::string(streamed_bytes / 2, 'x'));
+        caller.send(caller_request("GET"));
+    }
+    entry.group().drain();
+    const bool noticed = entry.group().wait_for_calls(
+        std::chrono::steady_clock::now() + below_the_deadline);
+    go_on = true;
+    cr_assert(noticed);
+}
+
 // Guards against a caller's connection that is closed because no session can be
 // added for a pipelined request: every connection that the node serves at once
 // is in use.
