test: wait for the first request before looking for a second one

entry/requests_that_may_run_once_are_not_started_ahead failed in 2 of 28 runs by 12 processes at once, with a load of up to 51 on 8 cores: the gate had not counted one request when the test looked, 200 ms after it had sent two. The number that it had counted is not in the record.

The test assumed that a request reaches the gate within 200 ms, and that it looks before the gate gives the first request up after 300 ms, which lets the second one begin. It now waits for the first request, and the gate holds that until the test has looked, 200 ms later.

Evidence: with a gate that reads 300 ms late the test failed before with the same assertion and passes now. With a pipeline that takes every request it fails ("started == 1"), as it is to.

--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -681,20 +681,28 @@
 Test(entry, requests_that_may_run_once_are_not_started_ahead)
 {
     std::atomic<int> executions = 0;
+    std::atomic<bool> checked = false;
     scripted_server gate(
-        [&executions](raw_connection& entry)
+        [&](raw_connection& entry)
         {
             entry.read_until("\r\n\r\n");
             ++executions;
-            std::this_thread::sleep_for(std::chrono::milliseconds{300});
+            while (!checked)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
         });
-    call_settings settings = test_settings();
-    entry_under_test entry(
-        {gate.where()}, std::chrono::seconds{20}, 200, settings);
+    entry_under_test entry({gate.where()});
     raw_connection caller(entry.where());
     caller.send(caller_request("GET") + caller_request("POST"));
+    while (executions == 0)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds{200});
-    cr_assert_eq(executions, 1);
+    const int started = executions;
+    checked = true;
+    cr_assert_eq(started, 1);
 }
 
 // Guards against bytes of a body that are lost or changed because the session
