http: notice a caller that leaves while its node drains

A draining session stopped reading what its caller sent behind a request, so that it did not see the end of the connection behind those bytes and kept an upstream at work for a caller that had gone.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -71,9 +71,7 @@
 
 bool entry_session::read_ahead()
 {
-    // Requests that follow one another would keep the connection, and the node,
-    // in use until the cut.
-    if (!may_read_ahead_ || group().draining())
+    if (!may_read_ahead_)
     {
         return false;
     }
@@ -93,11 +91,21 @@
     }
     if (!streaming_)
     {
-        pipeline_.take();
+        take_ahead();
     }
     return true;
 }
 
+// Requests that follow one another would keep the connection, and so a node
+// that leaves, in use until the cut.
+void entry_session::take_ahead()
+{
+    if (!group().draining())
+    {
+        pipeline_.take();
+    }
+}
+
 void entry_session::follow_answer(peer_exchange& exchange)
 {
     exchange.on_answer_write(
@@ -116,14 +124,11 @@
 
 asio::awaitable<bool> entry_session::answer_ahead()
 {
-    may_read_ahead_ = !group().draining();
+    may_read_ahead_ = true;
     streaming_ = false;
     // The session that serves the request refuses it where that is true.
     unsent_ = false;
-    if (may_read_ahead_)
-    {
-        pipeline_.take();
-    }
+    take_ahead();
     request_parser none;
     request_body body(client(), none, settings().relay_buffer_bytes_, 0);
     auto next = pipeline_.next();
@@ -251,11 +256,10 @@
     }
     environment_.router_.call_started(route, now());
     // What follows a request that ends the connection is not answered.
-    may_read_ahead_ =
-        request.is_done() && keeps_connection(request) && !group().draining();
+    may_read_ahead_ = request.is_done() && keeps_connection(request);
     if (may_read_ahead_)
     {
-        pipeline_.take();
+        take_ahead();
     }
     call_state state{request, std::move(*call), std::move(body)};
     // Guards against work for a caller that left while the request waited to be
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -152,6 +152,8 @@
     [[nodiscard]] bool caller_is_gone() const;
 
     [[nodiscard]] bool may_repeat(request_head& head) const;
+    /// Starts the requests that have been read behind the one that is served.
+    void take_ahead();
     /// Follows the writes of the exchange's answer to the caller.
     void follow_answer(peer_exchange& exchange);
     boost::asio::awaitable<bool>
