test: show that a push within a failure domain reaches nobody

A push that a node starts within its failure domain, as readers do with each published revision, has an empty range of positions to serve and reaches no other node. Pushes to all regions ignore the range.

--- /dev/null
+++ b/test/node/test_domain_push.cpp
@@ -0,0 +1,72 @@
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "hemlockshelf/config/table_changes.hpp"
+#include "test/node/control_node.hpp"
+#include "test/node/scripted_source.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Returns settings of a node that differs from the others in its port and
+/// shares their failure domain, which has one reader.
+node_settings
+settings_of_one(std::uint16_t number, const std::string& vm, bit_rate link)
+{
+    auto control = own_address(1);
+    control.port_ = static_cast<std::uint16_t>(control.port_ + number);
+    auto settings = settings_at(control, vm, "salle-belair");
+    settings.link_ = link;
+    settings.dissemination_.readers_per_domain_ = 1;
+    return settings;
+}
+
+std::shared_ptr<const config_snapshot> snapshot_of(std::uint64_t number)
+{
+    config_tables tables;
+    apply_change(
+        tables, {table_id::pools, row_key{"regie/catalogue"},
+                 pool_row{
+                     service_name{"catalogue"},
+                     {},
+                     false,
+                     static_cast<std::uint32_t>(number)}});
+    return *config_snapshot::build(revision{number}, tables);
+}
+
+} // namespace
+
+// Guards against a push of a reader that has no receivers, so that the other
+// nodes of its failure domain find the revision by a repair and fetch it whole
+// from the reader.
+Test(domain_push, what_a_reader_reads_reaches_its_domain_by_push)
+{
+    constexpr std::uint64_t number = 9;
+    memory_tables tables;
+    scripted_source source;
+    const auto settings = settings_of_one(1, "reader", bit_rate{200});
+    const control_node reader(
+        settings, polled_services{tables, tables, &source});
+    cr_assert(serves_within(5s, reader));
+    auto taker_settings = settings_of_one(2, "taker", bit_rate{100});
+    taker_settings.peers_ = {settings.control_};
+    const control_node taker(taker_settings, tables);
+    cr_assert(serves_within(5s, taker));
+    source.publish(snapshot_of(number));
+    cr_assert(holds_within(
+        2s,
+        [&taker]
+        {
+            return taker.snapshots_.current()->number() == revision{number};
+        }));
+    const auto metrics = taker.metrics_.to_text();
+    cr_assert(
+        metrics.find("config_applies_total{source=\"push\"} 1") !=
+        std::string::npos);
+}
