--- a/experiment/cluster.cpp
+++ b/experiment/cluster.cpp
@@ -1,9 +1,7 @@
 #include "experiment/cluster.hpp"
 
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
-#include <stdexcept>
 
 #include <fmt/format.h>
 
@@ -21,24 +19,12 @@
 /// Upper limit of a node's graceful shutdown.
 constexpr std::chrono::seconds stop_timeout{30};
 
-std::string make_folder()
-{
-    std::string name =
-        (std::filesystem::temp_directory_path() / "hemlockshelf-XXXXXX")
-            .string();
-    if (::mkdtemp(name.data()) == nullptr)
-    {
-        throw std::runtime_error(name + ": cannot be created");
-    }
-    return name;
-}
-
 } // namespace
 
 cluster::cluster(cluster_options options)
     : options_(std::move(options)),
       places_(make_places(options_.deployment_, block_, options_.nodes_)),
-      folder_(make_folder()), slots_(places_.size())
+      folder_(make_temporary_folder()), slots_(places_.size())
 {
     write_file(
         file("link.json"), link_settings_text(options_, places_, block_));
--- a/experiment/published_mesh.cpp
+++ b/experiment/published_mesh.cpp
@@ -1,6 +1,5 @@
 #include "experiment/published_mesh.hpp"
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <regex>
@@ -35,18 +34,6 @@
     return mesh;
 }
 
-std::string make_folder()
-{
-    std::string name =
-        (std::filesystem::temp_directory_path() / "hemlockshelf-XXXXXX")
-            .string();
-    if (::mkdtemp(name.data()) == nullptr)
-    {
-        throw std::runtime_error(name + ": cannot be created");
-    }
-    return name;
-}
-
 std::string read_file(const std::string& path)
 {
     std::ifstream file(path);
@@ -80,7 +67,7 @@
 published_mesh::published_mesh(const published_mesh_options& options)
     : daemon_(options.bin_folder_ + "/hemlockshelfd"),
       places_(make_places(make_deployment(), block_, options.nodes_)),
-      folder_(make_folder()),
+      folder_(make_temporary_folder()),
       server_(
           context_,
           platform_endpoint(block_),
--- a/experiment/settings_files.cpp
+++ b/experiment/settings_files.cpp
@@ -1,5 +1,7 @@
 #include "experiment/settings_files.hpp"
 
+#include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <stdexcept>
@@ -128,4 +130,16 @@
     }
 }
 
+std::string make_temporary_folder()
+{
+    std::string name =
+        (std::filesystem::temp_directory_path() / "hemlockshelf-XXXXXX")
+            .string();
+    if (::mkdtemp(name.data()) == nullptr)
+    {
+        throw std::runtime_error(name + ": cannot be created");
+    }
+    return name;
+}
+
 } // namespace hemlockshelf
--- a/experiment/settings_files.hpp
+++ b/experiment/settings_files.hpp
@@ -27,6 +27,10 @@
 /// Writes a file. Throws `std::runtime_error` if that fails.
 void write_file(const std::string& path, const std::string& text);
 
+/// Makes a new folder for the files of a run and returns its path. Throws
+/// `std::runtime_error` if that fails.
+std::string make_temporary_folder();
+
 } // namespace hemlockshelf
 
 #endif
