--- a/include/hemlockshelf/config/configuration_source.hpp
+++ b/include/hemlockshelf/config/configuration_source.hpp
@@ -16,12 +16,10 @@
 /// What one read of the published configurations brought.
 struct published_read
 {
-    static constexpr std::size_t max_rejected = 8;
-
     /// The newest configuration above the held revision; null if there is none.
     std::shared_ptr<const config_snapshot> newest_;
-    /// Why documents that were looked at can't be used; the first
-    /// `max_rejected` of them.
+    /// Why documents that were looked at can't be used. A source looks at few
+    /// documents of a read.
     std::vector<error> rejected_;
     /// Published documents in the read, and their bytes as stored.
     std::size_t documents_ = 0;
