http: report the writes of a request through one handler

Two handlers told the gate of the parts and of the end of a body. Each held three pointers, more than std::function keeps without an allocation, so that every call of a gate allocated twice for them. One handler that gets the bytes holds two pointers.

--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -338,15 +338,17 @@
         metric_id::gate_admissions, to_string(state.request_.call_.class_));
     limit(state.request_.call_.deadline_);
     exchange.promise_body(state.request_.framing_.length_);
-    exchange.on_request_sent(
-        [this, &state, &exchange]
+    exchange.on_request_write(
+        [this, &state](std::uint64_t body_sent, bool whole)
         {
-            end_body(state, byte_count{exchange.body_sent()});
-        });
-    exchange.on_piece_sent(
-        [this, &state, &exchange]
-        {
-            receive_part(state, exchange.body_sent());
+            if (whole)
+            {
+                end_body(state, byte_count{body_sent});
+            }
+            else
+            {
+                receive_part(state, body_sent);
+            }
         });
     auto head = upstream_head(
         state.request_, settings().protocol_, environment_.gate_.instance(),
--- a/adapters/http/peer_exchange.cpp
+++ b/adapters/http/peer_exchange.cpp
@@ -126,13 +126,9 @@
         to_buffer(around.after_));
     body_sent_ += failure ? 0 : piece.size();
     request_sent_ = last && !failure;
-    if (request_sent_ && on_request_sent_)
+    if (!failure && on_request_write_)
     {
-        on_request_sent_();
-    }
-    else if (!failure && on_piece_sent_)
-    {
-        on_piece_sent_();
+        on_request_write_(body_sent_, last);
     }
     co_return failure;
 }
--- a/adapters/http/peer_exchange.hpp
+++ b/adapters/http/peer_exchange.hpp
@@ -64,17 +64,11 @@
         promised_ = size;
     }
 
-    /// Calls `handler` when the last byte of the request has been written.
-    void on_request_sent(std::function<void()> handler)
+    /// Calls `handler` after each write of the request with the bytes of its
+    /// body that were sent so far and whether that is all of it.
+    void on_request_write(std::function<void(std::uint64_t, bool)> handler)
     {
-        on_request_sent_ = std::move(handler);
-    }
-
-    /// Calls `handler` after each write of a piece of the body that is not its
-    /// last.
-    void on_piece_sent(std::function<void()> handler)
-    {
-        on_piece_sent_ = std::move(handler);
+        on_request_write_ = std::move(handler);
     }
 
     /// Calls `handler` with true before each write of the answer to the client
@@ -147,12 +141,6 @@
         return body_released_;
     }
 
-    /// Bytes of the body that were written to the peer.
-    [[nodiscard]] std::uint64_t body_sent() const noexcept
-    {
-        return body_sent_;
-    }
-
     /// The failure that ended the reading of the client's body.
     [[nodiscard]] boost::system::error_code client_failure() const noexcept
     {
@@ -187,8 +175,7 @@
     std::array<char, 24> answer_line_{};
     std::optional<std::uint64_t> promised_;
     std::uint64_t body_sent_ = 0;
-    std::function<void()> on_request_sent_;
-    std::function<void()> on_piece_sent_;
+    std::function<void(std::uint64_t, bool)> on_request_write_;
     std::function<void(bool)> on_answer_write_;
     bool connected_ = false;
     bool chunked_ = false;
