--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -168,7 +168,7 @@
         "no answer to a pipelined request: " + detail};
     log_request_event<log_event_id::pipelined_answer_lost>(
         log_fields::detail(failure.message_));
-    const bool keep = !group().draining() || has_ahead();
+    const bool keep = stays_open();
     may_read_ahead_ = keep;
     const bool sent = co_await write_refusal(
         refusal_text(failure, false, keep, {}), to_head_request);
@@ -180,7 +180,7 @@
 {
     constexpr unsigned version = 11;
     auto& answer = exchange.answer();
-    const bool keep = !group().draining() || has_ahead();
+    const bool keep = stays_open();
     may_read_ahead_ = keep;
     begin_answer(now() + settings().drain_limit_);
     follow_answer(exchange);
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -379,11 +379,14 @@
     }
 }
 
+bool relay_session::stays_open() const
+{
+    return !group_.draining() || has_ahead();
+}
+
 bool relay_session::can_keep(const request_parser& request) const
 {
-    // A node that leaves still answers the requests that it has started.
-    return request.is_done() && keeps_connection(request) &&
-           (!group_.draining() || has_ahead());
+    return request.is_done() && keeps_connection(request) && stays_open();
 }
 
 asio::awaitable<void> relay_session::close_gently()
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -157,6 +157,10 @@
         exchange_ = exchange;
     }
 
+    /// Whether the node lets the connection stay open: one that leaves still
+    /// answers the requests that it has started.
+    [[nodiscard]] bool stays_open() const;
+
     /// Whether the connection can stay open after the answer to `request`.
     [[nodiscard]] bool can_keep(const request_parser& request) const;
 
