node: share the delayed push and the time of silence

push_polled and push_published planned the same push; is_isolated took a whole situation, made up by one caller, for the one value that it reads.

--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -436,7 +436,13 @@
         return {
             reader_place(
                 context_, settings_.dissemination_.readers_per_domain_),
-            platform_contact_.lost_, time_.now() - heartbeats_.last_contact()};
+            platform_contact_.lost_, silence()};
+    }
+
+    /// Returns the time since the last contact with another node.
+    [[nodiscard]] std::chrono::nanoseconds silence() const
+    {
+        return time_.now() - heartbeats_.last_contact();
     }
 
     /// Chooses again as soon as a record of the failure domain has changed or
@@ -445,8 +451,7 @@
     {
         auto members =
             context_.members_.members_in(context_.self_.failure_domain_);
-        const bool isolated = is_isolated(
-            {std::nullopt, false, time_.now() - heartbeats_.last_contact()});
+        const bool isolated = is_isolated(silence());
         if (members != domain_members_ || isolated != isolated_)
         {
             domain_members_ = std::move(members);
--- a/node/push_intake.cpp
+++ b/node/push_intake.cpp
@@ -93,12 +93,7 @@
 
 void push_intake::push_polled(const std::vector<accepted_delta>& deltas)
 {
-    context_.network_.after(
-        polled_push_delay,
-        [this, deltas]
-        {
-            push_unless_noted(deltas);
-        });
+    push_later(deltas, polled_push_delay);
 }
 
 void push_intake::push_published(const std::vector<accepted_delta>& deltas)
@@ -111,12 +106,7 @@
     }
     else
     {
-        context_.network_.after(
-            delay,
-            [this, deltas]
-            {
-                push_unless_noted(deltas);
-            });
+        push_later(deltas, delay);
     }
     offer_soon(deltas, delay + offer_delay);
 }
@@ -138,6 +128,17 @@
         });
 }
 
+void push_intake::push_later(
+    const std::vector<accepted_delta>& deltas, std::chrono::milliseconds delay)
+{
+    context_.network_.after(
+        delay,
+        [this, deltas]
+        {
+            push_unless_noted(deltas);
+        });
+}
+
 void push_intake::push_unless_noted(const std::vector<accepted_delta>& deltas)
 {
     if (deltas.back().delta_.to_ > last_pushed_)
--- a/node/push_intake.hpp
+++ b/node/push_intake.hpp
@@ -38,6 +38,10 @@
     void push_published(const std::vector<accepted_delta>& deltas);
 
 private:
+    /// Pushes the deltas after `delay`, unless another push came first.
+    void push_later(
+        const std::vector<accepted_delta>& deltas,
+        std::chrono::milliseconds delay);
     void push_unless_noted(const std::vector<accepted_delta>& deltas);
     /// Offers the deltas, or those that follow until then, after `delay`.
     void offer_soon(
--- a/node/reader_duty.cpp
+++ b/node/reader_duty.cpp
@@ -15,14 +15,14 @@
 
 } // namespace
 
-bool is_isolated(const reader_situation& situation)
+bool is_isolated(std::chrono::nanoseconds silence)
 {
-    return situation.silence_ >= isolation_limit;
+    return silence >= isolation_limit;
 }
 
 poll_mode choose_poll_mode(const reader_situation& situation)
 {
-    if (situation.place_ || is_isolated(situation))
+    if (situation.place_ || is_isolated(situation.silence_))
     {
         return poll_mode::follow;
     }
--- a/node/reader_duty.hpp
+++ b/node/reader_duty.hpp
@@ -20,8 +20,9 @@
     std::chrono::nanoseconds silence_{0};
 };
 
-/// Returns whether no other node can tell this one of newer revisions.
-bool is_isolated(const reader_situation& situation);
+/// Returns whether no other node can tell this one of newer revisions, after so
+/// long without a contact.
+bool is_isolated(std::chrono::nanoseconds silence);
 
 /// Returns how a node that has joined reads the platform. A reader and an
 /// isolated node follow it; a node that has lost it looks for its return, so
