--- a/test/node/test_publication.cpp
+++ b/test/node/test_publication.cpp
@@ -76,6 +76,30 @@
         });
 }
 
+/// A push from a node that did not start it, whose delta does not follow what
+/// its taker holds.
+struct push_with_gap
+{
+    push_with_gap()
+    {
+        cr_assert(serves_within(5s, taker_));
+        taker_.members_.merge(sender_.record());
+        taker_.members_.merge(origin_.record());
+    }
+
+    void send()
+    {
+        auto message = push_between(sender_, 7, 9);
+        message.origin_ = origin_.record().vm_;
+        sender_.push(taker_.settings_.control_, message);
+    }
+
+    memory_tables tables_;
+    control_node taker_{settings_of_one(1, "taker", "salle-belair"), tables_};
+    scripted_peer sender_{settings_of_one(2, "sender", "salle-belair")};
+    scripted_peer origin_{settings_of_one(3, "origin", "salle-belair")};
+};
+
 } // namespace
 
 // Guards against a node that runs an old revision until a digest repairs it:
@@ -83,41 +107,25 @@
 // that only its origin can send what is missing.
 Test(publication, a_taker_fetches_from_the_origin_what_the_sender_lacks)
 {
-    memory_tables tables;
-    control_node taker(settings_of_one(1, "taker", "salle-belair"), tables);
-    scripted_peer sender(settings_of_one(2, "sender", "salle-belair"));
-    scripted_peer origin(settings_of_one(3, "origin", "salle-belair"));
-    cr_assert(serves_within(5s, taker));
-    taker.members_.merge(sender.record());
-    taker.members_.merge(origin.record());
-    origin.serve(
+    push_with_gap push;
+    push.origin_.serve(
         {config_answer_kind::snapshot, encode_snapshot(*snapshot_of(9)), {}});
-    auto message = push_between(sender, 7, 9);
-    message.origin_ = origin.record().vm_;
-    sender.push(taker.settings_.control_, message);
-    cr_assert(holds_revision_within(2s, taker, 9));
-    cr_assert(sender.fetches().size() == 1);
-    cr_assert(origin.fetches().size() == 1);
+    push.send();
+    cr_assert(holds_revision_within(2s, push.taker_, 9));
+    cr_assert(push.sender_.fetches().size() == 1);
+    cr_assert(push.origin_.fetches().size() == 1);
 }
 
 // Guards against an origin that every taker of a push asks, although the sender
 // holds what is missing.
 Test(publication, a_taker_asks_the_sender_first)
 {
-    memory_tables tables;
-    control_node taker(settings_of_one(1, "taker", "salle-belair"), tables);
-    scripted_peer sender(settings_of_one(2, "sender", "salle-belair"));
-    scripted_peer origin(settings_of_one(3, "origin", "salle-belair"));
-    cr_assert(serves_within(5s, taker));
-    taker.members_.merge(sender.record());
-    taker.members_.merge(origin.record());
-    sender.serve(
+    push_with_gap push;
+    push.sender_.serve(
         {config_answer_kind::snapshot, encode_snapshot(*snapshot_of(9)), {}});
-    auto message = push_between(sender, 7, 9);
-    message.origin_ = origin.record().vm_;
-    sender.push(taker.settings_.control_, message);
-    cr_assert(holds_revision_within(2s, taker, 9));
-    cr_assert(origin.fetches().empty());
+    push.send();
+    cr_assert(holds_revision_within(2s, push.taker_, 9));
+    cr_assert(push.origin_.fetches().empty());
 }
 
 // Guards against a failure domain that keeps an old revision because its
