test: share answers, the late loop and the streaming gate

test_entry, test_cut_answer and test_pipelined_answer each had their own form of the same answer, four tests of a late loop the same entry and gate, and one test a second streaming gate. The assertions are unchanged; test_http passes (119 tests).

--- a/test/http/call_fixture.cpp
+++ b/test/http/call_fixture.cpp
@@ -305,4 +305,17 @@
     return message.substr(from, message.find("\r\n", from) - from);
 }
 
+std::string head_to(const std::string& request, const std::string& fields)
+{
+    return "HTTP/1.1 200 OK\r\nHemlockshelf-Request-Id: " +
+           header_of(request, "Hemlockshelf-Request-Id") + "\r\n" + fields +
+           "\r\n";
+}
+
+std::string answer_to(const std::string& request, const std::string& body)
+{
+    const auto length = std::to_string(body.size());
+    return head_to(request, "Content-Length: " + length + "\r\n") + body;
+}
+
 } // namespace hemlockshelf::test
--- a/test/http/call_fixture.hpp
+++ b/test/http/call_fixture.hpp
@@ -246,6 +246,13 @@
 /// Returns a value of a head, or an empty text.
 std::string header_of(const std::string& message, const std::string& name);
 
+/// Returns the head of a successful answer to a request, with further fields
+/// that each end a line.
+std::string head_to(const std::string& request, const std::string& fields);
+
+/// Returns a successful answer to a request.
+std::string answer_to(const std::string& request, const std::string& body);
+
 inline bool contains(const std::string& text, const std::string& part)
 {
     return text.find(part) != std::string::npos;
--- a/test/http/test_cut_answer.cpp
+++ b/test/http/test_cut_answer.cpp
@@ -14,19 +14,6 @@
 
 constexpr std::size_t streamed_bytes = 200'000;
 
-std::string head_to(const std::string& request, const std::string& framing)
-{
-    return "HTTP/1.1 200 OK\r\nHemlockshelf-Request-Id: " +
-           header_of(request, "Hemlockshelf-Request-Id") + "\r\n" + framing +
-           "\r\n\r\n";
-}
-
-std::string answer_to(const std::string& request, const std::string& body)
-{
-    return head_to(request, "Content-Length: " + std::to_string(body.size())) +
-           body;
-}
-
 /// Answers the requests whose head holds `X-Name: cut` with `part` and closes
 /// the connection; answers the others in full.
 scripted_server::script cutting_gate(
@@ -68,7 +55,7 @@
 {
     std::atomic<int> executions = 0;
     scripted_server gate(
-        cutting_gate(executions, "Content-Length: 10", "half"));
+        cutting_gate(executions, "Content-Length: 10\r\n", "half"));
     entry_under_test entry({gate.where()});
     raw_connection caller(entry.where());
     caller.send(request_to_cut() + caller_request("GET"));
@@ -86,7 +73,7 @@
 {
     std::atomic<int> executions = 0;
     scripted_server gate(
-        cutting_gate(executions, "Content-Length: 10", "half"));
+        cutting_gate(executions, "Content-Length: 10\r\n", "half"));
     entry_under_test entry({gate.where()});
     raw_connection caller(entry.where());
     caller.send(
@@ -103,7 +90,8 @@
 {
     std::atomic<int> executions = 0;
     scripted_server gate(cutting_gate(
-        executions, "Transfer-Encoding: chunked", "4\r\nhalf\r\nno chunk\r\n"));
+        executions, "Transfer-Encoding: chunked\r\n",
+        "4\r\nhalf\r\nno chunk\r\n"));
     entry_under_test entry({gate.where()});
     raw_connection caller(entry.where());
     caller.send(request_to_cut());
@@ -119,7 +107,7 @@
 {
     std::atomic<int> executions = 0;
     scripted_server cutting(
-        cutting_gate(executions, "Content-Length: 10", "half"));
+        cutting_gate(executions, "Content-Length: 10\r\n", "half"));
     scripted_server honest(
         [](raw_connection& entry)
         {
@@ -143,7 +131,7 @@
             entry.send("HTTP/1.1 100 Continue\r\n\r\n");
             entry.read_until("0\r\n\r\n");
             ++executions;
-            entry.send(head_to(head, "Content-Length: 10") + "half");
+            entry.send(head_to(head, "Content-Length: 10\r\n") + "half");
         });
     entry_under_test entry({cutting.where(), cutting.where()});
     const auto answer = entry.call(caller_request("POST", "order"));
@@ -160,7 +148,7 @@
         [](raw_connection& entry)
         {
             const auto head = entry.read_until("\r\n\r\n");
-            entry.send(head_to(head, "Content-Length: 10") + "half");
+            entry.send(head_to(head, "Content-Length: 10\r\n") + "half");
             entry.read_all();
         });
     entry_under_test entry({gate.where()}, std::chrono::milliseconds{400});
@@ -208,7 +196,7 @@
         {
             const auto head = entry.read_until("\r\n\r\n");
             entry.send(
-                head_to(head, "Transfer-Encoding: chunked") + "13880\r\n" +
+                head_to(head, "Transfer-Encoding: chunked\r\n") + "13880\r\n" +
                 std::string(80'000, 'x') + "\r\n");
             while (!begun)
             {
--- a/test/http/test_entry.cpp
+++ b/test/http/test_entry.cpp
@@ -15,14 +15,6 @@
 
 const std::string continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::string answer_to(const std::string& request, const std::string& body)
-{
-    return "HTTP/1.1 200 OK\r\nHemlockshelf-Request-Id: " +
-           header_of(request, "Hemlockshelf-Request-Id") +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
-}
-
 /// Serves requests as a gate does and counts those that it runs.
 scripted_server::script honest_gate(std::atomic<int>& executions)
 {
@@ -184,10 +176,13 @@
 /// Lets the gate's answer to a call arrive when an entry's loop has found the
 /// end of a time limit of that call and has not acted on it yet: the process is
 /// short of processor time. Returns the answer to the call.
-std::string call_with_late_loop(
-    entry_under_test& entry, waiting_gate& gate, const std::string& request)
+std::string call_with_late_loop(waiting_gate& gate, const std::string& request)
 {
     constexpr std::chrono::milliseconds margin{200};
+    scripted_server server(gate.script());
+    const auto settings = late_loop_settings();
+    entry_under_test entry(
+        {server.where()}, std::chrono::seconds{20}, 200, settings);
     occupied_loop loop(entry);
     // Accepted before the others.
     raw_connection last(entry.where());
@@ -993,12 +988,8 @@
 Test(entry, an_answer_that_has_arrived_at_the_time_limit_is_passed_on)
 {
     waiting_gate script;
-    scripted_server gate(script.script());
-    const auto settings = late_loop_settings();
-    entry_under_test entry(
-        {gate.where()}, std::chrono::seconds{20}, 200, settings);
     const auto answer = call_with_late_loop(
-        entry, script, caller_request("GET", {}, "X-Name: order\r\n"));
+        script, caller_request("GET", {}, "X-Name: order\r\n"));
     cr_assert(contains(answer, "late"), "%s", answer.c_str());
 }
 
@@ -1006,16 +997,11 @@
 Test(entry, an_answer_that_has_arrived_at_the_deadline_is_passed_on)
 {
     waiting_gate script;
-    scripted_server gate(script.script());
-    const auto settings = late_loop_settings();
-    entry_under_test entry(
-        {gate.where()}, std::chrono::seconds{20}, 200, settings);
     const auto answer = call_with_late_loop(
-        entry, script,
-        caller_request(
-            "GET", {},
-            "X-Name: order\r\nHemlockshelf-Deadline-Ms: " +
-                std::to_string(late_loop_limit.count()) + "\r\n"));
+        script, caller_request(
+                    "GET", {},
+                    "X-Name: order\r\nHemlockshelf-Deadline-Ms: " +
+                        std::to_string(late_loop_limit.count()) + "\r\n"));
     cr_assert(contains(answer, "late"), "%s", answer.c_str());
 }
 
@@ -1024,12 +1010,8 @@
 Test(entry, a_100_that_has_arrived_at_the_time_limit_is_used)
 {
     waiting_gate script;
-    scripted_server gate(script.script());
-    const auto settings = late_loop_settings();
-    entry_under_test entry(
-        {gate.where()}, std::chrono::seconds{20}, 200, settings);
     const auto answer = call_with_late_loop(
-        entry, script, caller_request("POST", "silk", "X-Name: order\r\n"));
+        script, caller_request("POST", "silk", "X-Name: order\r\n"));
     cr_assert(contains(answer, "late"), "%s", answer.c_str());
 }
 
@@ -1038,16 +1020,11 @@
 Test(entry, a_100_that_has_arrived_at_the_deadline_releases_no_body)
 {
     waiting_gate script;
-    scripted_server gate(script.script());
-    const auto settings = late_loop_settings();
-    entry_under_test entry(
-        {gate.where()}, std::chrono::seconds{20}, 200, settings);
     const auto answer = call_with_late_loop(
-        entry, script,
-        caller_request(
-            "POST", "silk",
-            "X-Name: order\r\nHemlockshelf-Deadline-Ms: " +
-                std::to_string(late_loop_limit.count()) + "\r\n"));
+        script, caller_request(
+                    "POST", "silk",
+                    "X-Name: order\r\nHemlockshelf-Deadline-Ms: " +
+                        std::to_string(late_loop_limit.count()) + "\r\n"));
     cr_assert(contains(answer, "HTTP/1.1 503"), "%s", answer.c_str());
     cr_assert_eq(header_of(answer, "Hemlockshelf-Not-Run"), "true");
     cr_assert_eq(script.bodies(), 0);
--- a/test/http/test_late_answer.cpp
+++ b/test/http/test_late_answer.cpp
@@ -22,11 +22,10 @@
 constexpr std::size_t long_bytes = std::size_t{24} * 1024 * 1024;
 constexpr std::size_t stalled_bytes = 200'000;
 
-std::string head_to(const std::string& request, std::size_t length)
+std::string head_for(const std::string& request, std::size_t length)
 {
-    return "HTTP/1.1 200 OK\r\nHemlockshelf-Request-Id: " +
-           header_of(request, "Hemlockshelf-Request-Id") +
-           "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+    return head_to(
+        request, "Content-Length: " + std::to_string(length) + "\r\n");
 }
 
 /// Gives every connection a long answer. The body is made in advance: a busy
@@ -39,7 +38,7 @@
         return [this](raw_connection& client)
         {
             const auto request = client.read_until("\r\n\r\n");
-            client.send(head_to(request, long_bytes) + body_.substr(0, 1));
+            client.send(head_for(request, long_bytes) + body_.substr(0, 1));
             begun_ = steady_clock::now();
             client.send(body_.substr(1));
             client.read_all();
@@ -197,7 +196,7 @@
         [&](raw_connection& entry)
         {
             const auto head =
-                head_to(entry.read_until("\r\n\r\n"), stalled_bytes);
+                head_for(entry.read_until("\r\n\r\n"), stalled_bytes);
             entry.send(head + std::string(stalled_bytes / 2, 'x'));
             entry.read_all();
             ended = true;
--- a/test/http/test_pipelined_answer.cpp
+++ b/test/http/test_pipelined_answer.cpp
@@ -14,13 +14,6 @@
 
 constexpr std::size_t streamed_bytes = 200'000;
 
-std::string head_to(const std::string& request, const std::string& fields)
-{
-    return "HTTP/1.1 200 OK\r\nHemlockshelf-Request-Id: " +
-           header_of(request, "Hemlockshelf-Request-Id") + "\r\n" + fields +
-           "\r\n";
-}
-
 const std::string slow_field = "X-Name: slow\r\n";
 
 /// Answers requests as an upstream does, those with `slow_field` after `delay`;
@@ -62,7 +55,7 @@
             ++executions;
             if (!contains(head, slow_field))
             {
-                entry.send(head_to(head, "Content-Length: 6\r\n") + "served");
+                entry.send(answer_to(head, "served"));
                 continue;
             }
             const std::string half(streamed_bytes / 2, 'x');
@@ -280,28 +273,11 @@
 {
     std::atomic<int> executions = 0;
     std::atomic<bool> go_on = false;
-    scripted_server gate(
-        [&](raw_connection& entry)
-        {
-            const auto head = entry.read_until("\r\n\r\n");
-            ++executions;
-            const std::string body(streamed_bytes, 'x');
-            entry.send(
-                head_to(
-                    head,
-                    "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-                body.substr(0, body.size() / 2));
-            while (!go_on)
-            {
-                std::this_thread::yield();
-            }
-            entry.send(body.substr(body.size() / 2));
-            entry.read_all();
-        });
+    scripted_server gate(streaming_gate(executions, go_on, false));
     entry_under_test entry({gate.where()});
     raw_connection caller(entry.where());
     entry.group().drain();
-    caller.send(caller_request("GET"));
+    caller.send(caller_request("GET", {}, slow_field));
     const auto start = caller.read_until("xxxx");
     cr_assert(contains(start, "Connection: close"));
     caller.send(caller_request("GET"));
