rpc: share the compression contexts of the control connections

Every control connection had a compressor and a decompressor of its own. With zstd 1.5.4 and a window of 16 KiB they take 169 kB and 162 kB after the first message (ZSTD_sizeof_CCtx and ZSTD_sizeof_DCtx), at each end.

Ruled out: shorter idle timeouts, which bring new connections for each push; no compression, which costs ten times the bytes of a heartbeat.

Change: the connections of an event loop share one pair of contexts. A message is a frame of its own, and the last 4 KiB of its direction are the dictionary (zstd prefix), which is all that a connection keeps. Messages of more than 16 KiB are split.

--- a/adapters/rpc/compressed_stream.cpp
+++ b/adapters/rpc/compressed_stream.cpp
@@ -1,67 +1,50 @@
 #include "adapters/rpc/compressed_stream.hpp"
 
+#include <algorithm>
+#include <exception>
+#include <span>
 #include <utility>
 
 #include <kj/debug.h>
-#include <kj/vector.h>
 
 namespace hemlockshelf {
 
 namespace {
 
-constexpr int compression_level = 1;
-// Bounds the memory of each connection; a window of 16 KiB holds the last
-// hundred small messages.
-constexpr int window_log = 14;
+// Bytes requested from the socket when no frame has begun. Small, because each
+// idle connection holds a buffer of this size. It fits several small messages.
+constexpr std::size_t idle_read_size = 512;
+// Buffers that grew beyond this size are released when they are empty.
+constexpr std::size_t max_kept_capacity = 1024;
 
-void check(std::size_t code)
+void release_if_large(std::vector<std::byte>& buffer)
 {
-    if (ZSTD_isError(code) != 0)
+    if (buffer.empty() && buffer.capacity() > max_kept_capacity)
     {
-        kj::throwFatalException(KJ_EXCEPTION(
-            DISCONNECTED, "control stream: malformed data",
-            ZSTD_getErrorName(code)));
+        std::vector<std::byte>().swap(buffer);
     }
 }
 
-void append_compressed(
-    ZSTD_CCtx* context,
-    kj::ArrayPtr<const kj::byte> piece,
-    ZSTD_EndDirective directive,
-    kj::Vector<kj::byte>& output)
+template <class Function>
+auto disconnect_on_failure(Function&& function)
 {
-    ZSTD_inBuffer input{piece.begin(), piece.size(), 0};
-    std::size_t remaining = 1;
-    while (remaining != 0 || input.pos < input.size)
+    try
     {
-        std::array<kj::byte, 4096> block;
-        ZSTD_outBuffer buffer{block.data(), block.size(), 0};
-        remaining = ZSTD_compressStream2(context, &buffer, &input, directive);
-        check(remaining);
-        output.addAll(kj::arrayPtr(block.data(), buffer.pos));
-        if (directive == ZSTD_e_continue && input.pos == input.size)
-        {
-            return;
-        }
+        return function();
+    }
+    catch (const std::exception& failure)
+    {
+        kj::throwFatalException(
+            KJ_EXCEPTION(DISCONNECTED, "control stream", failure.what()));
     }
 }
 
 } // namespace
 
 compressed_stream::compressed_stream(
-    kj::Own<kj::AsyncIoStream> socket, byte_meter& meter)
-    : socket_(kj::mv(socket)), meter_(meter), compressor_(ZSTD_createCCtx()),
-      decompressor_(ZSTD_createDCtx())
-{
-    check(ZSTD_CCtx_setParameter(
-        compressor_.get(), ZSTD_c_compressionLevel, compression_level));
-    check(ZSTD_CCtx_setParameter(
-        compressor_.get(), ZSTD_c_windowLog, window_log));
-    check(ZSTD_CCtx_setParameter(
-        compressor_.get(), ZSTD_c_hashLog, window_log - 1));
-    check(ZSTD_DCtx_setParameter(
-        decompressor_.get(), ZSTD_d_windowLogMax, window_log));
-}
+    kj::Own<kj::AsyncIoStream> socket, frame_codec& codec, byte_meter& meter)
+    : socket_(kj::mv(socket)), codec_(codec), meter_(meter)
+{}
 
 kj::Promise<std::size_t>
 compressed_stream::tryRead(void* buffer, std::size_t min, std::size_t max)
@@ -75,40 +58,95 @@
     std::size_t max,
     std::size_t already_read)
 {
-    already_read += decompress_into(buffer + already_read, max - already_read);
+    already_read += take_plain(buffer + already_read, max - already_read);
     if (already_read >= min)
     {
         return already_read;
     }
-    return socket_->tryRead(input_.data(), 1, input_.size())
+    return receive().then(
+        [this, buffer, min, max,
+         already_read](bool is_open) -> kj::Promise<std::size_t>
+        {
+            if (!is_open)
+            {
+                return already_read;
+            }
+            decode_received();
+            return read_more(buffer, min, max, already_read);
+        });
+}
+
+std::size_t compressed_stream::take_plain(kj::byte* buffer, std::size_t size)
+{
+    const auto count = std::min(size, plain_.size() - plain_begin_);
+    const auto unread = std::span(plain_).subspan(plain_begin_, count);
+    std::ranges::copy(unread, reinterpret_cast<std::byte*>(buffer));
+    plain_begin_ += count;
+    if (plain_begin_ == plain_.size())
+    {
+        plain_.clear();
+        plain_begin_ = 0;
+        release_if_large(plain_);
+    }
+    return count;
+}
+
+kj::Promise<bool> compressed_stream::receive()
+{
+    const auto held = received_.size();
+    received_.resize(held + std::max(idle_read_size, missing_bytes()));
+    return socket_->tryRead(received_.data() + held, 1, received_.size() - held)
         .then(
-            [this, buffer, min, max,
-             already_read](std::size_t received) -> kj::Promise<std::size_t>
+            [this, held](std::size_t count)
             {
-                if (received == 0)
+                received_.resize(held + count);
+                meter_.received(count);
+                if (count == 0 && held > 0)
                 {
-                    return already_read;
+                    kj::throwFatalException(KJ_EXCEPTION(
+                        DISCONNECTED,
+                        "control stream: closed in the middle of a frame"));
                 }
-                meter_.received(received);
-                input_begin_ = 0;
-                input_end_ = received;
-                return read_more(buffer, min, max, already_read);
+                return count > 0;
             });
 }
 
-std::size_t
-compressed_stream::decompress_into(kj::byte* buffer, std::size_t size)
+std::size_t compressed_stream::missing_bytes() const
 {
-    ZSTD_outBuffer output{buffer, size, 0};
-    while (output.pos < output.size &&
-           (input_begin_ < input_end_ || output_pending_))
+    if (received_.size() < frame_codec::header_size)
     {
-        ZSTD_inBuffer input{input_.data(), input_end_, input_begin_};
-        check(ZSTD_decompressStream(decompressor_.get(), &output, &input));
-        input_begin_ = input.pos;
-        output_pending_ = output.pos == output.size;
+        return frame_codec::header_size - received_.size();
     }
-    return output.pos;
+    const auto payload = frame_codec::payload_size(
+        std::span(received_).first<frame_codec::header_size>());
+    return frame_codec::header_size + payload - received_.size();
+}
+
+void compressed_stream::decode_received()
+{
+    std::span<const std::byte> rest(received_);
+    while (rest.size() >= frame_codec::header_size)
+    {
+        const auto payload =
+            frame_codec::payload_size(rest.first<frame_codec::header_size>());
+        const auto frame_size = frame_codec::header_size + payload;
+        if (rest.size() < frame_size)
+        {
+            break;
+        }
+        const auto plain = disconnect_on_failure(
+            [&]
+            {
+                return codec_.decode(
+                    read_, rest.subspan(frame_codec::header_size, payload));
+            });
+        plain_.insert(plain_.end(), plain.begin(), plain.end());
+        rest = rest.subspan(frame_size);
+    }
+    received_.erase(
+        received_.begin(),
+        received_.end() - static_cast<std::ptrdiff_t>(rest.size()));
+    release_if_large(received_);
 }
 
 kj::Promise<void> compressed_stream::write(const void* buffer, std::size_t size)
@@ -121,17 +159,23 @@
 kj::Promise<void> compressed_stream::write(
     kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
 {
-    kj::Vector<kj::byte> compressed;
+    std::vector<std::byte> plain;
     for (const auto& piece : pieces)
     {
-        append_compressed(
-            compressor_.get(), piece, ZSTD_e_continue, compressed);
+        const auto bytes =
+            std::as_bytes(std::span(piece.begin(), piece.size()));
+        plain.insert(plain.end(), bytes.begin(), bytes.end());
     }
-    append_compressed(compressor_.get(), nullptr, ZSTD_e_flush, compressed);
-    auto bytes = compressed.releaseAsArray();
-    meter_.sent(bytes.size());
-    auto written = socket_->write(bytes.begin(), bytes.size());
-    return written.attach(kj::mv(bytes));
+    std::vector<std::byte> frames;
+    disconnect_on_failure(
+        [&]
+        {
+            codec_.encode(sent_, plain, frames);
+        });
+    meter_.sent(frames.size());
+    auto held = kj::heap(std::move(frames));
+    auto written = socket_->write(held->data(), held->size());
+    return written.attach(kj::mv(held));
 }
 
 kj::Promise<void> compressed_stream::whenWriteDisconnected()
--- a/adapters/rpc/config_payload.cpp
+++ b/adapters/rpc/config_payload.cpp
@@ -15,7 +15,7 @@
 constexpr int compression_level = 3;
 // Deltas up to this size, in bytes, are left to the compression of the control
 // stream, which finds in the messages before what they repeat. It can't do so
-// in a compressed payload. Well below the stream's window of 16 KiB.
+// in a compressed payload.
 constexpr std::size_t max_plain_size = 4096;
 // A snapshot of 2,500 services takes a few MB; a peer that claims more is
 // refused before memory is taken for it.
--- a/adapters/rpc/control_connection.cpp
+++ b/adapters/rpc/control_connection.cpp
@@ -7,17 +7,20 @@
 namespace hemlockshelf {
 
 control_connection::control_connection(
-    kj::Own<kj::AsyncIoStream> socket, std::shared_ptr<byte_meter> meter)
-    : meter_(std::move(meter)), stream_(kj::mv(socket), *meter_),
+    kj::Own<kj::AsyncIoStream> socket,
+    frame_codec& codec,
+    std::shared_ptr<byte_meter> meter)
+    : meter_(std::move(meter)), stream_(kj::mv(socket), codec, *meter_),
       network_(stream_, capnp::rpc::twoparty::Side::CLIENT),
       rpc_(capnp::makeRpcClient(network_))
 {}
 
 control_connection::control_connection(
     kj::Own<kj::AsyncIoStream> socket,
+    frame_codec& codec,
     std::shared_ptr<byte_meter> meter,
     wire::Control::Client service)
-    : meter_(std::move(meter)), stream_(kj::mv(socket), *meter_),
+    : meter_(std::move(meter)), stream_(kj::mv(socket), codec, *meter_),
       network_(stream_, capnp::rpc::twoparty::Side::SERVER),
       rpc_(capnp::makeRpcServer(network_, kj::mv(service)))
 {}
--- a/adapters/rpc/control_connection.hpp
+++ b/adapters/rpc/control_connection.hpp
@@ -13,17 +13,21 @@
 
 namespace hemlockshelf {
 
-/// One connection with its RPC session, on either side.
+/// One connection with its RPC session, on either side. The codec must outlive
+/// it.
 class control_connection
 {
 public:
     /// Makes the calling side.
     control_connection(
-        kj::Own<kj::AsyncIoStream> socket, std::shared_ptr<byte_meter> meter);
+        kj::Own<kj::AsyncIoStream> socket,
+        frame_codec& codec,
+        std::shared_ptr<byte_meter> meter);
 
     /// Makes the answering side, which offers `service`.
     control_connection(
         kj::Own<kj::AsyncIoStream> socket,
+        frame_codec& codec,
         std::shared_ptr<byte_meter> meter,
         wire::Control::Client service);
 
--- a/adapters/rpc/control_network.cpp
+++ b/adapters/rpc/control_network.cpp
@@ -61,11 +61,12 @@
         kj::AutoCloseFd listener)
         : settings_(settings), metrics_(metrics),
           timer_(io.provider->getTimer()),
-          outgoing_(settings, metrics, *io.lowLevelProvider),
+          outgoing_(settings, metrics, codec_, *io.lowLevelProvider),
           incoming_(
               settings,
               handler,
               metrics,
+              codec_,
               io.lowLevelProvider->wrapListenSocketFd(
                   kj::mv(listener), listener_flags)),
           tasks_(*this)
@@ -178,6 +179,7 @@
     const rpc_settings& settings_;
     metric_sink& metrics_;
     kj::Timer& timer_;
+    frame_codec codec_;
     outgoing_links outgoing_;
     incoming_links incoming_;
     kj::TaskSet tasks_;
--- a/adapters/rpc/incoming_links.cpp
+++ b/adapters/rpc/incoming_links.cpp
@@ -25,8 +25,9 @@
     const rpc_settings& settings,
     control_handler& handler,
     metric_sink& metrics,
+    frame_codec& codec,
     kj::Own<kj::ConnectionReceiver> listener)
-    : settings_(settings), handler_(handler), metrics_(metrics),
+    : settings_(settings), handler_(handler), metrics_(metrics), codec_(codec),
       listener_(kj::mv(listener)), tasks_(*this)
 {
     tasks_.add(accept_next());
@@ -51,7 +52,7 @@
     const auto id = next_id_++;
     auto meter = std::make_shared<byte_meter>(metrics_);
     auto connection = kj::heap<control_connection>(
-        kj::mv(socket), meter,
+        kj::mv(socket), codec_, meter,
         kj::heap<control_service>(settings_.self_, handler_, meter));
     // The connection must not be destroyed from its own callback.
     tasks_.add(connection->when_closed().then(
--- a/adapters/rpc/incoming_links.hpp
+++ b/adapters/rpc/incoming_links.hpp
@@ -23,6 +23,7 @@
         const rpc_settings& settings,
         control_handler& handler,
         metric_sink& metrics,
+        frame_codec& codec,
         kj::Own<kj::ConnectionReceiver> listener);
 
     /// Closes connections that have been silent for long.
@@ -44,6 +45,7 @@
     const rpc_settings& settings_;
     control_handler& handler_;
     metric_sink& metrics_;
+    frame_codec& codec_;
     kj::Own<kj::ConnectionReceiver> listener_;
     std::uint64_t next_id_ = 0;
     std::map<std::uint64_t, incoming> connections_;
--- a/adapters/rpc/outgoing_links.cpp
+++ b/adapters/rpc/outgoing_links.cpp
@@ -13,8 +13,10 @@
 outgoing_links::outgoing_links(
     const rpc_settings& settings,
     metric_sink& metrics,
+    frame_codec& codec,
     kj::LowLevelAsyncIoProvider& provider)
-    : settings_(settings), metrics_(metrics), provider_(provider), tasks_(*this)
+    : settings_(settings), metrics_(metrics), codec_(codec),
+      provider_(provider), tasks_(*this)
 {}
 
 std::shared_ptr<outgoing_link> outgoing_links::find(const peer_address& peer)
@@ -67,8 +69,8 @@
                 kj::throwFatalException(KJ_EXCEPTION(
                     DISCONNECTED, "the link was closed meanwhile"));
             }
-            auto connection =
-                kj::heap<control_connection>(kj::mv(socket), held->meter_);
+            auto connection = kj::heap<control_connection>(
+                kj::mv(socket), codec_, held->meter_);
             auto client = connection->bootstrap();
             tasks_.add(connection->when_closed().then(
                 [this, weak_link, weak_session]
--- a/adapters/rpc/outgoing_links.hpp
+++ b/adapters/rpc/outgoing_links.hpp
@@ -41,6 +41,7 @@
     outgoing_links(
         const rpc_settings& settings,
         metric_sink& metrics,
+        frame_codec& codec,
         kj::LowLevelAsyncIoProvider& provider);
 
     /// Returns the link to a peer with a session, or null while it is broken
@@ -66,6 +67,7 @@
 
     const rpc_settings& settings_;
     metric_sink& metrics_;
+    frame_codec& codec_;
     kj::LowLevelAsyncIoProvider& provider_;
     std::mt19937_64 random_{std::random_device{}()};
     std::map<endpoint, std::shared_ptr<outgoing_link>> links_;
