node: push within a failure domain and fetch along the tree

Cause: a push that a reader starts within its failure domain had an empty range of receivers, so that the domain learned of each revision by heartbeats (test_domain_push, known red).

Change: a new push names every position but the origin's own. A receiver that lacks what precedes the deltas fetches it before it forwards the push, for 500 ms at most, so that its children find it with their sender.

--- a/include/hemlockshelf/dissemination/push_plan.hpp
+++ b/include/hemlockshelf/dissemination/push_plan.hpp
@@ -97,6 +97,11 @@
 /// Returns the position of a member in the order of a push.
 std::uint64_t position_of(const vm_id& vm, std::uint64_t seed);
 
+/// Returns the part of a new push that `self` forwards as its origin. Within
+/// the failure domain it is every position except its own.
+push_assignment
+start_push(push_scope scope, const vm_id& self, std::uint64_t seed);
+
 /// Returns the part of the push that the candidate has to forward: the
 /// positions after its own. Within a subtree this excludes the earlier
 /// candidates, which did not answer, and includes their children.
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -239,9 +239,14 @@
         }
         if (!request.deltas_.empty())
         {
-            push_coordinator_.apply_push(request);
+            push_coordinator_.apply_push(
+                request,
+                [this, request]
+                {
+                    pushes_.forward(request);
+                });
         }
-        if (!request.deltas_.empty() || !request.records_.empty())
+        else if (!request.records_.empty())
         {
             pushes_.forward(std::move(request));
         }
--- a/node/push_agent.cpp
+++ b/node/push_agent.cpp
@@ -51,8 +51,9 @@
 {
     push_message message;
     message.origin_ = context_.self_.vm_;
-    message.duty_ = {
-        scope, make_push_seed(context_.random_(), delta_push_orders), {}};
+    message.duty_ = start_push(
+        scope, context_.self_.vm_,
+        make_push_seed(context_.random_(), delta_push_orders));
     message.revision_ = deltas.back().delta_.to_;
     message.deltas_ = encode_deltas(deltas);
     return message;
@@ -81,10 +82,9 @@
 {
     push_message message;
     message.origin_ = context_.self_.vm_;
-    message.duty_ = {
-        push_scope::global,
-        make_push_seed(context_.random_(), record_push_orders),
-        {}};
+    message.duty_ = start_push(
+        push_scope::global, context_.self_.vm_,
+        make_push_seed(context_.random_(), record_push_orders));
     message.records_ = std::exchange(batch_, {});
     forward(std::move(message));
 }
--- a/node/push_coordinator.cpp
+++ b/node/push_coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <utility>
 
 #include "adapters/telemetry/event_log.hpp"
@@ -15,6 +16,12 @@
 // revision that they polled.
 constexpr std::chrono::milliseconds polled_push_delay{150};
 
+// Longest wait of a push for what is missing before its deltas. It is forwarded
+// afterwards, so that the receivers can fetch from this node: all at once, they
+// would fetch from the origin, which serves a limited number of snapshots. The
+// wait is bounded, because other receivers may lack nothing.
+constexpr std::chrono::milliseconds max_forward_delay{500};
+
 // Other failure domains read the platform themselves. A revision is offered to
 // them after their own readers have had time to push it.
 constexpr std::chrono::milliseconds offer_delay{250};
@@ -50,12 +57,14 @@
     : context_(context), pushes_(pushes), repairs_(repairs)
 {}
 
-void push_coordinator::apply_push(const push_message& request)
+void push_coordinator::apply_push(
+    const push_message& request, std::function<void()> done)
 {
     const auto deltas = decode_deltas(request.deltas_);
     if (!deltas || deltas->empty())
     {
         log_malformed(request, deltas);
+        done();
         return;
     }
     repairs_.record_revision(request.revision_);
@@ -63,28 +72,59 @@
     const auto applied = context_.config_.apply(*deltas, apply_source::push);
     if (applied)
     {
+        done();
         return;
     }
     log_rejected(request, applied.error());
+    fetch_missing(
+        request, call_once_within(max_forward_delay, std::move(done)));
+}
+
+void push_coordinator::fetch_missing(
+    const push_message& request, const std::function<void()>& done)
+{
     const auto sender = address_of(context_, request.sender_.vm_);
     if (!sender)
     {
+        done();
         return;
     }
-    // The sender forwards a push even if it lacks the same revision itself, so
-    // the origin is queried next.
+    // The sender forwards a push that it cannot apply after a time, so the
+    // origin is queried next.
     repairs_.fetch_from(
         *sender,
-        [this, wanted = request.revision_, origin = request.origin_](bool)
+        [this, done, wanted = request.revision_, origin = request.origin_](bool)
         {
             const auto first = address_of(context_, origin);
             if (first && context_.config_.current_revision() < wanted)
             {
-                repairs_.fetch_from(*first, [](bool) {});
+                repairs_.fetch_from(
+                    *first,
+                    [done](bool)
+                    {
+                        done();
+                    });
+                return;
             }
+            done();
         });
 }
 
+std::function<void()> push_coordinator::call_once_within(
+    std::chrono::milliseconds limit, std::function<void()> task)
+{
+    auto once =
+        [pending = std::make_shared<std::function<void()>>(std::move(task))]
+    {
+        if (const auto call = std::exchange(*pending, nullptr))
+        {
+            call();
+        }
+    };
+    context_.network_.after(limit, once);
+    return once;
+}
+
 void push_coordinator::push_accepted(const std::vector<accepted_delta>& deltas)
 {
     repairs_.record_revision(deltas.back().delta_.to_);
--- a/node/push_coordinator.hpp
+++ b/node/push_coordinator.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_NODE_PUSH_COORDINATOR_HPP
 
 #include <chrono>
+#include <functional>
 #include <vector>
 
 #include "adapters/rpc/config_payload.hpp"
@@ -21,9 +22,11 @@
     push_coordinator(
         control_context& context, push_agent& pushes, repair_agent& repairs);
 
-    /// Applies the deltas of a push. If they cannot be applied, fetches from
-    /// the sender and then, if its answer was not enough, from the origin.
-    void apply_push(const push_message& request);
+    /// Applies the deltas of a push and then calls `done`. If they cannot be
+    /// applied, fetches from the sender and then, if its answer was not enough,
+    /// from the origin. `done` is called once, at the latest when a fetch has
+    /// taken longer than a push may wait.
+    void apply_push(const push_message& request, std::function<void()> done);
 
     /// Pushes deltas of an edit that this node accepted to the whole fleet.
     void push_accepted(const std::vector<accepted_delta>& deltas);
@@ -38,6 +41,13 @@
     void push_published(const std::vector<accepted_delta>& deltas);
 
 private:
+    /// Fetches what is missing to apply the deltas of a push.
+    void fetch_missing(
+        const push_message& request, const std::function<void()>& done);
+    /// Returns a function that calls `task` when it is called first, or after
+    /// `limit` if it is not called until then.
+    std::function<void()> call_once_within(
+        std::chrono::milliseconds limit, std::function<void()> task);
     /// Pushes the deltas after `delay`, unless they or newer ones have been
     /// pushed by then.
     void push_after(
--- a/src/dissemination/push_plan.cpp
+++ b/src/dissemination/push_plan.cpp
@@ -193,6 +193,12 @@
            offset <= outer.range_.size_ - inner.range_.size_;
 }
 
+push_assignment
+start_push(push_scope scope, const vm_id& self, std::uint64_t seed)
+{
+    return {scope, seed, range_after(position_of(self, seed))};
+}
+
 push_assignment assignment_for(
     const push_target& leg, std::size_t candidate, std::uint64_t seed)
 {
--- a/test/node/test_domain_push.cpp
+++ b/test/node/test_domain_push.cpp
@@ -1,10 +1,16 @@
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
-#include "hemlockshelf/config/table_changes.hpp"
+#include <fmt/format.h>
+
+#include "adapters/rpc/config_payload.hpp"
 #include "test/node/control_node.hpp"
+#include "test/node/one_pool.hpp"
+#include "test/node/scripted_peer.hpp"
 #include "test/node/scripted_source.hpp"
 
 #include <criterion/criterion.h>
@@ -27,19 +33,60 @@
     return settings;
 }
 
-std::shared_ptr<const config_snapshot> snapshot_of(std::uint64_t number)
+bool has_revision(const control_node& node, std::uint64_t number)
 {
-    config_tables tables;
-    apply_change(
-        tables, {table_id::pools, row_key{"regie/catalogue"},
-                 pool_row{
-                     service_name{"catalogue"},
-                     {},
-                     false,
-                     static_cast<std::uint32_t>(number)}});
-    return *config_snapshot::build(revision{number}, tables);
+    return node.snapshots_.current()->number() == revision{number};
 }
 
+/// Nodes of one failure domain that know each other.
+class domain_nodes
+{
+public:
+    explicit domain_nodes(std::uint16_t count)
+    {
+        for (std::uint16_t number = 1; number <= count; ++number)
+        {
+            auto settings = settings_of_one(
+                number, fmt::format("vm-{}", number), bit_rate{100});
+            if (number > 1)
+            {
+                settings.peers_ = {nodes_.front()->settings_.control_};
+            }
+            nodes_.push_back(std::make_unique<control_node>(settings, tables_));
+        }
+    }
+
+    [[nodiscard]] bool know_each_other() const
+    {
+        return std::ranges::all_of(
+            nodes_,
+            [this](const auto& node)
+            {
+                return is_serving(*node) &&
+                       node->members_.size() >= nodes_.size();
+            });
+    }
+
+    [[nodiscard]] bool have_revision(std::uint64_t number) const
+    {
+        return std::ranges::all_of(
+            nodes_,
+            [number](const auto& node)
+            {
+                return has_revision(*node, number);
+            });
+    }
+
+    control_node& first()
+    {
+        return *nodes_.front();
+    }
+
+private:
+    memory_tables tables_;
+    std::vector<std::unique_ptr<control_node>> nodes_;
+};
+
 } // namespace
 
 // Guards against a reader whose push has no receivers, so that the other nodes
@@ -63,10 +110,50 @@
         2s,
         [&receiver]
         {
-            return receiver.snapshots_.current()->number() == revision{number};
+            return has_revision(receiver, number);
         }));
     const auto metrics = receiver.metrics_.to_text();
     cr_assert(
         metrics.find("config_applies_total{source=\"push\"} 1") !=
         std::string::npos);
 }
+
+// Guards against a push that no receiver can apply, so that all of them fetch
+// from its origin, which serves a few snapshots a second. In a failure domain
+// of 100 nodes the last one waited 16 s. A receiver fetches what is missing
+// before it forwards the push, and its children fetch from it.
+Test(domain_push, receivers_that_lack_the_base_fetch_along_the_tree)
+{
+    constexpr std::uint16_t count = 20;
+    domain_nodes nodes(count);
+    cr_assert(becomes_true_within(
+        20s,
+        [&nodes]
+        {
+            return nodes.know_each_other();
+        }));
+    scripted_peer origin(settings_of_one(count + 1, "origin", bit_rate{100}));
+    origin.set_fetch_answer(
+        {config_answer_kind::snapshot, encode_snapshot(*snapshot_of(9)), {}});
+    nodes.first().members_.merge(origin.record());
+    push_message message;
+    message.sender_ = origin.sender();
+    message.origin_ = origin.record().vm_;
+    message.duty_ = start_push(push_scope::domain, origin.record().vm_, 1);
+    message.revision_ = revision{9};
+    message.deltas_ = encode_deltas(
+        {{{revision{9},
+           {pool_change(9)},
+           snapshot_of(9)->tables().hash_,
+           revision{7}},
+          {}}});
+    origin.push(nodes.first().settings_.control_, message);
+    cr_assert(becomes_true_within(
+        3s,
+        [&nodes]
+        {
+            return nodes.have_revision(9);
+        }));
+    cr_assert(
+        origin.fetches().size() == 1, "%zu fetches", origin.fetches().size());
+}
--- a/test/node/test_publication.cpp
+++ b/test/node/test_publication.cpp
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "adapters/rpc/config_payload.hpp"
-#include "hemlockshelf/config/table_changes.hpp"
 #include "test/node/control_node.hpp"
+#include "test/node/one_pool.hpp"
 #include "test/node/scripted_peer.hpp"
 #include "test/node/scripted_source.hpp"
 
@@ -27,24 +27,6 @@
     return settings_at(control, vm, domain);
 }
 
-row_change pool_change(std::uint64_t number)
-{
-    return {
-        table_id::pools, row_key{"regie/catalogue"},
-        pool_row{
-            service_name{"catalogue"},
-            {},
-            false,
-            static_cast<std::uint32_t>(number)}};
-}
-
-std::shared_ptr<const config_snapshot> snapshot_of(std::uint64_t number)
-{
-    config_tables tables;
-    apply_change(tables, pool_change(number));
-    return *config_snapshot::build(revision{number}, tables);
-}
-
 /// Returns a push of the delta between two revisions.
 push_message
 push_between(const scripted_peer& sender, std::uint64_t from, std::uint64_t to)
