node: read published configurations in the region closest to the store

Each reader also costs a call to the store a second.

Ruled out: processor time (0.016 cores a process); one reader for each region, which still reads documents across the link.

Change: a node measures how fast the store answers when it reads the directory and says so in its record. Four nodes of the deployment read, in the region closest to the store and spread over its failure domains; others follow only if those have lost the store. The first reader pushes to the whole fleet at once. Whoever gets an offer says what it holds and is sent the deltas from there on.

The fault silences two of the four readers, as many as before.

--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -28,6 +28,8 @@
   link @14 :UInt64;
   # Bits per second; 0 if it is not known.
   platformLost @15 :Bool;
+  platformRoundTripUs @16 :UInt32;
+  # Microseconds; 0 if it is not known.
 }
 
 struct Heartbeat {
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -473,6 +473,8 @@
 
   inline bool getPlatformLost() const;
 
+  inline  ::uint32_t getPlatformRoundTripUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -581,6 +583,9 @@
   inline bool getPlatformLost();
   inline void setPlatformLost(bool value);
 
+  inline  ::uint32_t getPlatformRoundTripUs();
+  inline void setPlatformRoundTripUs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2350,6 +2355,20 @@
       ::capnp::bounded<137>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t MemberRecord::Reader::getPlatformRoundTripUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberRecord::Builder::getPlatformRoundTripUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setPlatformRoundTripUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/adapters/rpc/message_codec.cpp
+++ b/adapters/rpc/message_codec.cpp
@@ -1,6 +1,11 @@
 #include "adapters/rpc/message_codec.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <optional>
 #include <string>
 
 #include <kj/debug.h>
@@ -28,6 +33,16 @@
     return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
 }
 
+/// Returns 0 for an unknown time, and at least 1 us for a known one.
+std::uint32_t
+to_wire(const std::optional<std::chrono::microseconds>& round_trip)
+{
+    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
+    return round_trip ? static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+                            round_trip->count(), 1, longest))
+                      : 0;
+}
+
 std::string from_data(capnp::Data::Reader data)
 {
     return {reinterpret_cast<const char*>(data.begin()), data.size()};
@@ -69,6 +84,7 @@
     wire.setConnections(record.connections_.value());
     wire.setLink(record.link_.value());
     wire.setPlatformLost(record.platform_lost_);
+    wire.setPlatformRoundTripUs(to_wire(record.platform_round_trip_));
 }
 
 member_update read(wire::MemberRecord::Reader wire)
@@ -94,6 +110,10 @@
     record.connections_ = connection_count{wire.getConnections()};
     record.link_ = bit_rate{wire.getLink()};
     record.platform_lost_ = wire.getPlatformLost();
+    if (const auto microseconds = wire.getPlatformRoundTripUs())
+    {
+        record.platform_round_trip_ = std::chrono::microseconds{microseconds};
+    }
     update.down_ = wire.getDown();
     return update;
 }
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -552,6 +552,11 @@
         {"readers_per_domain",
          "Nodes of a failure domain that poll the platform."},
         settings.readers_per_domain_, 1, 1024);
+    read_count(
+        section,
+        {"publication_readers", "Nodes of the whole deployment that wait for "
+                                "published configurations."},
+        settings.publication_readers_, 1, 64);
     read_duration(
         section,
         {"poll_interval",
--- a/experiment/publication_storm.hpp
+++ b/experiment/publication_storm.hpp
@@ -15,7 +15,7 @@
 enum class storm_disturbance
 {
     none,
-    /// The store stops responding to the readers of one failure domain.
+    /// The store stops responding to half of the readers.
     silent_readers,
     /// A reader is killed and started again.
     restart_node,
--- a/experiment/published_mesh.cpp
+++ b/experiment/published_mesh.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <regex>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -23,14 +24,17 @@
 constexpr std::size_t store_threads_per_node = 2;
 constexpr std::chrono::milliseconds status_timeout{500};
 
+// Time of a call between the two regions of the users.
+constexpr std::chrono::milliseconds region_round_trip{40};
+
 deployment make_deployment()
 {
     deployment mesh;
     mesh.domains_ = {
         {"domain-a", "region-1"},
         {"domain-b", "region-1"},
-        {"domain-c", "region-2"},
-        {"domain-d", "region-2"}};
+        {"domain-c", published_mesh::distant_region},
+        {"domain-d", published_mesh::distant_region}};
     mesh.services_ = {"service-0", "service-1", "service-2", "service-3"};
     return mesh;
 }
@@ -83,6 +87,7 @@
     {
         write_file(settings_path(index), settings_text(options, index));
     }
+    delay_distant_region();
     thread_ = std::thread(
         [this]
         {
@@ -90,6 +95,19 @@
         });
 }
 
+void published_mesh::delay_distant_region()
+{
+    std::set<std::string> clients;
+    for (const auto& place : places_)
+    {
+        if (place.region_ == distant_region)
+        {
+            clients.insert(place.source_address_);
+        }
+    }
+    store_.delay(std::move(clients), region_round_trip);
+}
+
 published_mesh::~published_mesh()
 {
     slots_.clear();
@@ -213,8 +231,8 @@
         {R"(\{\{ip\}\})", address},
         {R"(\{\{provider.address\}\})", to_string(platform_endpoint(block_))},
         {R"(level: info)", "level: info\n  format: json"},
-        {R"(readers_per_domain: \d+)",
-         fmt::format("readers_per_domain: {}", options.readers_per_domain_)}};
+        {R"(publication_readers: \d+)",
+         fmt::format("publication_readers: {}", options.publication_readers_)}};
     for (const auto& [pattern, value] : values)
     {
         text = replace(text, pattern, value);
--- a/experiment/published_mesh.hpp
+++ b/experiment/published_mesh.hpp
@@ -27,7 +27,7 @@
     std::string settings_template_;
     std::size_t nodes_ = 0;
     /// Replaces the number in the template.
-    std::size_t readers_per_domain_ = 0;
+    std::size_t publication_readers_ = 0;
 };
 
 /// Node processes that get their configuration from the stand-in for the users'
@@ -35,6 +35,9 @@
 class published_mesh
 {
 public:
+    /// Region that is far from the store.
+    static constexpr const char* distant_region = "region-2";
+
     /// Throws `std::exception` if a file can't be read or written or no
     /// addresses are free.
     explicit published_mesh(const published_mesh_options& options);
@@ -74,6 +77,7 @@
         std::vector<node_run> runs_;
     };
 
+    void delay_distant_region();
     [[nodiscard]] std::string settings_text(
         const published_mesh_options& options, std::size_t index) const;
     [[nodiscard]] std::string log_path(const node_run& run) const;
--- a/include/hemlockshelf/dissemination/dissemination_settings.hpp
+++ b/include/hemlockshelf/dissemination/dissemination_settings.hpp
@@ -22,6 +22,9 @@
     std::size_t domain_fanout_ = 4;
     /// Number of nodes of a failure domain that poll the platform.
     std::size_t readers_per_domain_ = 2;
+    /// Number of nodes of the whole deployment that wait for published
+    /// configurations.
+    std::size_t publication_readers_ = 4;
     std::chrono::milliseconds poll_interval_{500};
     /// Whether a revision is offered before it is sent to another failure
     /// domain or region. Costs a round trip and saves sending a delta that the
--- a/include/hemlockshelf/dissemination/readers.hpp
+++ b/include/hemlockshelf/dissemination/readers.hpp
@@ -1,7 +1,9 @@
 #ifndef HEMLOCKSHELF_DISSEMINATION_READERS_HPP
 #define HEMLOCKSHELF_DISSEMINATION_READERS_HPP
 
+#include <chrono>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "hemlockshelf/core/ids.hpp"
@@ -33,6 +35,42 @@
     std::vector<reader_candidate> candidates,
     std::size_t count);
 
+/// A node that may read published configurations for the whole deployment.
+struct publication_candidate
+{
+    vm_id vm_;
+    bit_rate link_{};
+    bool platform_lost_ = false;
+    /// Shortest time in which the platform has answered the node, if it has.
+    std::optional<std::chrono::microseconds> platform_round_trip_;
+};
+
+/// What the choice of readers needs to know of a failure domain.
+struct domain_candidates
+{
+    region_id region_;
+    /// Shortest round trip of a member to the platform, if one is known.
+    std::optional<std::chrono::microseconds> platform_round_trip_;
+    /// The best candidates, in order of preference: nodes that reach the
+    /// platform, then those with larger links, then by hashing.
+    std::vector<publication_candidate> best_;
+};
+
+/// Summarizes the members of a failure domain. Keeps up to `count` candidates.
+domain_candidates summarize_domain(
+    const region_id& region,
+    std::vector<publication_candidate> members,
+    std::size_t count);
+
+/// Selects up to `count` readers of published configurations, in order of
+/// preference: nodes that reach the platform, then those of the regions closest
+/// to it, spread over the failure domains. A published document is large, and
+/// the link between regions is shared by all traffic: in another region than
+/// the platform's, readers that all fetched it delayed everything else by
+/// seconds. The other nodes receive revisions as deltas.
+std::vector<vm_id> choose_publication_readers(
+    const std::vector<domain_candidates>& domains, std::size_t count);
+
 } // namespace hemlockshelf
 
 #endif
--- a/include/hemlockshelf/membership/member_record.hpp
+++ b/include/hemlockshelf/membership/member_record.hpp
@@ -1,6 +1,8 @@
 #ifndef HEMLOCKSHELF_MEMBERSHIP_MEMBER_RECORD_HPP
 #define HEMLOCKSHELF_MEMBERSHIP_MEMBER_RECORD_HPP
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +59,8 @@
     /// Whether the platform does not answer the node's requests, or did not
     /// until a few seconds ago.
     bool platform_lost_ = false;
+    /// Shortest time in which the platform has answered the node, if it has.
+    std::optional<std::chrono::microseconds> platform_round_trip_;
 
     friend bool
     operator==(const member_record&, const member_record&) = default;
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -21,6 +21,7 @@
 #include "node/platform_contact.hpp"
 #include "node/platform_poller.hpp"
 #include "node/poll_policy.hpp"
+#include "node/publication_readers.hpp"
 #include "node/push_agent.hpp"
 #include "node/push_coordinator.hpp"
 #include "node/repair_agent.hpp"
@@ -100,7 +101,14 @@
                           on_polled(polled);
                       });
               }),
-          directory_(context_, poller_),
+          directory_(
+              context_,
+              poller_,
+              [this](std::chrono::microseconds elapsed)
+              {
+                  records_.record_platform_round_trip(elapsed);
+              }),
+          readers_(context_),
           uses_published_config_(services.configurations_ != nullptr)
     {}
 
@@ -333,6 +341,7 @@
         heartbeats_.reset();
         records_.set_platform_lost(platform_contact_.lost_);
         records_.announce();
+        readers_.update();
         repairs_.shorten_intervals();
         choose_poll_mode();
         log_event<log_event_id::node_serving>(
@@ -381,7 +390,8 @@
         }
         if (uses_published_config_)
         {
-            push_coordinator_.push_published(report.deltas_);
+            push_coordinator_.push_published(
+                report.deltas_, readers_.own_rank());
         }
         else
         {
@@ -446,8 +456,18 @@
     [[nodiscard]] reader_status current_reader_status() const
     {
         return {
-            reader_rank(context_, settings_.dissemination_.readers_per_domain_),
-            platform_contact_.lost_, time_since_contact()};
+            own_reader_rank(), platform_contact_.lost_, time_since_contact()};
+    }
+
+    /// Returns this node's rank among the readers of the platform, if it is
+    /// one.
+    [[nodiscard]] std::optional<std::size_t> own_reader_rank() const
+    {
+        return uses_published_config_
+                   ? readers_.own_rank()
+                   : reader_rank(
+                         context_,
+                         settings_.dissemination_.readers_per_domain_);
     }
 
     /// Returns the time since the last contact with another node.
@@ -456,14 +476,16 @@
         return time_.now() - heartbeats_.last_contact();
     }
 
-    /// Updates the poll mode as soon as a record of the failure domain has
-    /// changed or contact with the other nodes is lost or restored.
+    /// Updates the poll mode as soon as the candidates for readers have changed
+    /// or contact with the other nodes is lost or restored.
     void update_poll_mode()
     {
         auto members =
             context_.members_.members_in_domain(context_.self_.failure_domain_);
         const bool isolated = is_isolated(time_since_contact());
-        if (members != domain_members_ || isolated != isolated_)
+        const bool readers_changed = readers_.update();
+        if (readers_changed || members != domain_members_ ||
+            isolated != isolated_)
         {
             domain_members_ = std::move(members);
             isolated_ = isolated;
@@ -497,6 +519,7 @@
     join_agent joins_;
     platform_poller poller_;
     directory_agent directory_;
+    publication_readers readers_;
     node_lifecycle lifecycle_;
     std::atomic<node_state> state_ = node_state::starting;
     std::atomic<std::uint64_t> highest_known_ = 0;
--- a/node/directory_agent.cpp
+++ b/node/directory_agent.cpp
@@ -21,8 +21,11 @@
 } // namespace
 
 directory_agent::directory_agent(
-    control_context& context, platform_poller& poller)
-    : context_(context), poller_(poller)
+    control_context& context,
+    platform_poller& poller,
+    round_trip_handler on_round_trip)
+    : context_(context), poller_(poller),
+      on_round_trip_(std::move(on_round_trip))
 {}
 
 void directory_agent::register_and_read(rows_handler found)
@@ -61,7 +64,7 @@
 void directory_agent::read(bool write_first, rows_handler found)
 {
     poller_.run_task(
-        [&network = context_.network_, row = own_row(), write_first,
+        [this, row = own_row(), write_first,
          found = std::move(found)](table_service& tables)
         {
             if (write_first)
@@ -72,15 +75,21 @@
                     log_failure(written.error());
                 }
             }
+            // Measured without the write, which may open the connection.
+            const auto started = context_.time_.now();
             auto rows = read_directory(tables);
             if (!rows)
             {
                 log_failure(rows.error());
                 return;
             }
-            network.post(
-                [found, rows = std::move(*rows)]
+            const auto elapsed =
+                std::chrono::duration_cast<std::chrono::microseconds>(
+                    context_.time_.now() - started);
+            context_.network_.post(
+                [this, found, elapsed, rows = std::move(*rows)]
                 {
+                    on_round_trip_(elapsed);
                     found(rows);
                 });
         });
--- a/node/directory_agent.hpp
+++ b/node/directory_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_NODE_DIRECTORY_AGENT_HPP
 #define HEMLOCKSHELF_NODE_DIRECTORY_AGENT_HPP
 
+#include <chrono>
 #include <functional>
 #include <set>
 #include <vector>
@@ -22,7 +23,14 @@
     /// Receives the rows of the directory on the control loop.
     using rows_handler = std::function<void(const std::vector<directory_row>&)>;
 
-    directory_agent(control_context& context, platform_poller& poller);
+    /// Receives the time in which the platform has answered a call, on the
+    /// control loop.
+    using round_trip_handler = std::function<void(std::chrono::microseconds)>;
+
+    directory_agent(
+        control_context& context,
+        platform_poller& poller,
+        round_trip_handler on_round_trip);
 
     /// Writes this node's row, then reads the directory. In this order, of two
     /// nodes that start together, the one that writes later finds the other's
@@ -44,6 +52,7 @@
 
     control_context& context_;
     platform_poller& poller_;
+    round_trip_handler on_round_trip_;
     steady_time next_check_;
     /// Nodes with a row but no live member at the last check. A row is removed
     /// only if this is still so at the next check, because a node that has just
--- a/node/membership_agent.cpp
+++ b/node/membership_agent.cpp
@@ -140,6 +140,19 @@
     publish(std::move(next));
 }
 
+void membership_agent::record_platform_round_trip(
+    std::chrono::microseconds elapsed)
+{
+    const auto& known = record_.platform_round_trip_;
+    if (known && 2 * elapsed >= *known)
+    {
+        return;
+    }
+    auto next = record_;
+    next.platform_round_trip_ = elapsed;
+    publish(std::move(next));
+}
+
 void membership_agent::drain()
 {
     lifecycle_.drain();
--- a/node/membership_agent.hpp
+++ b/node/membership_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_NODE_MEMBERSHIP_AGENT_HPP
 #define HEMLOCKSHELF_NODE_MEMBERSHIP_AGENT_HPP
 
+#include <chrono>
 #include <vector>
 
 #include "hemlockshelf/membership/upstream_lifecycle.hpp"
@@ -34,6 +35,10 @@
     /// this changed.
     void set_platform_lost(bool lost);
 
+    /// Records a round trip to the platform. Pushes the record if the time is
+    /// the first one or less than half of the shortest known.
+    void record_platform_round_trip(std::chrono::microseconds elapsed);
+
     void drain();
     void leave();
 
--- a/node/push_agent.cpp
+++ b/node/push_agent.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t max_recent_duties = 256;
+// A receiver that lacks more fetches it. The message is forwarded to all nodes
+// of the receiver's failure domain, most of which lack fewer.
+constexpr std::size_t max_added_deltas = 32;
 
 } // namespace
 
@@ -26,24 +29,12 @@
     }
 }
 
-void push_agent::offer_deltas(const std::vector<accepted_delta>& deltas)
+void push_agent::publish_deltas(const std::vector<accepted_delta>& deltas)
 {
-    if (deltas.empty())
+    if (!deltas.empty())
     {
-        return;
+        forward(make_push(deltas, push_scope::global), true);
     }
-    auto message = make_push(deltas, push_scope::global);
-    message.sender_ = context_.self_;
-    auto targets = plan_push(
-        message.duty_, context_.self_, members_in_scope(push_scope::global),
-        context_.settings_.dissemination_.domain_fanout_);
-    std::erase_if(
-        targets,
-        [this](const push_target& target)
-        {
-            return is_local(target);
-        });
-    send_to_targets(message, std::move(targets), true);
 }
 
 push_message push_agent::make_push(
@@ -104,19 +95,26 @@
 }
 
 void push_agent::forward(push_message message)
+{
+    const bool offers = context_.settings_.dissemination_.offer_first_ &&
+                        !message.deltas_.empty();
+    forward(std::move(message), offers);
+}
+
+void push_agent::forward(push_message message, bool offer_to_other_domains)
 {
     if (is_duplicate(message.duty_))
     {
         return;
     }
     message.sender_ = context_.self_;
-    const auto& settings = context_.settings_.dissemination_;
     send_to_targets(
         message,
         plan_push(
             message.duty_, context_.self_,
-            members_in_scope(message.duty_.scope_), settings.domain_fanout_),
-        settings.offer_first_ && !message.deltas_.empty());
+            members_in_scope(message.duty_.scope_),
+            context_.settings_.dissemination_.domain_fanout_),
+        offer_to_other_domains);
 }
 
 void push_agent::send_to_targets(
@@ -236,10 +234,24 @@
     if (std::exchange(task->offer_, false) &&
         *answer < task->message_.revision_)
     {
+        add_missing_deltas(task->message_, *answer);
         send(task);
     }
 }
 
+// The receiver of an offer has said which revision it has. With the deltas from
+// there on it need not fetch what precedes the offered one.
+void push_agent::add_missing_deltas(push_message& message, revision held) const
+{
+    const auto deltas = context_.config_.deltas_after(held);
+    if (deltas && !deltas->empty() && deltas->size() <= max_added_deltas &&
+        deltas->back().delta_.to_ >= message.revision_)
+    {
+        message.revision_ = deltas->back().delta_.to_;
+        message.deltas_ = encode_deltas(*deltas);
+    }
+}
+
 std::size_t push_agent::attempts_for(const push_target& target) const
 {
     const auto& settings = context_.settings_.dissemination_;
--- a/node/push_agent.hpp
+++ b/node/push_agent.hpp
@@ -21,9 +21,9 @@
     void
     push_deltas(const std::vector<accepted_delta>& deltas, push_scope scope);
 
-    /// Offers deltas to the other failure domains and regions, and sends them
-    /// where the offered revision is missing.
-    void offer_deltas(const std::vector<accepted_delta>& deltas);
+    /// Starts a push of deltas to the whole fleet. Other failure domains and
+    /// regions are offered the revision first, and are sent what they lack.
+    void publish_deltas(const std::vector<accepted_delta>& deltas);
 
     /// Adds records to the next batch, which is pushed within milliseconds.
     void push_records(std::vector<member_update> records);
@@ -37,6 +37,7 @@
     void forward(push_message message);
 
 private:
+    void forward(push_message message, bool offer_to_other_domains);
     /// Sends the message to each target. Messages to other failure domains may
     /// start with an offer, which contains no deltas.
     void send_to_targets(
@@ -59,6 +60,7 @@
     void send(const std::shared_ptr<push_task>& task);
     void on_answer(
         const std::shared_ptr<push_task>& task, const result<revision>& answer);
+    void add_missing_deltas(push_message& message, revision held) const;
     [[nodiscard]] std::size_t attempts_for(const push_target& target) const;
     [[nodiscard]] bool is_local(const push_target& target) const;
 
--- a/node/push_coordinator.cpp
+++ b/node/push_coordinator.cpp
@@ -22,10 +22,6 @@
 // wait is bounded, because other receivers may lack nothing.
 constexpr std::chrono::milliseconds max_forward_delay{500};
 
-// Other failure domains read the platform themselves. A revision is offered to
-// them after their own readers have had time to push it.
-constexpr std::chrono::milliseconds offer_delay{250};
-
 void log_malformed(
     const push_message& request,
     const result<std::vector<accepted_delta>>& deltas)
@@ -134,58 +130,51 @@
 
 void push_coordinator::push_polled(const std::vector<accepted_delta>& deltas)
 {
-    push_after(deltas, polled_push_delay);
+    push_after(deltas, push_scope::domain, polled_push_delay);
 }
 
-void push_coordinator::push_published(const std::vector<accepted_delta>& deltas)
+void push_coordinator::push_published(
+    const std::vector<accepted_delta>& deltas, std::optional<std::size_t> rank)
 {
-    const auto delay = push_delay(reader_rank(
-        context_, context_.settings_.dissemination_.readers_per_domain_));
+    const auto delay = push_delay(rank);
     if (delay.count() == 0)
     {
-        push_if_newer(deltas);
+        push_if_newer(deltas, push_scope::global);
     }
     else
     {
-        push_after(deltas, delay);
+        push_after(deltas, push_scope::global, delay);
     }
-    schedule_offer(deltas, delay + offer_delay);
-}
-
-void push_coordinator::schedule_offer(
-    const std::vector<accepted_delta>& deltas, std::chrono::milliseconds delay)
-{
-    const bool waits = !scheduled_offer_.empty();
-    scheduled_offer_ = deltas;
-    if (waits)
-    {
-        return;
-    }
-    context_.network_.after(
-        delay,
-        [this]
-        {
-            pushes_.offer_deltas(std::exchange(scheduled_offer_, {}));
-        });
 }
 
 void push_coordinator::push_after(
-    const std::vector<accepted_delta>& deltas, std::chrono::milliseconds delay)
+    const std::vector<accepted_delta>& deltas,
+    push_scope scope,
+    std::chrono::milliseconds delay)
 {
     context_.network_.after(
         delay,
-        [this, deltas]
+        [this, deltas, scope]
         {
-            push_if_newer(deltas);
+            push_if_newer(deltas, scope);
         });
 }
 
-void push_coordinator::push_if_newer(const std::vector<accepted_delta>& deltas)
+void push_coordinator::push_if_newer(
+    const std::vector<accepted_delta>& deltas, push_scope scope)
 {
-    if (deltas.back().delta_.to_ > last_pushed_)
+    if (deltas.back().delta_.to_ <= last_pushed_)
+    {
+        return;
+    }
+    record_pushed(deltas.back().delta_.to_);
+    if (scope == push_scope::global)
+    {
+        pushes_.publish_deltas(deltas);
+    }
+    else
     {
-        record_pushed(deltas.back().delta_.to_);
-        pushes_.push_deltas(deltas, push_scope::domain);
+        pushes_.push_deltas(deltas, scope);
     }
 }
 
--- a/node/push_coordinator.hpp
+++ b/node/push_coordinator.hpp
@@ -2,7 +2,9 @@
 #define HEMLOCKSHELF_NODE_PUSH_COORDINATOR_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "adapters/rpc/config_payload.hpp"
@@ -35,10 +37,12 @@
     /// node's push arrives first.
     void push_polled(const std::vector<accepted_delta>& deltas);
 
-    /// Pushes a published revision that this node has read within its failure
-    /// domain, unless the push of a reader before it in rank arrives first, and
-    /// offers it to the other failure domains.
-    void push_published(const std::vector<accepted_delta>& deltas);
+    /// Pushes a published revision that this node has read to the whole fleet,
+    /// unless the push of a reader before it in rank arrives first. `rank` is
+    /// this node's rank among the readers, if it is one.
+    void push_published(
+        const std::vector<accepted_delta>& deltas,
+        std::optional<std::size_t> rank);
 
 private:
     /// Fetches what is missing to apply the deltas of a push.
@@ -52,13 +56,10 @@
     /// pushed by then.
     void push_after(
         const std::vector<accepted_delta>& deltas,
+        push_scope scope,
         std::chrono::milliseconds delay);
-    void push_if_newer(const std::vector<accepted_delta>& deltas);
-    /// Offers the deltas after `delay`. If an offer is already scheduled,
-    /// replaces its deltas.
-    void schedule_offer(
-        const std::vector<accepted_delta>& deltas,
-        std::chrono::milliseconds delay);
+    void
+    push_if_newer(const std::vector<accepted_delta>& deltas, push_scope scope);
     void record_pushed(revision number);
 
     control_context& context_;
@@ -66,8 +67,6 @@
     repair_agent& repairs_;
     /// Highest revision that was pushed to or by this node.
     revision last_pushed_;
-    /// Deltas of the scheduled offer; empty if none is scheduled.
-    std::vector<accepted_delta> scheduled_offer_;
 };
 
 } // namespace hemlockshelf
--- a/standins/store/store_service.cpp
+++ b/standins/store/store_service.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include "adapters/http/json_server.hpp"
@@ -40,6 +41,7 @@
 {
     ++calls_;
     throw_if_silenced(client);
+    std::this_thread::sleep_for(delay_of(client));
     const store_fault fault = fault_;
     if (fault == store_fault::down)
     {
@@ -68,6 +70,21 @@
     silenced_ = std::move(clients);
 }
 
+void store_service::delay(
+    std::set<std::string> clients, std::chrono::milliseconds time)
+{
+    const std::lock_guard lock(mutex_);
+    delayed_ = std::move(clients);
+    delay_ = time;
+}
+
+std::chrono::milliseconds
+store_service::delay_of(const std::string& client) const
+{
+    const std::lock_guard lock(mutex_);
+    return delayed_.contains(client) ? delay_ : std::chrono::milliseconds{0};
+}
+
 std::map<std::string, store_traffic> store_service::traffic() const
 {
     const std::lock_guard lock(mutex_);
--- a/standins/store/store_service.hpp
+++ b/standins/store/store_service.hpp
@@ -67,6 +67,10 @@
     /// currently waiting for changes. Replaces the set of silenced clients.
     void silence(std::set<std::string> clients);
 
+    /// Delays the answers to these clients, as a distant region would. Replaces
+    /// the set of delayed clients.
+    void delay(std::set<std::string> clients, std::chrono::milliseconds time);
+
     /// From now on, records every change, so that a call for changes returns
     /// all changes of a row instead of only the latest. The protocol allows
     /// both.
@@ -112,6 +116,8 @@
     counted_response read_range(const http_request& request);
     counted_response wait_for_changes(const http_request& request);
     void throw_if_silenced(const std::string& client) const;
+    [[nodiscard]] std::chrono::milliseconds
+    delay_of(const std::string& client) const;
     void count_sent(
         const http_request& request,
         const std::string& client,
@@ -132,6 +138,8 @@
     std::vector<std::pair<row_name, row>> changes_;
     std::map<std::string, std::string> objects_;
     std::set<std::string> silenced_;
+    std::set<std::string> delayed_;
+    std::chrono::milliseconds delay_{0};
     std::map<std::string, store_traffic> traffic_;
     std::uint64_t version_ = 0;
     std::uint64_t history_start_ = 0;
--- a/test/dissemination/test_readers.cpp
+++ b/test/dissemination/test_readers.cpp
@@ -1,7 +1,13 @@
 #include "hemlockshelf/dissemination/readers.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include <fmt/format.h>
 #include <rapidcheck.h>
@@ -110,3 +116,111 @@
          candidate("c", 9, true)});
     cr_assert(reached == lost);
 }
+
+namespace {
+
+using namespace std::chrono_literals;
+
+publication_candidate member(
+    const std::string& vm,
+    std::uint64_t link,
+    std::optional<std::chrono::microseconds> round_trip,
+    bool lost = false)
+{
+    return {vm_id{vm}, bit_rate{link}, lost, round_trip};
+}
+
+/// Two failure domains in each of two regions. The platform is in `near`.
+std::vector<domain_candidates> two_regions(bool near_lost = false)
+{
+    std::vector<domain_candidates> domains;
+    for (const auto* region : {"near", "far"})
+    {
+        const bool is_near = std::string_view(region) == "near";
+        const auto round_trip = is_near ? 6ms : 45ms;
+        for (const auto* domain : {"a", "b"})
+        {
+            const auto name = fmt::format("{}-{}", region, domain);
+            domains.push_back(summarize_domain(
+                region_id{region},
+                {member(name + "-1", 140, round_trip, is_near && near_lost),
+                 member(name + "-2", 14, std::nullopt, is_near && near_lost),
+                 member(name + "-3", 14, 30ms, is_near && near_lost)},
+                4));
+        }
+    }
+    return domains;
+}
+
+std::size_t count_in(const std::vector<vm_id>& readers, std::string_view prefix)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        readers,
+        [prefix](const vm_id& vm)
+        {
+            return vm.value().starts_with(prefix);
+        }));
+}
+
+} // namespace
+
+// Guards against documents that fill the link between regions: during a storm
+// of configurations the readers of the region without the platform were 15 s
+// late, and heartbeats and polls waited behind the documents.
+Test(readers, published_configurations_are_read_in_the_closest_region)
+{
+    const auto readers = choose_publication_readers(two_regions(), 4);
+    cr_assert(readers.size() == 4);
+    cr_assert(count_in(readers, "near-") == 4);
+}
+
+// Guards against the loss of one failure domain that takes all readers away.
+Test(readers, readers_of_publications_are_spread_over_failure_domains)
+{
+    const auto readers = choose_publication_readers(two_regions(), 4);
+    cr_assert(count_in(readers, "near-a") == 2);
+    cr_assert(count_in(readers, "near-b") == 2);
+    const std::set<vm_id> first(readers.begin(), readers.begin() + 2);
+    const std::set<vm_id> expected{vm_id{"near-a-1"}, vm_id{"near-b-1"}};
+    cr_assert(first == expected);
+}
+
+// Guards against a fleet that keeps an old revision because the closest region
+// cannot reach the platform, although another one can.
+Test(readers, another_region_reads_when_the_closest_has_lost_the_platform)
+{
+    const auto readers = choose_publication_readers(two_regions(true), 4);
+    cr_assert(count_in(readers, "far-") == 4);
+}
+
+// Guards against a deployment without readers while no round trip is known,
+// and against a choice that depends on one slow measurement.
+Test(readers, regions_of_similar_or_unknown_distance_are_equal)
+{
+    using round_trip = std::optional<std::chrono::microseconds>;
+    const std::vector<std::pair<round_trip, round_trip>> pairs{
+        {std::nullopt, std::nullopt}, {9ms, 2ms}};
+    for (const auto& [one, two] : pairs)
+    {
+        const std::vector<domain_candidates> domains{
+            summarize_domain(region_id{"one"}, {member("one-1", 14, one)}, 2),
+            summarize_domain(region_id{"two"}, {member("two-1", 14, two)}, 2)};
+        cr_assert(choose_publication_readers(domains, 2).size() == 2);
+        cr_assert(choose_publication_readers(domains, 1).size() == 1);
+    }
+}
+
+// Guards against nodes that choose different readers from the same members.
+Test(readers, the_readers_of_publications_do_not_depend_on_the_order)
+{
+    cr_assert(rc::check(
+        []
+        {
+            auto domains = two_regions(*rc::gen::arbitrary<bool>());
+            const auto count = *rc::gen::inRange<std::size_t>(0, 14);
+            const auto readers = choose_publication_readers(domains, count);
+            RC_ASSERT(readers.size() == std::min<std::size_t>(count, 12));
+            std::ranges::reverse(domains);
+            RC_ASSERT(choose_publication_readers(domains, count) == readers);
+        }));
+}
--- a/test/node/test_domain_push.cpp
+++ b/test/node/test_domain_push.cpp
@@ -30,6 +30,7 @@
     auto settings = settings_at(control, vm, "salle-belair");
     settings.link_ = link;
     settings.dissemination_.readers_per_domain_ = 1;
+    settings.dissemination_.publication_readers_ = 1;
     return settings;
 }
 
--- a/test/node/test_platform_contact.cpp
+++ b/test/node/test_platform_contact.cpp
@@ -30,6 +30,7 @@
     auto settings = settings_of(host, "salle-belair");
     settings.link_ = bit_rate{bits_per_second};
     settings.dissemination_.readers_per_domain_ = 1;
+    settings.dissemination_.publication_readers_ = 1;
     settings.dissemination_.poll_interval_ = 20ms;
     return settings;
 }
--- a/test/rpc/test_message_codec.cpp
+++ b/test/rpc/test_message_codec.cpp
@@ -36,6 +36,7 @@
     record.connections_ = connection_count{110};
     record.link_ = bit_rate{7'000'000};
     record.platform_lost_ = true;
+    record.platform_round_trip_ = std::chrono::microseconds{44'300};
     update.down_ = true;
     return update;
 }
