core: refuse deeply nested JSON before it is parsed

Cause: copying and dumping a JSON value recurse. A body of 200 kB nested 200,000 deep is parsed without an error and then ends the process when an error message quotes it (nlohmann-json 3.11, signal 11 on dump and on copy). An operator's edit and a delta from a peer reach such messages, in row_codec, config_delta and edit_request. json_response threw for text that is not UTF-8, for example a raw byte in the id of a heartbeat, so that the caller got no answer.

Ruled out: a larger stack; limits in each reader, of which there are six.

Change: parse_json moves to core, is the only reader of JSON that other processes wrote, and refuses what is nested more than 64 deep. to_json_text is the only way to write text with what a peer sent.

--- a/adapters/cli/log_line.cpp
+++ b/adapters/cli/log_line.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "hemlockshelf/core/json_text.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -30,7 +32,7 @@
 
 std::optional<log_line> parse_json_line(std::string_view text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = parse_json(text).value_or(nullptr);
     if (!json.is_object() || !json.contains("event") || !json.contains("time"))
     {
         return std::nullopt;
--- a/adapters/http/json_server.cpp
+++ b/adapters/http/json_server.cpp
@@ -90,7 +90,7 @@
 {
     http_response response{http::int_to_status(status), 11};
     response.set(http::field::content_type, "application/json");
-    response.body() = body.dump() + "\n";
+    response.body() = to_json_text(body) + "\n";
     response.prepare_payload();
     return response;
 }
@@ -134,15 +134,4 @@
     return std::string(target.substr(0, target.find('?')));
 }
 
-result<nlohmann::json> parse_json(const std::string& text)
-{
-    auto json = nlohmann::json::parse(text, nullptr, false);
-    if (json.is_discarded())
-    {
-        return make_error(
-            error_kind::bad_request, "body: expected JSON, given other text");
-    }
-    return json;
-}
-
 } // namespace hemlockshelf
--- a/adapters/http/json_server.hpp
+++ b/adapters/http/json_server.hpp
@@ -16,6 +16,7 @@
 #include "adapters/http/http_listener.hpp"
 #include "adapters/http/http_message.hpp"
 #include "hemlockshelf/core/error.hpp"
+#include "hemlockshelf/core/json_text.hpp"
 
 namespace hemlockshelf {
 
@@ -83,9 +84,6 @@
 /// Returns the target of a request without its query.
 std::string target_path(const http_request& request);
 
-/// Reads a JSON body. The error is `bad_request`.
-result<nlohmann::json> parse_json(const std::string& text);
-
 } // namespace hemlockshelf
 
 #endif
--- a/adapters/http/refusal.cpp
+++ b/adapters/http/refusal.cpp
@@ -4,11 +4,11 @@
 
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include "adapters/http/headers.hpp"
 #include "adapters/http/message_head.hpp"
 #include "hemlockshelf/core/error_table.hpp"
+#include "hemlockshelf/core/json_text.hpp"
 
 namespace hemlockshelf {
 
@@ -21,10 +21,8 @@
     std::string_view extra_fields)
 {
     const auto& answer = error_properties_of(failure.kind_);
-    // The message may contain bytes from a caller that are not valid UTF-8.
     const auto body =
-        nlohmann::json{{"error", answer.name_}, {"message", failure.message_}}
-            .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+        to_json_text({{"error", answer.name_}, {"message", failure.message_}}) +
         "\n";
     http::response_header<> head;
     head.result(static_cast<unsigned>(answer.http_status_));
--- a/adapters/rpc/config_payload.cpp
+++ b/adapters/rpc/config_payload.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <zstd.h>
 
+#include "hemlockshelf/core/json_text.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -33,11 +35,12 @@
 
 result<nlohmann::json> parse(std::string_view text)
 {
-    auto json = nlohmann::json::parse(text, nullptr, false);
-    if (json.is_discarded())
+    auto json = parse_json(text);
+    if (!json)
     {
         return make_error(
-            error_kind::invalid_row, "configuration payload: malformed JSON");
+            error_kind::invalid_row,
+            "configuration payload: " + json.error().message_);
     }
     return json;
 }
--- a/adapters/telemetry/event_log.cpp
+++ b/adapters/telemetry/event_log.cpp
@@ -13,6 +13,7 @@
 
 #include "adapters/telemetry/json_log_formatter.hpp"
 #include "adapters/telemetry/nonblocking_sink.hpp"
+#include "hemlockshelf/core/json_text.hpp"
 #include "hemlockshelf/core/real_clock.hpp"
 
 namespace hemlockshelf {
@@ -69,32 +70,27 @@
     return log_field_table()[static_cast<std::size_t>(field.id_)].name_;
 }
 
-std::string dump(const nlohmann::json& value)
-{
-    // Details of errors can hold bytes of a peer that are not UTF-8.
-    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 std::string
 to_text(const log_event_info& event, std::span<const log_field> fields)
 {
     std::string line(event.name_);
     for (const auto& field : fields)
     {
-        line += fmt::format(" {}={}", name_of(field), dump(field.value_));
+        line +=
+            fmt::format(" {}={}", name_of(field), to_json_text(field.value_));
     }
     return line;
 }
 
 std::string
-to_json_text(const log_event_info& event, std::span<const log_field> fields)
+to_json_line(const log_event_info& event, std::span<const log_field> fields)
 {
     nlohmann::json line{{"event", event.name_}};
     for (const auto& field : fields)
     {
         line[std::string(name_of(field))] = field.value_;
     }
-    return dump(line);
+    return to_json_text(line);
 }
 
 /// Returns the pattern of spdlog for text lines. A percent sign begins a
@@ -102,8 +98,8 @@
 std::string text_pattern(const log_origin& origin)
 {
     const auto names = fmt::format(
-        "vm={} failure_domain={}", dump(origin.vm_.value()),
-        dump(origin.failure_domain_.value()));
+        "vm={} failure_domain={}", to_json_text(origin.vm_.value()),
+        to_json_text(origin.failure_domain_.value()));
     std::string pattern = "%Y-%m-%dT%H:%M:%S.%e%z %l ";
     for (const char letter : names)
     {
@@ -181,7 +177,7 @@
         return;
     }
     const auto line = current_format == log_format::json
-                          ? to_json_text(event, fields)
+                          ? to_json_line(event, fields)
                           : to_text(event, fields);
     logger->log(event.level_, "{}", line);
 }
--- a/adapters/telemetry/json_log_formatter.cpp
+++ b/adapters/telemetry/json_log_formatter.cpp
@@ -10,6 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/details/log_msg.h>
 
+#include "hemlockshelf/core/json_text.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -55,9 +57,7 @@
     line["thread"] = message.thread_id;
     line["vm"] = origin_.vm_.value();
     line["failure_domain"] = origin_.failure_domain_.value();
-    const auto text =
-        line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-        "\n";
+    const auto text = to_json_text(line) + "\n";
     destination.append(text.data(), text.data() + text.size());
 }
 
--- a/src/editing/change_archive.cpp
+++ b/src/editing/change_archive.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "hemlockshelf/core/json_text.hpp"
 #include "hemlockshelf/editing/config_reader.hpp"
 #include "hemlockshelf/editing/platform_tables.hpp"
 #include "hemlockshelf/editing/snapshot_blob.hpp"
@@ -115,14 +116,14 @@
 
 result<record_list> parse_archive(const std::string& text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_array())
+    const auto json = parse_json(text);
+    if (!json || !json->is_array())
     {
         return make_error(
             error_kind::invalid_row, "change archive: expected a JSON array");
     }
     record_list records;
-    for (const auto& item : json)
+    for (const auto& item : *json)
     {
         auto record = change_record_from_json(item);
         if (!record)
--- a/src/editing/snapshot_blob.cpp
+++ b/src/editing/snapshot_blob.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "hemlockshelf/config/config_delta.hpp"
+#include "hemlockshelf/core/json_text.hpp"
 #include "hemlockshelf/editing/config_reader.hpp"
 
 namespace hemlockshelf {
@@ -34,8 +35,14 @@
 result<std::shared_ptr<const config_snapshot>>
 snapshot_from_blob(const std::string& text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
-    const auto rows = delta_from_json(json);
+    const auto json = parse_json(text);
+    if (!json)
+    {
+        return make_error(
+            error_kind::invalid_row,
+            "configuration blob: " + json.error().message_);
+    }
+    const auto rows = delta_from_json(*json);
     if (!rows)
     {
         return tl::unexpected<error>(rows.error());
