--- a/standins/store/store_service.cpp
+++ b/standins/store/store_service.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t max_rows = 500;
+constexpr std::size_t max_bytes = 1'000'000;
 // Longer than the timeout of any client.
 constexpr std::chrono::seconds withheld_time{30};
 
@@ -189,15 +190,23 @@
     const auto limit = parse_number(query_parameter(request, "limit"));
     const auto max_count = limit == 0 ? max_rows : std::min(max_rows, limit);
     auto rows = nlohmann::json::array();
+    std::size_t bytes = 0;
+    bool has_more = false;
     const std::lock_guard lock(mutex_);
     for (const auto& [name, stored] : rows_)
     {
         const auto& [row_table, row_part, key] = name;
         if (row_table != table || row_part != part || key < from ||
-            stored.removed_ || rows.size() >= max_count)
+            stored.removed_)
         {
             continue;
         }
+        bytes += stored.value_.size();
+        if (rows.size() >= max_count || (bytes > max_bytes && !rows.empty()))
+        {
+            has_more = true;
+            break;
+        }
         rows.push_back(
             {{"table", table},
              {"part", part},
@@ -209,7 +218,7 @@
     return {
         json_response(
             200, {{"rows", std::move(rows)},
-                  {"has_more", false},
+                  {"has_more", has_more},
                   {"ver", version_},
                   {"now", "1ms"}}),
         count};
--- a/test/platform/test_store_client.cpp
+++ b/test/platform/test_store_client.cpp
@@ -1,5 +1,9 @@
 #include "platform/store_client.hpp"
 
+#include <fmt/format.h>
+
+#include "hemlockshelf/editing/platform_tables.hpp"
+#include "node/directory.hpp"
 #include "platform_fixture.hpp"
 
 #include <criterion/criterion.h>
@@ -138,3 +142,75 @@
     cr_assert(sent.rows_.size() == 1 && sent.rows_.at("t") == 2);
     cr_assert(sent.bytes_ > 0);
 }
+
+namespace {
+
+/// Values that another writer may leave in a table.
+std::vector<std::string> odd_values()
+{
+    constexpr std::size_t max_row_bytes = 65'536;
+    return {
+        std::string(max_row_bytes, '['),
+        std::string(max_row_bytes, '{'),
+        R"({"vm":"x","control":"10.1.0.8:99999"})",
+        R"({"vm":"x","control":"10.1.0.8:-1"})",
+        R"({"vm":"x","control":"10.1.0.8:1e400"})",
+        R"({"vm":"x","control":1e400})",
+        R"({"vm":18446744073709551616,"control":"10.1.0.8:1"})",
+        R"({"vm":["x"],"control":{"a":1}})",
+        R"({"vm":"x","control":"10.1.0.8:1"}})",
+        "{\"vm\":\"\xff\",\"control\":\"10.1.0.8:1\"}",
+        R"("10.1.0.8:1")",
+        "null",
+        "",
+        std::string(max_row_bytes, '\0')};
+}
+
+} // namespace
+
+// Guards against one odd entry that ends the process of each reader of the
+// directory, or hides the entries around it.
+Test(store_client, odd_directory_rows_leave_their_neighbours_in_use)
+{
+    store_fixture store;
+    store_client client(store.target(), store.metrics_);
+    const directory_row first{
+        failure_domain_id{"a"}, vm_id{"first"}, {"10.1.0.8", 1}};
+    const directory_row last{
+        failure_domain_id{"z"}, vm_id{"last"}, {"10.1.0.9", 2}};
+    cr_assert(write_directory_row(client, first));
+    std::size_t number = 0;
+    for (const auto& value : odd_values())
+    {
+        store.service_.publish(
+            platform_tables::directory, fmt::format("m/{}", ++number), value);
+    }
+    cr_assert(write_directory_row(client, last));
+    const auto rows = read_directory(client);
+    cr_assert(rows);
+    cr_assert(*rows == std::vector<directory_row>({first, last}));
+}
+
+// Guards against rows that are never read because the store ends a page before
+// them: at 500 rows, or at 1 MB, which 16 large rows of another writer fill.
+Test(store_client, a_scan_continues_where_the_store_ends_a_page)
+{
+    constexpr std::size_t odd_rows = 40;
+    constexpr std::size_t rows_of_nodes = 700;
+    store_fixture store;
+    store_client client(store.target(), store.metrics_);
+    for (std::size_t number = 0; number < odd_rows; ++number)
+    {
+        store.service_.publish(
+            platform_tables::directory, fmt::format("a/{}", number),
+            std::string(65'536, '['));
+    }
+    for (std::size_t number = 0; number < rows_of_nodes; ++number)
+    {
+        store.service_.publish(
+            platform_tables::directory, fmt::format("b/{}", number),
+            fmt::format(R"({{"vm":"vm-{}","control":"10.1.0.8:1"}})", number));
+    }
+    const auto rows = read_directory(client);
+    cr_assert(rows && rows->size() == rows_of_nodes);
+}
