node: let two nodes of each failure domain watch a reader

Cause: since readers are few, a failure domain depends on the push across domains. A push tries four members in 3.2 s; when all of them fail together, as after a herd kill, the domain keeps its old revision until one of its nodes contacts another domain by chance.

Ruled out: readers in every failure domain (documents across the link between regions); shorter intervals of the random contacts, which cost every node.

Change: two nodes of each failure domain that has no reader among them exchange a heartbeat with a reader every 500 ms, fetch what they lack and push it within the domain.

Result: tests publication.a_domain_that_no_push_reaches_asks_a_reader and what_a_domain_lacked_is_pushed_within_it.

--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -24,6 +24,7 @@
 #include "node/publication_readers.hpp"
 #include "node/push_agent.hpp"
 #include "node/push_coordinator.hpp"
+#include "node/reader_watch.hpp"
 #include "node/repair_agent.hpp"
 
 namespace hemlockshelf {
@@ -109,6 +110,7 @@
                   records_.record_platform_round_trip(elapsed);
               }),
           readers_(context_),
+          reader_watch_(context_, readers_, pushes_, repairs_),
           uses_published_config_(services.configurations_ != nullptr)
     {}
 
@@ -134,6 +136,11 @@
                     [this]
                     {
                         heartbeats_.send_heartbeats();
+                        if (uses_published_config_ &&
+                            lifecycle_.state() != node_state::joining)
+                        {
+                            reader_watch_.tick();
+                        }
                     });
                 run_periodically(
                     housekeeping_interval,
@@ -520,6 +527,7 @@
     platform_poller poller_;
     directory_agent directory_;
     publication_readers readers_;
+    reader_watch reader_watch_;
     node_lifecycle lifecycle_;
     std::atomic<node_state> state_ = node_state::starting;
     std::atomic<std::uint64_t> highest_known_ = 0;
--- /dev/null
+++ b/node/reader_watch.cpp
@@ -0,0 +1,92 @@
+#include "node/reader_watch.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+/// Nodes of a failure domain that watch a reader. The second one covers a
+/// failure of the first.
+constexpr std::size_t watching_nodes = 2;
+
+} // namespace
+
+reader_watch::reader_watch(
+    control_context& context,
+    const publication_readers& readers,
+    push_agent& pushes,
+    repair_agent& repairs)
+    : context_(context), readers_(readers), pushes_(pushes), repairs_(repairs)
+{}
+
+void reader_watch::tick()
+{
+    const auto& readers = readers_.all();
+    if (outstanding_ || readers.empty() || !is_watching())
+    {
+        return;
+    }
+    const auto peer =
+        address_of(context_, readers.at(failures_ % readers.size()));
+    if (!peer)
+    {
+        ++failures_;
+        return;
+    }
+    outstanding_ = true;
+    context_.network_.heartbeat(
+        *peer, own_heartbeat(context_),
+        context_.settings_.dissemination_.cross_domain_push_deadline_,
+        [this, peer = *peer](const result<heartbeat_message>& answer)
+        {
+            outstanding_ = false;
+            if (!answer)
+            {
+                ++failures_;
+                return;
+            }
+            failures_ = 0;
+            on_answer(peer, answer->revision_);
+        });
+}
+
+bool reader_watch::is_watching() const
+{
+    return !readers_.own_rank() && rendezvous_rank(context_, watching_nodes);
+}
+
+void reader_watch::on_answer(const peer_address& peer, revision held)
+{
+    repairs_.record_revision(held);
+    if (held <= context_.config_.current_revision())
+    {
+        return;
+    }
+    // A push in progress may bring it.
+    context_.network_.after(
+        context_.settings_.dissemination_.repair_grace_,
+        [this, peer, held]
+        {
+            fetch_and_push(peer, held);
+        });
+}
+
+void reader_watch::fetch_and_push(const peer_address& peer, revision seen)
+{
+    const auto before = context_.config_.current_revision();
+    if (before >= seen)
+    {
+        return;
+    }
+    repairs_.fetch_from(
+        peer,
+        [this, before](bool)
+        {
+            const auto deltas = context_.config_.deltas_after(before);
+            if (deltas && !deltas->empty())
+            {
+                pushes_.push_deltas(*deltas, push_scope::domain);
+            }
+        });
+}
+
+} // namespace hemlockshelf
--- /dev/null
+++ b/node/reader_watch.hpp
@@ -0,0 +1,48 @@
+#ifndef HEMLOCKSHELF_NODE_READER_WATCH_HPP
+#define HEMLOCKSHELF_NODE_READER_WATCH_HPP
+
+#include <cstddef>
+#include <cstdint>
+
+#include "node/control_context.hpp"
+#include "node/publication_readers.hpp"
+#include "node/push_agent.hpp"
+#include "node/repair_agent.hpp"
+
+namespace hemlockshelf {
+
+/// Compares this node's revision with that of a reader of published
+/// configurations, on behalf of its failure domain, and pushes within the
+/// domain what it lacked. Bounds the time for which a failure domain keeps an
+/// old revision when the push to it is lost: the pushing node and every member
+/// that it tries may fail at the same moment. Used on the control loop only.
+class reader_watch
+{
+public:
+    reader_watch(
+        control_context& context,
+        const publication_readers& readers,
+        push_agent& pushes,
+        repair_agent& repairs);
+
+    /// Sends a heartbeat to a reader, if this node is one of those that watch
+    /// for their failure domain and the last heartbeat was answered or failed.
+    void tick();
+
+private:
+    [[nodiscard]] bool is_watching() const;
+    void on_answer(const peer_address& peer, revision held);
+    void fetch_and_push(const peer_address& peer, revision seen);
+
+    control_context& context_;
+    const publication_readers& readers_;
+    push_agent& pushes_;
+    repair_agent& repairs_;
+    /// Heartbeats that failed in a row. Each failure turns to the next reader.
+    std::size_t failures_ = 0;
+    bool outstanding_ = false;
+};
+
+} // namespace hemlockshelf
+
+#endif
--- a/test/node/scripted_peer.hpp
+++ b/test/node/scripted_peer.hpp
@@ -45,6 +45,13 @@
         fetch_answer_ = std::move(answer);
     }
 
+    /// Sets the revision that later answers to heartbeats report.
+    void set_revision(revision number)
+    {
+        const std::lock_guard lock(mutex_);
+        revision_ = number;
+    }
+
     std::vector<push_message> pushes()
     {
         const std::lock_guard lock(mutex_);
@@ -94,7 +101,8 @@
         auto answer = request;
         answer.sender_ = sender();
         answer.incarnation_ = record_.incarnation_;
-        answer.revision_ = revision{0};
+        const std::lock_guard lock(mutex_);
+        answer.revision_ = revision_;
         return answer;
     }
 
@@ -125,6 +133,7 @@
 
     std::mutex mutex_;
     config_answer fetch_answer_;
+    revision revision_;
     std::vector<push_message> pushes_;
     std::vector<fetch_request> fetches_;
     member_record record_;
--- a/test/node/test_publication.cpp
+++ b/test/node/test_publication.cpp
@@ -3,8 +3,11 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include <fmt/format.h>
+
 #include "adapters/rpc/config_payload.hpp"
 #include "test/node/control_node.hpp"
 #include "test/node/one_pool.hpp"
@@ -27,6 +30,16 @@
     return settings_at(control, vm, domain);
 }
 
+accepted_delta delta_between(std::uint64_t from, std::uint64_t to)
+{
+    return {
+        {revision{to},
+         {pool_change(to)},
+         snapshot_of(to)->tables().hash_,
+         revision{from}},
+        {}};
+}
+
 /// Returns a push of the delta between two revisions.
 push_message
 push_between(const scripted_peer& sender, std::uint64_t from, std::uint64_t to)
@@ -36,12 +49,7 @@
     message.origin_ = sender.record().vm_;
     message.duty_ = {push_scope::domain, to, {}};
     message.revision_ = revision{to};
-    message.deltas_ = encode_deltas(
-        {{{revision{to},
-           {pool_change(to)},
-           snapshot_of(to)->tables().hash_,
-           revision{from}},
-          {}}});
+    message.deltas_ = encode_deltas({delta_between(from, to)});
     return message;
 }
 
@@ -226,3 +234,83 @@
     failing.set_answers(false);
     cr_assert(becomes_true_within(2s, is_lost));
 }
+
+namespace {
+
+/// Nodes of a failure domain without a reader, and a reader in another one that
+/// pushes nothing.
+struct unpushed_domain
+{
+    explicit unpushed_domain(std::uint16_t count)
+    {
+        for (std::uint16_t number = 1; number <= count; ++number)
+        {
+            auto settings = settings_of_one(
+                number, fmt::format("vm-{}", number), "salle-bourg");
+            settings.dissemination_.publication_readers_ = 1;
+            // Only the watch of the reader finds the revision in time.
+            settings.dissemination_.cross_domain_interval_ = 1h;
+            settings.dissemination_.repair_interval_ = 1h;
+            if (number > 1)
+            {
+                settings.peers_ = {nodes_.front()->settings_.control_};
+            }
+            nodes_.push_back(std::make_unique<control_node>(
+                settings, polled_services{tables_, tables_, &source_}));
+            cr_assert(is_serving_within(5s, *nodes_.back()));
+        }
+        for (const auto& node : nodes_)
+        {
+            node->members_.merge(reader_.record());
+        }
+        // The contacts of nodes that have just joined would find it too.
+        std::this_thread::sleep_for(3500ms);
+        reader_.set_fetch_answer(
+            {config_answer_kind::deltas,
+             encode_deltas({delta_between(0, 9)}),
+             {}});
+        reader_.set_revision(revision{9});
+    }
+
+    static node_settings reader_settings()
+    {
+        auto settings = settings_of_one(50, "reader", "salle-belair");
+        settings.link_ = bit_rate{1000};
+        return settings;
+    }
+
+    memory_tables tables_;
+    scripted_source source_;
+    scripted_peer reader_{reader_settings()};
+    std::vector<std::unique_ptr<control_node>> nodes_;
+};
+
+} // namespace
+
+// Guards against a failure domain that keeps an old revision because the push
+// to it was lost. Contacts of other domains come only every few seconds.
+Test(publication, a_domain_that_no_push_reaches_asks_a_reader)
+{
+    const unpushed_domain domain(1);
+    cr_assert(reaches_revision_within(1500ms, *domain.nodes_.front(), 9));
+}
+
+// Guards against every node of a failure domain asking a reader, and against
+// nodes that wait for their neighbours' repairs one after the other.
+Test(publication, what_a_domain_lacked_is_pushed_within_it)
+{
+    constexpr std::uint16_t count = 5;
+    unpushed_domain domain(count);
+    std::size_t pushed = 0;
+    for (const auto& node : domain.nodes_)
+    {
+        cr_assert(reaches_revision_within(2s, *node, 9));
+        const auto metrics = node->metrics_.to_text();
+        pushed += metrics.find("config_applies_total{source=\"push\"} 1") !=
+                          std::string::npos
+                      ? 1
+                      : 0;
+    }
+    cr_assert(pushed >= count - 2, "%zu of %d", pushed, count);
+    cr_assert(domain.reader_.fetches().size() <= 2);
+}
