http: tie an upstream's refusal to the request that it answers

Cause: another operator reported that a faulty instance wrote an earlier refusal once more on a kept connection. A refusal with another request's id is dropped here, but two cases were not covered. The same request can return to an upstream that has refused it, on the same connection; the repeated refusal names the right request then, and the entry tries elsewhere or tells the caller that nothing has run, while the upstream runs it. And a refusal without an id was believed.

Change: a connection remembers the requests that were refused on it, at most 64, and does not carry them again. A declared refusal has to repeat the id of the request, else the outcome is unknown.

--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -307,6 +307,12 @@
         {
             co_return tl::unexpected<error>(std::move(offer.error()));
         }
+        if (offer->lease_ &&
+            offer->lease_->connection().has_refused(state.request_.request_id_))
+        {
+            offer->lease_->discard();
+            continue;
+        }
         if (offer->lease_)
         {
             co_return std::move(*offer->lease_);
@@ -395,6 +401,12 @@
     }
     const bool declared_not_run =
         !protocol.not_run_.empty() && answer.get().count(protocol.not_run_) > 0;
+    if (declared_not_run && echoed.empty())
+    {
+        outcome.failure_ =
+            upstream_failure(exchange, "the refusal does not name the request");
+        co_return;
+    }
     outcome.not_run_ =
         declared_not_run ||
         answer.get().result() == http::status::misdirected_request ||
@@ -402,6 +414,7 @@
          environment_.shed_is_not_run_(state.request_.pool_));
     if (outcome.not_run_)
     {
+        exchange.peer().connection().record_refusal(state.request_.request_id_);
         log_upstream_failure(
             state, error_kind::overloaded,
             fmt::format("upstream: status {}", answer.get().result_int()),
--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -164,6 +164,17 @@
     return written;
 }
 
+void http_connection::record_refusal(std::string_view request_id)
+{
+    refused_requests_.emplace_back(request_id);
+}
+
+bool http_connection::has_refused(std::string_view request_id) const
+{
+    return std::ranges::find(refused_requests_, request_id) !=
+           refused_requests_.end();
+}
+
 void http_connection::interrupt()
 {
     interrupted_ = true;
--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -5,6 +5,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -83,6 +86,20 @@
     /// precede its end.
     [[nodiscard]] bool peer_has_closed();
 
+    /// Records that the peer has refused a request on this connection. A faulty
+    /// peer may send the refusal again, and it would pass for the answer to
+    /// another attempt of the same request.
+    void record_refusal(std::string_view request_id);
+
+    /// Returns whether a refusal of the request was read from this connection.
+    [[nodiscard]] bool has_refused(std::string_view request_id) const;
+
+    /// Number of refusals that were recorded.
+    [[nodiscard]] std::size_t refusals() const noexcept
+    {
+        return refused_requests_.size();
+    }
+
     /// Number of written bytes that the peer's kernel has not acknowledged;
     /// empty if the kernel doesn't report it. While a peer is silent, a lasting
     /// number above 0 shows a congested or broken link, and 0 shows that the
@@ -109,6 +126,7 @@
     socket_type socket_;
     boost::beast::flat_buffer buffer_;
     std::uint64_t written_ = 0;
+    std::vector<std::string> refused_requests_;
     /// Consecutive reads and writes that completed without waiting.
     unsigned operations_without_wait_ = 0;
     bool interrupted_ = false;
--- a/adapters/http/upstream_gate.cpp
+++ b/adapters/http/upstream_gate.cpp
@@ -21,6 +21,10 @@
 // example because a call with precedence has to be served first.
 constexpr std::chrono::milliseconds min_refresh_interval{5};
 
+// A connection remembers the requests that were refused on it. One with more
+// refusals is replaced, which bounds its memory.
+constexpr std::size_t max_refusals = 64;
+
 /// Whether two announcements are the same to the gate.
 bool same_capacity(
     const upstream_announcement& left, const upstream_announcement& right)
@@ -193,6 +197,7 @@
 {
     const std::lock_guard lock(mutex_);
     const bool reusable = connection != nullptr && peer == address_ &&
+                          connection->refusals() < max_refusals &&
                           connection->probe() == connection_readiness::idle;
     if (release_connection(ledger_, reusable))
     {
