node: wait for calls in progress for most of the grace time

Cause: a leaving node ended its calls after 5.4 s, whatever the time until the platform kills it.

Ruled out: a fixed limit for each deployment, which the template cannot choose.

Change: the settings name the grace time (call_path.stop_grace), and a leaving node waits for calls for five sixths of it. Without it drain_limit holds.

--- a/adapters/http/call_settings.hpp
+++ b/adapters/http/call_settings.hpp
@@ -67,6 +67,10 @@
     /// Longest time for which a leaving node waits for calls in progress. No
     /// route's timeout should exceed it.
     std::chrono::milliseconds drain_limit_{30'000};
+    /// Time from a SIGTERM until the platform kills the process; 0 if it is not
+    /// known. If it is, it determines how long a leaving node waits for calls
+    /// in progress, instead of `drain_limit_`.
+    std::chrono::milliseconds stop_grace_{0};
 
     caller_protocol protocol_;
 };
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -219,6 +219,13 @@
         {"drain_limit",
          "Longest wait of a node that leaves for calls in progress."},
         settings.drain_limit_);
+    read_duration(
+        section,
+        {"stop_grace",
+         "Time from a SIGTERM until the platform kills the process. If given, "
+         "a node that leaves waits for calls in progress for most of it "
+         "instead of drain_limit."},
+        settings.stop_grace_);
     if (settings.silence_timeout_ <= settings.progress_interval_)
     {
         section.report(
--- a/test/node/test_shutdown_plan.cpp
+++ b/test/node/test_shutdown_plan.cpp
@@ -53,7 +53,7 @@
     call_settings settings;
     settings.drain_notice_ = 2500ms;
     settings.gate_drain_notice_ = 500ms;
-    settings.drain_limit_ = 5400ms;
+    settings.stop_grace_ = 6s;
     return settings;
 }
 
@@ -74,7 +74,7 @@
 {
     auto settings = deployed_settings();
     settings.gate_drain_notice_ = 10s;
-    settings.drain_limit_ = 1s;
+    settings.stop_grace_ = 1s;
     const auto plan = plan_shutdown(settings, started);
     cr_assert(plan.withdraw_upstream_at_ >= started);
     cr_assert(plan.withdraw_upstream_at_ <= plan.close_at_);
@@ -91,3 +91,29 @@
     cr_assert(plan.refuse_at_ <= plan.terminate_at_ - 200ms);
     cr_assert(plan.refuse_at_ >= plan.terminate_at_ - 1s);
 }
+
+// Guards against calls that are cut long before the platform kills the process,
+// and against a process that is killed because its calls were given all of the
+// time. With a fixed limit of 5.4 s, calls of up to 8 s were cut although the
+// grace time was 10 s, and processes with 6 s were killed before they had left.
+Test(shutdown_plan, calls_in_progress_have_most_of_the_grace_time)
+{
+    for (const auto grace : {6s, 10s, 60s})
+    {
+        auto settings = deployed_settings();
+        settings.stop_grace_ = grace;
+        const auto plan = plan_shutdown(settings, started);
+        cr_assert(plan.terminate_at_ >= started + grace * 5 / 6);
+        cr_assert(plan.terminate_at_ <= started + grace - 800ms);
+    }
+}
+
+// Guards against a node that cuts its calls at once because the grace time is
+// not given.
+Test(shutdown_plan, the_drain_limit_holds_while_the_grace_time_is_unknown)
+{
+    auto settings = deployed_settings();
+    settings.stop_grace_ = 0ms;
+    settings.drain_limit_ = 20s;
+    cr_assert(plan_shutdown(settings, started).terminate_at_ == started + 20s);
+}
