node: join without reading the published document

Cause: every joining node read the published configuration whole. The nodes of the store's region served again 0.5 to 1 s after their start, those of the other region after 2 to 5.5 s, while their documents of 198 kB filled the link between the regions, and refused their callers with not_ready (1,189 of the refusals logged after 27 s).

Ruled out: processor time; compressed documents, which the store does not offer.

A reader that has found a newer revision pushes it when it has joined. A node without a configuration asks random members of its region every 200 ms.

--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -308,9 +308,17 @@
         }
         records_.refresh();
         repairs_.tick();
-        if (lifecycle_.state() == node_state::joining && joins_.tick())
+        if (lifecycle_.state() == node_state::joining)
+        {
+            poll_if_needed();
+            if (joins_.tick())
+            {
+                finish_join();
+            }
+        }
+        else if (uses_published_config_)
         {
-            finish_join();
+            reader_watch_.find_configuration();
         }
         update_poll_mode();
         highest_known_ = repairs_.highest_seen().value();
@@ -336,9 +344,35 @@
     void begin_join()
     {
         publish_state();
-        joins_.start();
+        join_deltas_.clear();
         join_grace_until_ = time_.now() + join_grace;
-        poller_.set_mode(poll_mode::head_only);
+        polls_while_joining_ = !uses_published_config_;
+        joins_.start(polls_while_joining_);
+        poller_.set_mode(
+            polls_while_joining_ ? poll_mode::head_only : poll_mode::off);
+    }
+
+    /// Lets a joining node read the published configuration itself if it is to
+    /// be a reader or no peer has answered. The others get it from peers: when
+    /// a whole deployment restarts, one document for each node fills the link
+    /// between regions for seconds.
+    void poll_if_needed()
+    {
+        if (polls_while_joining_)
+        {
+            return;
+        }
+        readers_.update();
+        const bool is_reader = joins_.knows_members() && readers_.own_rank();
+        const bool has_no_peers =
+            joins_.is_alone() ||
+            (!joins_.knows_members() && time_.now() >= join_grace_until_);
+        if (is_reader || has_no_peers)
+        {
+            polls_while_joining_ = true;
+            joins_.require_platform();
+            poller_.set_mode(poll_mode::head_only);
+        }
     }
 
     void finish_join()
@@ -351,6 +385,11 @@
         readers_.update();
         repairs_.shorten_intervals();
         choose_poll_mode();
+        if (!join_deltas_.empty())
+        {
+            push_coordinator_.push_published(
+                std::exchange(join_deltas_, {}), readers_.own_rank());
+        }
         log_event<log_event_id::node_serving>(
             log_fields::revision(config_.current_revision()),
             log_fields::members(context_.members_.size()));
@@ -377,10 +416,15 @@
         {
             return;
         }
+        const bool is_newest = report.head_ > repairs_.highest_seen();
         repairs_.record_revision(report.head_);
         if (lifecycle_.state() == node_state::joining)
         {
             joins_.record_platform_head(report.head_);
+            if (is_newest && !report.deltas_.empty())
+            {
+                join_deltas_ = report.deltas_;
+            }
             // Peers send all missing revisions at once; the platform's change
             // rows are read page by page.
             const bool peers_first =
@@ -535,6 +579,11 @@
     /// calls.
     std::atomic<steady_time> last_tick_;
     steady_time join_grace_until_;
+    /// Whether the node polls the platform before it has joined.
+    bool polls_while_joining_ = false;
+    /// What the node has read from the platform before it has joined, if no
+    /// peer had reported it.
+    std::vector<accepted_delta> join_deltas_;
     bool running_ = false;
     /// Whether the platform answered the last poll.
     bool platform_answers_ = true;
--- a/node/join_agent.cpp
+++ b/node/join_agent.cpp
@@ -35,8 +35,9 @@
       query_directory_(std::move(query_directory))
 {}
 
-void join_agent::start()
+void join_agent::start(bool needs_platform)
 {
+    needs_platform_ = needs_platform;
     ++round_;
     unanswered_ = 0;
     exchanges_ = 0;
@@ -221,9 +222,8 @@
     const bool timed_out = context_.time_.now() - started_at_ >=
                            context_.settings_.membership_.join_timeout_;
     const bool peers_done =
-        syncing_ && exchanges_ == 0 && current >= answers_.front().revision_;
+        knows_members() && current >= answers_.front().revision_;
     const bool platform_done = platform_answered_ && current >= platform_head_;
-    const bool no_peers = contacts_.empty() && directory_empty_;
     // After a pause, a node that reaches neither peers nor the platform
     // continues with its previous revision.
     if (had_revision_ && answers_.empty() && !platform_answered_)
@@ -232,9 +232,10 @@
     }
     if (peers_done)
     {
-        return platform_done || (!platform_answered_ && timed_out);
+        return !needs_platform_ || platform_done ||
+               (!platform_answered_ && timed_out);
     }
-    return platform_done && answers_.empty() && (no_peers || timed_out);
+    return platform_done && answers_.empty() && (is_alone() || timed_out);
 }
 
 } // namespace hemlockshelf
--- a/node/join_agent.hpp
+++ b/node/join_agent.hpp
@@ -23,8 +23,16 @@
         repair_agent& repairs,
         std::function<void()> query_directory);
 
-    /// Restarts the join, with the known members as contacts.
-    void start();
+    /// Restarts the join, with the known members as contacts. If
+    /// `needs_platform` is set, it completes only with the platform's revision,
+    /// as long as the platform answers.
+    void start(bool needs_platform);
+
+    /// Lets the join complete only with the platform's revision from now on.
+    void require_platform() noexcept
+    {
+        needs_platform_ = true;
+    }
 
     /// Queries peers again if none has answered. Returns true once the node is
     /// up to date.
@@ -33,6 +41,19 @@
     void add_contacts(const std::vector<endpoint>& contacts);
     void record_platform_head(revision head);
 
+    /// Returns whether a peer has answered and the records have been exchanged.
+    [[nodiscard]] bool knows_members() const noexcept
+    {
+        return syncing_ && exchanges_ == 0;
+    }
+
+    /// Returns whether the node is alone as far as the settings and the
+    /// platform's directory say.
+    [[nodiscard]] bool is_alone() const noexcept
+    {
+        return contacts_.empty() && directory_empty_;
+    }
+
     /// Returns whether there are peers to query.
     [[nodiscard]] bool has_contacts() const noexcept
     {
@@ -70,6 +91,7 @@
     bool platform_answered_ = false;
     /// Whether the node had a revision before it rejoined.
     bool had_revision_ = false;
+    bool needs_platform_ = true;
     bool syncing_ = false;
     bool record_sent_ = false;
     revision platform_head_;
--- a/node/reader_watch.cpp
+++ b/node/reader_watch.cpp
@@ -1,5 +1,8 @@
 #include "node/reader_watch.hpp"
 
+#include <chrono>
+#include <vector>
+
 namespace hemlockshelf {
 
 namespace {
@@ -8,6 +11,13 @@
 /// failure of the first.
 constexpr std::size_t watching_nodes = 2;
 
+/// Interval at which a node without a configuration asks for one.
+constexpr std::chrono::milliseconds search_interval{200};
+
+/// Searches while no other node has reported a configuration. There may be
+/// none yet, and each search may need a connection.
+constexpr int max_blind_searches = 8;
+
 } // namespace
 
 reader_watch::reader_watch(
@@ -49,6 +59,57 @@
         });
 }
 
+void reader_watch::find_configuration()
+{
+    const auto now = context_.time_.now();
+    const bool is_known = repairs_.highest_seen() > revision{0};
+    if (searching_ || now < next_search_ ||
+        context_.config_.current_revision() > revision{0} ||
+        (!is_known && blind_searches_ >= max_blind_searches))
+    {
+        return;
+    }
+    blind_searches_ += is_known ? 0 : 1;
+    next_search_ = now + search_interval;
+    const auto peer = choose_member();
+    if (!peer)
+    {
+        return;
+    }
+    searching_ = true;
+    context_.network_.heartbeat(
+        *peer, own_heartbeat(context_),
+        context_.settings_.dissemination_.cross_domain_push_deadline_,
+        [this, peer = *peer](const result<heartbeat_message>& answer)
+        {
+            searching_ = false;
+            if (answer &&
+                answer->revision_ > context_.config_.current_revision())
+            {
+                repairs_.fetch_from(peer, [](bool) {});
+            }
+        });
+}
+
+std::optional<peer_address> reader_watch::choose_member()
+{
+    std::vector<vm_id> members;
+    for (const auto& [domain, region] : context_.members_.domains())
+    {
+        if (region == context_.self_.region_)
+        {
+            const auto peers = peers_in(context_, domain);
+            members.insert(members.end(), peers.begin(), peers.end());
+        }
+    }
+    if (members.empty())
+    {
+        return std::nullopt;
+    }
+    return address_of(
+        context_, members.at(context_.random_() % members.size()));
+}
+
 bool reader_watch::is_watching() const
 {
     return !readers_.own_rank() && rendezvous_rank(context_, watching_nodes);
--- a/node/reader_watch.hpp
+++ b/node/reader_watch.hpp
@@ -2,7 +2,7 @@
 #define HEMLOCKSHELF_NODE_READER_WATCH_HPP
 
 #include <cstddef>
-#include <cstdint>
+#include <optional>
 
 #include "node/control_context.hpp"
 #include "node/publication_readers.hpp"
@@ -29,8 +29,14 @@
     /// for their failure domain and the last heartbeat was answered or failed.
     void tick();
 
+    /// Asks a random member of the region for the configuration, if this node
+    /// has none. Its neighbours may have none either, for example when a whole
+    /// deployment restarts.
+    void find_configuration();
+
 private:
     [[nodiscard]] bool is_watching() const;
+    [[nodiscard]] std::optional<peer_address> choose_member();
     void on_answer(const peer_address& peer, revision held);
     void fetch_and_push(const peer_address& peer, revision seen);
 
@@ -41,6 +47,10 @@
     /// Heartbeats that failed in a row. Each failure turns to the next reader.
     std::size_t failures_ = 0;
     bool outstanding_ = false;
+    steady_time next_search_;
+    bool searching_ = false;
+    /// Searches before any node has reported a configuration.
+    int blind_searches_ = 0;
 };
 
 } // namespace hemlockshelf
