--- a/test/dissemination/test_readers.cpp
+++ b/test/dissemination/test_readers.cpp
@@ -138,9 +138,9 @@
     {
         const bool is_near = std::string_view(region) == "near";
         const auto round_trip = is_near ? 6ms : 45ms;
-        for (const auto* domain : {"a", "b"})
+        for (const auto* suffix : {"a", "b"})
         {
-            const auto name = fmt::format("{}-{}", region, domain);
+            const auto name = fmt::format("{}-{}", region, suffix);
             domains.push_back(summarize_domain(
                 region_id{region},
                 {member(name + "-1", 140, round_trip, is_near && near_lost),
