--- a/experiment/publication_storm.cpp
+++ b/experiment/publication_storm.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <set>
 #include <thread>
 #include <utility>
@@ -165,8 +164,8 @@
         if (options_.disturbance_ == storm_disturbance::silent_readers)
         {
             std::set<std::string> clients;
-            for (const auto index :
-                 readers | std::views::take(silenced_readers))
+            readers.resize(silenced_readers);
+            for (const auto index : readers)
             {
                 clients.insert(mesh_.places()[index].source_address_);
             }
