--- a/experiment/publication_storm.cpp
+++ b/experiment/publication_storm.cpp
@@ -153,9 +153,10 @@
                 publication_readers));
             return;
         }
-        std::ranges::rotate(
-            readers, readers.begin() + static_cast<std::ptrdiff_t>(
-                                           options_.seed_ % readers.size()));
+        const auto first =
+            readers.begin() +
+            static_cast<std::ptrdiff_t>(options_.seed_ % readers.size());
+        std::rotate(readers.begin(), first, readers.end());
         if (options_.disturbance_ == storm_disturbance::restart_node)
         {
             restarted_node_ = readers.front();
