node: let a failure domain that reaches no reader read the platform

Cause: since readers are few and in one region, a failure domain that is cut off from that region, but not from the platform, depends on nodes that it cannot reach. A node counts as isolated only if it hears of no other node, and nodes of a failure domain hear of each other.

Ruled out: readers in each region (documents across the link between regions); marking the readers' domains unreachable, which takes three contacts at intervals of 5 s.

Change: a watching node that no reader has answered since it asked each of them follows the platform itself, until one answers.

A receiver that its busy sender refuses once waits up to 560 ms, but forwarded the push after 500 ms without what it lacked, so that its children asked the origin. The limit is 1 s now.

Result: publication.a_domain_that_reaches_no_reader_reads_the_platform, which fails without the change.

--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -526,11 +526,13 @@
     /// one.
     [[nodiscard]] std::optional<std::size_t> own_reader_rank() const
     {
-        return uses_published_config_
-                   ? readers_.own_rank()
-                   : reader_rank(
-                         context_,
-                         settings_.dissemination_.readers_per_domain_);
+        if (!uses_published_config_)
+        {
+            return reader_rank(
+                context_, settings_.dissemination_.readers_per_domain_);
+        }
+        const auto rank = readers_.own_rank();
+        return !rank && replaces_readers_ ? readers_.all().size() : rank;
     }
 
     /// Returns the time since the last contact with another node.
@@ -547,9 +549,11 @@
             context_.members_.members_in_domain(context_.self_.failure_domain_);
         const bool isolated = is_isolated(time_since_contact());
         const bool readers_changed = readers_.update();
+        const bool replaces_readers = reader_watch_.has_lost_readers();
         if (readers_changed || members != domain_members_ ||
-            isolated != isolated_)
+            isolated != isolated_ || replaces_readers != replaces_readers_)
         {
+            replaces_readers_ = replaces_readers;
             domain_members_ = std::move(members);
             isolated_ = isolated;
             choose_poll_mode();
@@ -604,6 +608,9 @@
     bool uses_published_config_ = false;
     std::shared_ptr<const member_table::entry_pointers> domain_members_;
     bool isolated_ = false;
+    /// Whether the node reads the platform in place of readers that it cannot
+    /// reach.
+    bool replaces_readers_ = false;
 };
 
 control_plane::control_plane(
--- a/node/push_coordinator.cpp
+++ b/node/push_coordinator.cpp
@@ -19,8 +19,10 @@
 // Longest wait of a push for what is missing before its deltas. It is forwarded
 // afterwards, so that the receivers can fetch from this node: all at once, they
 // would fetch from the origin, which serves a limited number of snapshots. The
-// wait is bounded, because other receivers may lack nothing.
-constexpr std::chrono::milliseconds max_forward_delay{500};
+// wait is bounded, because other receivers may lack nothing. It covers one
+// refusal by a sender that serves its other children first, which delays a
+// fetch by up to 560 ms.
+constexpr std::chrono::milliseconds max_forward_delay{1000};
 
 void log_malformed(
     const push_message& request,
--- a/node/reader_watch.cpp
+++ b/node/reader_watch.cpp
@@ -110,6 +110,11 @@
         context_, members.at(context_.random_() % members.size()));
 }
 
+bool reader_watch::has_lost_readers() const
+{
+    return failures_ > 0 && failures_ >= readers_.all().size() && is_watching();
+}
+
 bool reader_watch::is_watching() const
 {
     return !readers_.own_rank() && rendezvous_rank(context_, watching_nodes);
--- a/node/reader_watch.hpp
+++ b/node/reader_watch.hpp
@@ -29,6 +29,11 @@
     /// for their failure domain and the last heartbeat was answered or failed.
     void tick();
 
+    /// Returns whether this node watches for its failure domain and no reader
+    /// has answered it since it asked each of them. It has to read the platform
+    /// itself then, because the readers may be cut off from its domain.
+    [[nodiscard]] bool has_lost_readers() const;
+
     /// Asks a random member of the region for the configuration, if this node
     /// has none. Its neighbours may have none either, for example when a whole
     /// deployment restarts.
--- a/test/node/test_publication.cpp
+++ b/test/node/test_publication.cpp
@@ -340,3 +340,49 @@
         }));
     cr_assert(sender.answers().front() == revision{0});
 }
+
+// Guards against a failure domain that keeps an old revision because the
+// readers are cut off from it, although it reaches the platform. Its nodes hear
+// of each other, so that none of them counts as isolated.
+Test(publication, a_domain_that_reaches_no_reader_reads_the_platform)
+{
+    memory_tables tables;
+    scripted_source source;
+    const silent_server silent({unique_address(1).address_, 17100});
+    std::vector<std::unique_ptr<control_node>> nodes;
+    for (std::uint16_t number = 1; number <= 2; ++number)
+    {
+        auto settings = settings_of_one(
+            number, fmt::format("vm-{}", number), "salle-bourg");
+        settings.dissemination_.publication_readers_ = 1;
+        // Only the silence of the readers tells that they cannot be reached.
+        settings.membership_.unreachable_after_ = 1000;
+        if (number > 1)
+        {
+            settings.peers_ = {nodes.front()->settings_.control_};
+        }
+        nodes.push_back(std::make_unique<control_node>(
+            settings, polled_services{tables, tables, &source}));
+        cr_assert(is_serving_within(5s, *nodes.back()));
+    }
+    for (const auto& node : nodes)
+    {
+        for (const auto* name : {"first", "second"})
+        {
+            member_record reader;
+            reader.vm_ = vm_id{name};
+            reader.failure_domain_ = failure_domain_id{"salle-belair"};
+            reader.region_ = region_id{"quebec-centre"};
+            reader.control_address_ = to_string(silent.endpoint_);
+            reader.incarnation_ = incarnation{1};
+            reader.link_ = bit_rate{1000};
+            node->members_.merge(reader);
+        }
+    }
+    std::this_thread::sleep_for(1s);
+    source.publish(snapshot_of(9));
+    for (const auto& node : nodes)
+    {
+        cr_assert(reaches_revision_within(4s, *node, 9));
+    }
+}
