--- a/node/control_context.cpp
+++ b/node/control_context.cpp
@@ -52,20 +52,26 @@
     return vms;
 }
 
+std::optional<std::size_t>
+rank_among(const control_context& context, const std::vector<vm_id>& chosen)
+{
+    const auto found = std::ranges::find(chosen, context.self_.vm_);
+    if (found == chosen.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - chosen.begin());
+}
+
 std::optional<std::size_t>
 rendezvous_rank(const control_context& context, std::size_t count)
 {
     const auto& self = context.self_;
     auto live = peers_in(context, self.failure_domain_);
     live.push_back(self.vm_);
-    const auto first =
-        choose_by_rendezvous_hash(self.failure_domain_, std::move(live), count);
-    const auto found = std::ranges::find(first, self.vm_);
-    if (found == first.end())
-    {
-        return std::nullopt;
-    }
-    return static_cast<std::size_t>(found - first.begin());
+    return rank_among(
+        context, choose_by_rendezvous_hash(
+                     self.failure_domain_, std::move(live), count));
 }
 
 std::optional<std::size_t>
@@ -84,14 +90,9 @@
                 {record.vm_, record.link_, record.platform_lost_});
         }
     }
-    const auto readers = choose_platform_readers(
-        self.failure_domain_, std::move(candidates), count);
-    const auto found = std::ranges::find(readers, self.vm_);
-    if (found == readers.end())
-    {
-        return std::nullopt;
-    }
-    return static_cast<std::size_t>(found - readers.begin());
+    return rank_among(
+        context, choose_platform_readers(
+                     self.failure_domain_, std::move(candidates), count));
 }
 
 heartbeat_message own_heartbeat(const control_context& context)
--- a/node/control_context.hpp
+++ b/node/control_context.hpp
@@ -48,6 +48,10 @@
 std::vector<vm_id>
 peers_in(const control_context& context, const failure_domain_id& domain);
 
+/// Returns this node's index among the chosen nodes, if it is one of them.
+std::optional<std::size_t>
+rank_among(const control_context& context, const std::vector<vm_id>& chosen);
+
 /// Returns this node's rank, from 0, in the rendezvous order of its failure
 /// domain, or nothing if it is not among the first `count`.
 std::optional<std::size_t>
--- a/node/publication_readers.cpp
+++ b/node/publication_readers.cpp
@@ -1,6 +1,5 @@
 #include "node/publication_readers.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace hemlockshelf {
@@ -63,12 +62,7 @@
 
 std::optional<std::size_t> publication_readers::own_rank() const
 {
-    const auto found = std::ranges::find(readers_, context_.self_.vm_);
-    if (found == readers_.end())
-    {
-        return std::nullopt;
-    }
-    return static_cast<std::size_t>(found - readers_.begin());
+    return rank_among(context_, readers_);
 }
 
 } // namespace hemlockshelf
--- a/standins/upstream/answer_writer.cpp
+++ b/standins/upstream/answer_writer.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "adapters/http/headers.hpp"
+#include "hemlockshelf/core/json_text.hpp"
 #include "standins/upstream/answer_pattern.hpp"
 #include "standins/upstream/target_query.hpp"
 
@@ -76,8 +77,7 @@
         {"upstream", run.upstream_},
         {"target", run.target_}};
     answer_body body;
-    body.json_prefix_ =
-        fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    body.json_prefix_ = to_json_text(fields);
     body.json_prefix_.back() = ',';
     body.json_prefix_ += "\"filling\":\"";
     body.pattern_ = answer_pattern(run.request_id_, run.body_hash_);
--- a/standins/upstream/outcome_log.cpp
+++ b/standins/upstream/outcome_log.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "hemlockshelf/core/json_text.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -44,9 +46,7 @@
         {"outcome", run.completed_ ? "completed" : "cancelled"},
         {"answered", run.answered_}};
     // Callers choose the id and the target, which may hold invalid UTF-8.
-    file_ << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
-          << '\n'
-          << std::flush;
+    file_ << to_json_text(line) << '\n' << std::flush;
 }
 
 } // namespace hemlockshelf
--- a/test/http/test_repeated_refusal.cpp
+++ b/test/http/test_repeated_refusal.cpp
@@ -27,6 +27,23 @@
 
 const std::string id_of_request = "Hemlockshelf-Request-Id: id-1\r\n";
 
+/// Returns the gate's answer to a request that its upstream refuses with this
+/// field.
+std::string answer_after_refusal(const std::string& id_field)
+{
+    scripted_server upstream(
+        [&id_field](raw_connection& gate)
+        {
+            gate.read_until("\r\n\r\n");
+            gate.send(refusal_of(id_field));
+            gate.read_all();
+        });
+    gate_under_test gate(upstream.address(), 4, 8, settings_with_refusals());
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("GET"));
+    return entry.read_message();
+}
+
 } // namespace
 
 // Guards against a refusal that an upstream sends again when the same request
@@ -70,17 +87,7 @@
 // earlier request, that passes for proof that this request has not run.
 Test(repeated_refusal, a_refusal_that_names_no_request_proves_nothing)
 {
-    scripted_server upstream(
-        [](raw_connection& gate)
-        {
-            gate.read_until("\r\n\r\n");
-            gate.send(refusal_of({}));
-            gate.read_all();
-        });
-    gate_under_test gate(upstream.address(), 4, 8, settings_with_refusals());
-    raw_connection entry(gate.where());
-    entry.send(gate_request_text("GET"));
-    const auto answer = entry.read_message();
+    const auto answer = answer_after_refusal({});
     cr_assert_not(
         contains(answer, "Hemlockshelf-Not-Run"), "%s", answer.c_str());
     cr_assert(contains(answer, "upstream_failed"), "%s", answer.c_str());
@@ -90,17 +97,8 @@
 // the next one on the connection.
 Test(repeated_refusal, a_refusal_of_another_request_proves_nothing)
 {
-    scripted_server upstream(
-        [](raw_connection& gate)
-        {
-            gate.read_until("\r\n\r\n");
-            gate.send(refusal_of("Hemlockshelf-Request-Id: id-0\r\n"));
-            gate.read_all();
-        });
-    gate_under_test gate(upstream.address(), 4, 8, settings_with_refusals());
-    raw_connection entry(gate.where());
-    entry.send(gate_request_text("GET"));
-    const auto answer = entry.read_message();
+    const auto answer =
+        answer_after_refusal("Hemlockshelf-Request-Id: id-0\r\n");
     cr_assert_not(
         contains(answer, "Hemlockshelf-Not-Run"), "%s", answer.c_str());
 }
--- a/test/rpc/test_compressed_stream.cpp
+++ b/test/rpc/test_compressed_stream.cpp
@@ -82,6 +82,52 @@
     return info.uordblks + info.hblkhd;
 }
 
+/// Opens connections, uses each with `exchange` and checks the memory that they
+/// keep.
+template <class Exchange>
+void check_memory_of_ends(
+    event_loop& loop, std::size_t connections, const Exchange& exchange)
+{
+    constexpr std::size_t max_bytes_per_end = 20'000;
+    const auto before = heap_in_use();
+    std::vector<std::unique_ptr<connection>> links;
+    for (std::size_t index = 0; index < connections; ++index)
+    {
+        links.push_back(loop.connect());
+        exchange(*links.back());
+    }
+    const auto used = heap_in_use() - before;
+    cr_assert_leq(
+        used, 2 * connections * max_bytes_per_end, "%zu bytes for %zu ends",
+        used, 2 * connections);
+}
+
+/// Returns whether a stream that receives these bytes reports a lost
+/// connection. `ends` closes the sender's direction after them.
+bool disconnects_after(const std::vector<std::uint8_t>& bytes, bool ends)
+{
+    event_loop loop;
+    auto pipe = loop.io_.provider->newTwoWayPipe();
+    byte_meter meter(loop.metrics_);
+    compressed_stream stream(kj::mv(pipe.ends[0]), loop.codec_, meter);
+    auto written = pipe.ends[1]->write(bytes.data(), bytes.size());
+    if (ends)
+    {
+        written.wait(loop.io_.waitScope);
+        pipe.ends[1]->shutdownWrite();
+    }
+    std::uint8_t byte = 0;
+    try
+    {
+        stream.tryRead(&byte, 1, 1).wait(loop.io_.waitScope);
+    }
+    catch (const kj::Exception& exception)
+    {
+        return exception.getType() == kj::Exception::Type::DISCONNECTED;
+    }
+    return false;
+}
+
 } // namespace
 
 // Guards against messages of several frames that are cut or mixed up.
@@ -102,91 +148,44 @@
 // which made 74 MB of a process among 295.
 Test(compressed_stream, a_connection_takes_little_memory)
 {
-    constexpr std::size_t connections = 64;
-    constexpr std::size_t max_bytes_per_end = 20'000;
     event_loop loop;
     const auto message = message_of(600);
-    const auto before = heap_in_use();
-    std::vector<std::unique_ptr<connection>> links;
-    for (std::size_t index = 0; index < connections; ++index)
-    {
-        links.push_back(loop.connect());
-        for (int round = 0; round < 10; ++round)
+    check_memory_of_ends(
+        loop, 64,
+        [&](connection& link)
         {
-            pass(loop, links.back()->near_, links.back()->far_, message);
-            pass(loop, links.back()->far_, links.back()->near_, message);
-        }
-    }
-    const auto used = heap_in_use() - before;
-    cr_assert_leq(
-        used, 2 * connections * max_bytes_per_end, "%zu bytes for %zu ends",
-        used, 2 * connections);
+            for (int round = 0; round < 10; ++round)
+            {
+                pass(loop, link.near_, link.far_, message);
+                pass(loop, link.far_, link.near_, message);
+            }
+        });
 }
 
 // Guards against a large message after which an idle connection keeps its
 // buffers.
 Test(compressed_stream, a_large_message_leaves_no_buffers)
 {
-    constexpr std::size_t connections = 16;
-    constexpr std::size_t max_bytes_per_end = 20'000;
     event_loop loop;
     const auto message = message_of(400'000);
-    const auto before = heap_in_use();
-    std::vector<std::unique_ptr<connection>> links;
-    for (std::size_t index = 0; index < connections; ++index)
-    {
-        links.push_back(loop.connect());
-        pass(loop, links.back()->near_, links.back()->far_, message);
-    }
-    const auto used = heap_in_use() - before;
-    cr_assert_leq(
-        used, 2 * connections * max_bytes_per_end, "%zu bytes for %zu ends",
-        used, 2 * connections);
+    check_memory_of_ends(
+        loop, 16,
+        [&](connection& link)
+        {
+            pass(loop, link.near_, link.far_, message);
+        });
 }
 
 // Guards against a malformed frame that ends the process: the stream reports a
 // lost connection.
 Test(compressed_stream, a_malformed_frame_ends_the_connection_only)
 {
-    event_loop loop;
-    auto pipe = loop.io_.provider->newTwoWayPipe();
-    byte_meter meter(loop.metrics_);
-    compressed_stream stream(kj::mv(pipe.ends[0]), loop.codec_, meter);
-    const std::vector<std::uint8_t> frame{0, 4, 0xff, 0xff, 0xff, 0xff};
-    auto written = pipe.ends[1]->write(frame.data(), frame.size());
-    std::uint8_t byte = 0;
-    bool disconnected = false;
-    try
-    {
-        stream.tryRead(&byte, 1, 1).wait(loop.io_.waitScope);
-    }
-    catch (const kj::Exception& exception)
-    {
-        disconnected = exception.getType() == kj::Exception::Type::DISCONNECTED;
-    }
-    cr_assert(disconnected);
+    cr_assert(disconnects_after({0, 4, 0xff, 0xff, 0xff, 0xff}, false));
 }
 
 // Guards against a message that looks complete although its connection ended
 // in the middle of it.
 Test(compressed_stream, an_end_within_a_frame_is_an_error)
 {
-    event_loop loop;
-    auto pipe = loop.io_.provider->newTwoWayPipe();
-    byte_meter meter(loop.metrics_);
-    compressed_stream stream(kj::mv(pipe.ends[0]), loop.codec_, meter);
-    const std::vector<std::uint8_t> frame{0, 9, 1};
-    pipe.ends[1]->write(frame.data(), frame.size()).wait(loop.io_.waitScope);
-    pipe.ends[1]->shutdownWrite();
-    std::uint8_t byte = 0;
-    bool disconnected = false;
-    try
-    {
-        stream.tryRead(&byte, 1, 1).wait(loop.io_.waitScope);
-    }
-    catch (const kj::Exception& exception)
-    {
-        disconnected = exception.getType() == kj::Exception::Type::DISCONNECTED;
-    }
-    cr_assert(disconnected);
+    cr_assert(disconnects_after({0, 9, 1}, true));
 }
