config: let every node take what one node puts into force

Cause: what is valid was written down twice. The reader of the operator's document set no limits; the codec of the rows that nodes exchange refused timeouts over 600 s, priorities over 100, more than ten attempts, texts over 512 bytes and names with other characters than letters, digits, - _ and dots. Those are limits of the project's own edits, which the platform does not have.

Now row_limits.hpp has the one definition of a row that a node may hold. The codec and the document reader both check it, so a reader refuses what it could not pass on; edits keep their narrower limits. Values beyond what a row holds are reduced to its largest one: the longest timeout is 11 days, since a call carries its deadline in nine digits. Weights that are fractions or too large are scaled to whole numbers; before, a fraction kept the version from all nodes. A malformed duration or count is an error that names the route, where it was taken for the default silently. Errors in rows from peers name the row.

Tests: configuration_document, every_accepted_version_can_be_passed_on and three more, one of them over random documents.

--- a/include/hemlockshelf/config/row_codec.hpp
+++ b/include/hemlockshelf/config/row_codec.hpp
@@ -16,8 +16,8 @@
 nlohmann::json to_json(const route_row& row);
 nlohmann::json to_json(const pool_row& row);
 
-/// Parses a row and validates each field. The error is `invalid_row` for
-/// unknown fields, wrong types and numbers out of range.
+/// Parses a row that a node may hold. The error is `invalid_row` for unknown
+/// fields, wrong types and values beyond `held_row_limits`.
 result<route_row> route_from_json(const nlohmann::json& json);
 result<pool_row> pool_from_json(const nlohmann::json& json);
 
@@ -29,11 +29,6 @@
 /// Returns the account of a key of the form `<client_account>/<name>`.
 client_account_id account_of(const row_key& key);
 
-/// Checks that a key has the form `<client_account>/<name>`. Both parts consist
-/// of letters, digits, `-`, `_` and `.`; the key has at most 128 characters.
-/// The error is `invalid_row`.
-result<void> check_key(const row_key& key);
-
 } // namespace hemlockshelf
 
 #endif
--- a/src/config/config_delta.cpp
+++ b/src/config/config_delta.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "hemlockshelf/config/row_codec.hpp"
+#include "hemlockshelf/config/row_limits.hpp"
 
 namespace hemlockshelf {
 
@@ -39,7 +40,7 @@
     row_change change;
     change.table_ = *table;
     change.key_ = row_key{json.at("key").get<std::string>()};
-    const auto key = check_key(change.key_);
+    const auto key = check_key(change.key_, held_row_limits());
     if (!key)
     {
         return tl::unexpected<error>(key.error());
@@ -54,22 +55,30 @@
     {
         return change;
     }
+    const auto name_row = [&change](error failure)
+    {
+        return in_row(*change, std::move(failure));
+    };
     const auto row = json.value("row", nlohmann::json{});
     if (change->table_ == table_id::routes)
     {
-        return route_from_json(row).map(
-            [&change](route_row&& route)
+        return route_from_json(row)
+            .map(
+                [&change](route_row&& route)
+                {
+                    change->row_ = std::move(route);
+                    return *change;
+                })
+            .map_error(name_row);
+    }
+    return pool_from_json(row)
+        .map(
+            [&change](pool_row&& pool)
             {
-                change->row_ = std::move(route);
+                change->row_ = std::move(pool);
                 return *change;
-            });
-    }
-    return pool_from_json(row).map(
-        [&change](pool_row&& pool)
-        {
-            change->row_ = std::move(pool);
-            return *change;
-        });
+            })
+        .map_error(name_row);
 }
 
 nlohmann::json row_to_json(const row_change& change)
--- a/src/config/row_codec.cpp
+++ b/src/config/row_codec.cpp
@@ -4,37 +4,17 @@
 #include <cstddef>
 #include <cstdint>
 #include <initializer_list>
+#include <limits>
 #include <string_view>
 
 #include <fmt/format.h>
 
+#include "hemlockshelf/config/row_limits.hpp"
+
 namespace hemlockshelf {
 
 namespace {
 
-constexpr std::size_t max_key_length = 128;
-constexpr std::size_t max_text_length = 512;
-constexpr std::int64_t min_timeout_ms = 1;
-constexpr std::int64_t max_timeout_ms = 600'000;
-constexpr std::int64_t max_calls_limit = 1'000'000;
-constexpr std::int64_t max_priority = 100;
-constexpr std::int64_t max_attempts_limit = 10;
-constexpr std::int64_t max_weight = 1'000'000;
-
-bool is_name_character(char character)
-{
-    const bool letter = (character >= 'a' && character <= 'z') ||
-                        (character >= 'A' && character <= 'Z');
-    const bool digit = character >= '0' && character <= '9';
-    return letter || digit || character == '-' || character == '_' ||
-           character == '.';
-}
-
-bool is_name(std::string_view text)
-{
-    return !text.empty() && std::ranges::all_of(text, is_name_character);
-}
-
 result<void> check_fields(
     const nlohmann::json& json, std::initializer_list<std::string_view> known)
 {
@@ -77,16 +57,7 @@
             fmt::format(
                 "field \"{}\": expected text, given {}", field, found->dump()));
     }
-    auto text = found->get<std::string>();
-    if (text.empty() || text.size() > max_text_length)
-    {
-        return make_error(
-            error_kind::invalid_row,
-            fmt::format(
-                "field \"{}\": expected 1 to {} characters, given {}", field,
-                max_text_length, text.size()));
-    }
-    return text;
+    return found->get<std::string>();
 }
 
 result<bool>
@@ -108,35 +79,28 @@
     return found->get<bool>();
 }
 
-struct number_range
-{
-    std::int64_t low_;
-    std::int64_t high_;
-};
-
-result<std::int64_t> read_number(
-    const nlohmann::json& json,
-    const char* field,
-    number_range range,
-    std::int64_t fallback)
+/// Reads a whole number that fits in 32 bits, which every limit of a row does.
+result<std::uint32_t> read_number(
+    const nlohmann::json& json, const char* field, std::uint32_t fallback)
 {
     const auto found = json.find(field);
     if (found == json.end())
     {
         return fallback;
     }
-    const bool in_range = found->is_number_integer() &&
-                          found->get<double>() >= double(range.low_) &&
-                          found->get<double>() <= double(range.high_);
-    if (!in_range)
+    constexpr auto max = std::numeric_limits<std::uint32_t>::max();
+    const bool is_whole =
+        found->is_number_integer() &&
+        (found->is_number_unsigned() || found->get<std::int64_t>() >= 0);
+    if (!is_whole || found->get<std::uint64_t>() > max)
     {
         return make_error(
             error_kind::invalid_row,
             fmt::format(
-                "field \"{}\": expected a whole number from {} to {}, given {}",
-                field, range.low_, range.high_, found->dump()));
+                "field \"{}\": expected a whole number from 0 to {}, given {}",
+                field, max, found->dump()));
     }
-    return found->get<std::int64_t>();
+    return found->get<std::uint32_t>();
 }
 
 result<std::vector<pool_share>>
@@ -159,27 +123,20 @@
         {
             return tl::unexpected<error>(pool.error());
         }
-        const auto weight = read_number(item, "weight", {0, max_weight}, 1);
+        const auto weight = read_number(item, "weight", 1);
         if (!weight)
         {
             return tl::unexpected<error>(weight.error());
         }
-        split.push_back({row_key{*pool}, static_cast<std::uint32_t>(*weight)});
+        split.push_back({row_key{*pool}, *weight});
     }
-    const bool has_weight = std::ranges::any_of(
-        split,
-        [](const pool_share& share)
-        {
-            return share.weight_ > 0;
-        });
-    if (!has_weight)
+    if (split.empty())
     {
         return make_error(
             error_kind::invalid_row,
             fmt::format(
-                "field \"{}\": expected a list of pools with a weight above 0, "
-                "given {}",
-                field, found->dump()));
+                "field \"{}\": expected a list of pools, given {}", field,
+                found->dump()));
     }
     return split;
 }
@@ -195,7 +152,7 @@
     }
     const auto is_account = [](const nlohmann::json& item)
     {
-        return item.is_string() && is_name(item.get<std::string>());
+        return item.is_string() && is_account_name(item.get<std::string>());
     };
     if (!found->is_array() || !std::ranges::all_of(*found, is_account))
     {
@@ -247,27 +204,25 @@
         return tl::unexpected<error>(ignore_method.error());
     }
     row.ignore_method_ = *ignore_method;
-    const auto target =
-        read_number(json, "target_latency_ms", {0, max_timeout_ms}, 0);
+    const auto target = read_number(json, "target_latency_ms", 0);
     if (!target)
     {
         return tl::unexpected<error>(target.error());
     }
     row.target_latency_ = std::chrono::milliseconds{*target};
-    const auto priority = read_number(
-        json, "priority", {0, max_priority}, route_row::default_priority);
+    const auto priority =
+        read_number(json, "priority", route_row::default_priority);
     if (!priority)
     {
         return tl::unexpected<error>(priority.error());
     }
-    row.priority_ = static_cast<std::uint32_t>(*priority);
-    const auto attempts =
-        read_number(json, "max_attempts", {0, max_attempts_limit}, 0);
+    row.priority_ = *priority;
+    const auto attempts = read_number(json, "max_attempts", 0);
     if (!attempts)
     {
         return tl::unexpected<error>(attempts.error());
     }
-    row.max_attempts_ = static_cast<std::uint32_t>(*attempts);
+    row.max_attempts_ = *attempts;
     auto split = read_split(json, "split");
     if (!split)
     {
@@ -326,15 +281,6 @@
     {
         return tl::unexpected<error>(prefix.error());
     }
-    if (prefix->front() != '/')
-    {
-        return make_error(
-            error_kind::invalid_row,
-            fmt::format(
-                "field \"path_prefix\": expected a path that starts with /, "
-                "given \"{}\"",
-                *prefix));
-    }
     const auto pool = read_text(json, "pool", nullptr);
     if (!pool)
     {
@@ -355,8 +301,7 @@
                 "\"{}\"",
                 *class_text));
     }
-    const auto timeout =
-        read_number(json, "timeout_ms", {min_timeout_ms, max_timeout_ms}, 2000);
+    const auto timeout = read_number(json, "timeout_ms", 2000);
     if (!timeout)
     {
         return tl::unexpected<error>(timeout.error());
@@ -374,9 +319,11 @@
     row.timeout_ = std::chrono::milliseconds{*timeout};
     row.idempotent_ = *idempotent;
     const auto optional = read_optional_fields(json, row);
-    if (!optional)
+    const auto checked =
+        optional ? check_row(row, held_row_limits()) : optional;
+    if (!checked)
     {
-        return tl::unexpected<error>(optional.error());
+        return tl::unexpected<error>(checked.error());
     }
     return row;
 }
@@ -405,15 +352,18 @@
     {
         return tl::unexpected<error>(shed.error());
     }
-    const auto calls =
-        read_number(json, "max_concurrent_calls", {1, max_calls_limit}, 200);
+    const auto calls = read_number(json, "max_concurrent_calls", 200);
     if (!calls)
     {
         return tl::unexpected<error>(calls.error());
     }
-    return pool_row{
-        service_name{*service}, *shared, *shed,
-        static_cast<std::uint32_t>(*calls)};
+    pool_row row{service_name{*service}, *shared, *shed, *calls};
+    const auto checked = check_row(row, held_row_limits());
+    if (!checked)
+    {
+        return tl::unexpected<error>(checked.error());
+    }
+    return row;
 }
 
 std::string
@@ -428,23 +378,4 @@
     return client_account_id{text.substr(0, text.find('/'))};
 }
 
-result<void> check_key(const row_key& key)
-{
-    const std::string_view text = key.value();
-    const auto slash = text.find('/');
-    const bool well_formed =
-        slash != std::string_view::npos && text.size() <= max_key_length &&
-        is_name(text.substr(0, slash)) && is_name(text.substr(slash + 1));
-    if (!well_formed)
-    {
-        return make_error(
-            error_kind::invalid_row,
-            fmt::format(
-                "key: expected <client_account>/<name> of at most {} "
-                "characters, given \"{}\"",
-                max_key_length, text.substr(0, max_key_length)));
-    }
-    return {};
-}
-
 } // namespace hemlockshelf
--- a/src/editing/edit_request.cpp
+++ b/src/editing/edit_request.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include "hemlockshelf/config/config_delta.hpp"
+#include "hemlockshelf/config/row_limits.hpp"
 
 namespace hemlockshelf {
 
@@ -73,9 +74,12 @@
     }
     const auto* list = json.at("row").is_null() ? "deletes" : "upserts";
     auto changes = changes_from_json({{list, nlohmann::json::array({json})}});
-    if (!changes)
+    const auto checked =
+        changes ? check_change(changes->front(), edited_row_limits())
+                : result<void>(tl::unexpected<error>(changes.error()));
+    if (!checked)
     {
-        return tl::unexpected<error>(changes.error());
+        return tl::unexpected<error>(checked.error());
     }
     return read_version(json).map(
         [&changes](std::optional<row_version> version)
--- a/test/platform/test_configuration_document.cpp
+++ b/test/platform/test_configuration_document.cpp
@@ -1,5 +1,9 @@
 #include "platform/configuration_document.hpp"
 
+#include <rapidcheck.h>
+
+#include "adapters/rpc/config_payload.hpp"
+#include "hemlockshelf/config/table_changes.hpp"
 #include "platform_fixture.hpp"
 
 #include <criterion/criterion.h>
@@ -21,8 +25,210 @@
     return read_configuration(document, *config_snapshot::empty());
 }
 
+/// Returns the snapshot that a node builds from a delta that a peer has sent.
+result<std::shared_ptr<const config_snapshot>>
+read_from_peer(const config_snapshot& held, const config_snapshot& next)
+{
+    const accepted_delta sent{
+        {next.number(), changes_between(held.tables(), next.tables()),
+         next.tables().hash_, held.number()},
+        {}};
+    const auto received = decode_deltas(encode_deltas({sent}));
+    if (!received)
+    {
+        return tl::unexpected<error>(received.error());
+    }
+    return apply_delta(held, received->front().delta_);
+}
+
+/// Returns whether a node that gets the snapshot from a peer, as a delta or as
+/// a whole, holds the same tables.
+bool can_be_passed_on(const config_snapshot& snapshot)
+{
+    const auto from_delta = read_from_peer(*config_snapshot::empty(), snapshot);
+    const auto whole = decode_snapshot(encode_snapshot(snapshot));
+    return from_delta && whole &&
+           all_rows((*from_delta)->tables()) == all_rows(snapshot.tables()) &&
+           (*whole)->tables().hash_ == snapshot.tables().hash_;
+}
+
+/// Returns a configuration in which one field of the route has another value.
+nlohmann::json with_field(const char* field, const nlohmann::json& value)
+{
+    auto document = configuration("r12");
+    document["resources"][0]["spec"][field] = value;
+    return document;
+}
+
+rc::Gen<std::string> any_name()
+{
+    return rc::gen::exec(
+        []
+        {
+            const auto part = *rc::gen::element<std::string>(
+                "r-1", "annales/atelier", "Pièces & devis", "a b", "\"quoted\"",
+                "%2f", "日本");
+            const auto repetitions = *rc::gen::inRange(1, 60);
+            std::string name;
+            for (int count = 0; count < repetitions; ++count)
+            {
+                name += part;
+            }
+            return name;
+        });
+}
+
+rc::Gen<nlohmann::json> any_duration()
+{
+    return rc::gen::element<nlohmann::json>(
+        "0ms", "0.2ms", "1ms", "2.5s", "900s", "604800s", "99999999s", "1e30s",
+        "0.0005s", nullptr);
+}
+
+rc::Gen<nlohmann::json> any_count()
+{
+    return rc::gen::element<nlohmann::json>(
+        0, 1, 2.0, 11, 101, 4294967296, 18446744073709551615ULL, nullptr);
+}
+
+rc::Gen<nlohmann::json> any_weight()
+{
+    return rc::gen::element<nlohmann::json>(
+        0, 1, 90, 0.1, 0.9, 1e-9, 1000001, 4294967297, 1e18, 1e308);
+}
+
+/// Returns a configuration that operators may publish, with values far from
+/// the usual ones.
+nlohmann::json any_configuration()
+{
+    const auto name = *any_name();
+    const auto service = *any_name();
+    auto document = configuration("r12");
+    auto& route = document["resources"][0];
+    route["metadata"]["name"] = name;
+    auto& spec = route["spec"];
+    spec["timeout"] = *any_duration();
+    spec["target_latency"] = *any_duration();
+    spec["priority"] = *any_count();
+    spec["max_attempts"] = *any_count();
+    spec["prefix"] = "/" + *any_name() + "/";
+    auto& split = spec["weighted_clusters"];
+    split[0]["weight"] = *any_weight();
+    split[1]["weight"] = *rc::gen::suchThat(
+        any_weight(),
+        [](const nlohmann::json& weight)
+        {
+            return weight.get<double>() > 0;
+        });
+    split[0]["service"] = service;
+    document["resources"][1]["metadata"]["name"] = service;
+    return document;
+}
+
 } // namespace
 
+// Guards against a version that comes into force on the nodes that read the
+// platform and is refused by all that get it from a peer: a timeout of 900s
+// left them on the version before for good.
+Test(configuration_document, every_accepted_version_can_be_passed_on)
+{
+    const std::vector<std::pair<const char*, nlohmann::json>> changes{
+        {"timeout", "900s"},
+        {"timeout", "0.2ms"},
+        {"target_latency", "900s"},
+        {"priority", 101},
+        {"max_attempts", 11},
+        {"prefix", "/" + std::string(600, 'a') + "/"}};
+    for (const auto& [field, value] : changes)
+    {
+        const auto read = read_without_current(with_field(field, value));
+        cr_assert(read.has_value(), "%s", field);
+        cr_assert(can_be_passed_on(**read), "%s", field);
+    }
+    auto document = configuration("r12");
+    document["resources"][0]["metadata"]["name"] = "annales/atelier";
+    const auto read = read_without_current(document);
+    cr_assert(read.has_value());
+    cr_assert(can_be_passed_on(**read));
+}
+
+// Guards against a difference between what a reader and its peers accept, for
+// any values that the operator may publish.
+Test(configuration_document, what_one_node_puts_into_force_every_node_can)
+{
+    cr_assert(rc::check(
+        []
+        {
+            const auto document = any_configuration();
+            const auto read = read_without_current(document);
+            RC_ASSERT(read.has_value());
+            RC_ASSERT(can_be_passed_on(**read));
+            RC_ASSERT(
+                read_without_current(nlohmann::json::parse(document.dump()))
+                    .value()
+                    ->tables()
+                    .hash_ == (*read)->tables().hash_);
+        }));
+}
+
+// Guards against a configuration that only the readers refuse or accept: what
+// they cannot pass on they refuse themselves, and say why.
+Test(configuration_document, refuses_what_cannot_be_passed_on)
+{
+    const std::vector<std::pair<const char*, nlohmann::json>> changes{
+        {"host", ""},
+        {"host", std::string(20'000, 'a')},
+        {"timeout", "soon"},
+        {"timeout", 800},
+        {"target_latency", "nanms"},
+        {"priority", -1},
+        {"priority", 0.5},
+        {"max_attempts", "many"},
+        {"weighted_clusters", {{{"service", "desk"}, {"weight", 0}}}},
+        {"weighted_clusters", {{{"service", "desk"}, {"weight", -1}}}}};
+    for (const auto& [field, value] : changes)
+    {
+        const auto read = read_without_current(with_field(field, value));
+        cr_assert(!read, "%s", field);
+        cr_assert(read.error().kind_ == error_kind::invalid_row);
+        cr_assert(
+            read.error().message_.find("r-1") != std::string::npos, "%s",
+            read.error().message_.c_str());
+    }
+    for (const auto* name : {"", " desk", "de\r\nsk"})
+    {
+        auto document = configuration("r12");
+        document["resources"][1]["metadata"]["name"] = name;
+        document["resources"][0]["spec"]["weighted_clusters"][0]["service"] =
+            name;
+        cr_assert(!read_without_current(document), "%s", name);
+    }
+}
+
+// Guards against weights that are no whole numbers, which kept the version
+// from all nodes, and against shares that differ from the weights.
+Test(configuration_document, keeps_the_proportions_of_weights)
+{
+    const auto share_of = [](double first, double second)
+    {
+        auto document = configuration("r12");
+        auto& split = document["resources"][0]["spec"]["weighted_clusters"];
+        split[0]["weight"] = first;
+        split[1]["weight"] = second;
+        const auto read = read_without_current(document);
+        cr_assert(read.has_value());
+        const auto& shares = (*read)->tables().routes_.begin()->second->split_;
+        return shares[0].weight_ /
+               (double(shares[0].weight_) + shares[1].weight_);
+    };
+    constexpr double tolerance = 1e-5;
+    cr_assert(std::abs(share_of(0.9, 0.1) - 0.9) < tolerance);
+    cr_assert(std::abs(share_of(1e18, 3e18) - 0.25) < tolerance);
+    cr_assert(std::abs(share_of(1e308, 1e308) - 0.5) < tolerance);
+    cr_assert(share_of(1, 1e9) > 0);
+    cr_assert(share_of(0, 0.5) == 0);
+}
+
 // Guards against parsing a route's kind, durations or weighted clusters
 // wrongly. With a wrong kind, a non-idempotent GET could be retried and run
 // twice.
