--- a/node/config_manager.cpp
+++ b/node/config_manager.cpp
@@ -90,9 +90,7 @@
     // called.
     if (!applied && applied.error().kind_ == error_kind::revision_gap)
     {
-        metrics_.add(
-            metric_id::config_rejections,
-            error_properties_of(applied.error().kind_).name_);
+        count_rejection(applied.error());
     }
     return applied;
 }
@@ -211,6 +209,12 @@
     return delta;
 }
 
+void config_manager::count_rejection(const error& failure) const
+{
+    metrics_.add(
+        metric_id::config_rejections, error_properties_of(failure.kind_).name_);
+}
+
 std::shared_ptr<const config_snapshot> config_manager::current() const
 {
     return snapshots_.current();
--- a/node/config_manager.hpp
+++ b/node/config_manager.hpp
@@ -57,6 +57,10 @@
         const std::shared_ptr<const config_snapshot>& snapshot,
         apply_source source);
 
+    /// Counts a configuration that could not be read and so reached none of the
+    /// functions above, which count their own rejections.
+    void count_rejection(const error& failure) const;
+
     [[nodiscard]] std::shared_ptr<const config_snapshot> current() const;
     [[nodiscard]] revision current_revision() const;
 
--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
-void report_read(const published_read_result& read, revision current)
+void report_read(
+    const published_read_result& read, const config_manager& config)
 {
+    const auto current = config.current_revision();
     for (const auto& failure : read.rejected_)
     {
+        config.count_rejection(failure);
         log_event<log_event_id::configuration_rejected>(
             log_fields::revision(current),
             log_fields::error_kind(failure.kind_),
@@ -42,7 +45,7 @@
     {
         return report;
     }
-    report_read(*read, config.current_revision());
+    report_read(*read, config);
     report.answered_ = true;
     if (read->newest_ != nullptr)
     {
--- a/node/push_coordinator.cpp
+++ b/node/push_coordinator.cpp
@@ -24,13 +24,15 @@
 // fetch by up to 560 ms.
 constexpr std::chrono::milliseconds max_forward_delay{1000};
 
-void log_malformed(
+void report_malformed(
     const push_message& request,
-    const result<std::vector<accepted_delta>>& deltas)
+    const result<std::vector<accepted_delta>>& deltas,
+    const config_manager& config)
 {
     const auto failure =
         deltas ? error{error_kind::bad_request, "expected deltas, given none"}
                : deltas.error();
+    config.count_rejection(failure);
     log_event<log_event_id::push_malformed>(
         log_fields::peer(request.sender_.vm_),
         log_fields::origin(request.origin_),
@@ -69,7 +71,7 @@
     const auto deltas = decode_deltas(request.deltas_);
     if (!deltas || deltas->empty())
     {
-        log_malformed(request, deltas);
+        report_malformed(request, deltas, context_.config_);
         done();
         return;
     }
--- a/node/repair_agent.cpp
+++ b/node/repair_agent.cpp
@@ -304,6 +304,10 @@
     if (answer.kind_ == config_answer_kind::deltas)
     {
         const auto deltas = decode_deltas(answer.payload_);
+        if (!deltas)
+        {
+            context_.config_.count_rejection(deltas.error());
+        }
         const auto applied =
             deltas ? context_.config_.apply(*deltas, apply_source::repair)
                    : result<void>(tl::unexpected<error>(deltas.error()));
@@ -322,6 +326,7 @@
         const auto snapshot = decode_snapshot(answer.payload_);
         if (!snapshot)
         {
+            context_.config_.count_rejection(snapshot.error());
             log_event<log_event_id::repair_snapshot_rejected>(
                 log_fields::peer_address(to_string(peer.endpoint_)),
                 log_fields::error_kind(snapshot.error().kind_),
