--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -10,6 +10,16 @@
   region @2 :Text;
 }
 
+struct AcknowledgedUpstream {
+  instance @0 :Text;
+  startedMs @1 :UInt64;
+  # Wall-clock time; 0 if it is not known.
+  sequence @2 :UInt64;
+  withdrawnUntilMs @3 :UInt64;
+  # Wall-clock time up to which its starts have deregistered; 0 if none has.
+  drained @4 :Bool;
+}
+
 struct MemberRecord {
   vm @0 :Text;
   failureDomain @1 :Text;
@@ -30,6 +40,8 @@
   platformLost @15 :Bool;
   platformRoundTripUs @16 :UInt32;
   # Microseconds; 0 if it is not known.
+  acknowledged @17 :AcknowledgedUpstream;
+  # Null if there is nothing that a restarted node has to know.
 }
 
 struct Heartbeat {
@@ -39,6 +51,10 @@
   hashHigh @3 :UInt64;
   hashLow @4 :UInt64;
   membershipRoot @5 :UInt64;
+  joining @6 :Bool;
+  # Asks what the sender acknowledged to its upstream before it started.
+  acknowledged @7 :AcknowledgedUpstream;
+  # In an answer to a joining node; null if the receiver does not know.
 }
 
 enum Scope {
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -20,6 +20,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(929118754909d3b2);
+CAPNP_DECLARE_SCHEMA(d07055f3c27355f7);
 CAPNP_DECLARE_SCHEMA(f7166dbce51ecbb7);
 CAPNP_DECLARE_SCHEMA(f11a1cecb624b4eb);
 CAPNP_DECLARE_SCHEMA(b286c3c8ba9bc541);
@@ -72,6 +73,21 @@
   };
 };
 
+struct AcknowledgedUpstream {
+  AcknowledgedUpstream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d07055f3c27355f7, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MemberRecord {
   MemberRecord() = delete;
 
@@ -80,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7166dbce51ecbb7, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(f7166dbce51ecbb7, 5, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -95,7 +111,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f11a1cecb624b4eb, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f11a1cecb624b4eb, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -416,6 +432,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class AcknowledgedUpstream::Reader {
+public:
+  typedef AcknowledgedUpstream Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline  ::uint64_t getStartedMs() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getWithdrawnUntilMs() const;
+
+  inline bool getDrained() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AcknowledgedUpstream::Builder {
+public:
+  typedef AcknowledgedUpstream Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline  ::uint64_t getStartedMs();
+  inline void setStartedMs( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getWithdrawnUntilMs();
+  inline void setWithdrawnUntilMs( ::uint64_t value);
+
+  inline bool getDrained();
+  inline void setDrained(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AcknowledgedUpstream::Pipeline {
+public:
+  typedef AcknowledgedUpstream Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class MemberRecord::Reader {
 public:
   typedef MemberRecord Reads;
@@ -475,6 +592,9 @@
 
   inline  ::uint32_t getPlatformRoundTripUs() const;
 
+  inline bool hasAcknowledged() const;
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader getAcknowledged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -586,6 +706,13 @@
   inline  ::uint32_t getPlatformRoundTripUs();
   inline void setPlatformRoundTripUs( ::uint32_t value);
 
+  inline bool hasAcknowledged();
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder getAcknowledged();
+  inline void setAcknowledged( ::hemlockshelf::wire::AcknowledgedUpstream::Reader value);
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder initAcknowledged();
+  inline void adoptAcknowledged(::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> disownAcknowledged();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -604,6 +731,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline getAcknowledged();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -642,6 +770,11 @@
 
   inline  ::uint64_t getMembershipRoot() const;
 
+  inline bool getJoining() const;
+
+  inline bool hasAcknowledged() const;
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader getAcknowledged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -692,6 +825,16 @@
   inline  ::uint64_t getMembershipRoot();
   inline void setMembershipRoot( ::uint64_t value);
 
+  inline bool getJoining();
+  inline void setJoining(bool value);
+
+  inline bool hasAcknowledged();
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder getAcknowledged();
+  inline void setAcknowledged( ::hemlockshelf::wire::AcknowledgedUpstream::Reader value);
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder initAcknowledged();
+  inline void adoptAcknowledged(::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> disownAcknowledged();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -711,6 +854,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline getAcknowledged();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1971,6 +2115,96 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool AcknowledgedUpstream::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AcknowledgedUpstream::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AcknowledgedUpstream::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AcknowledgedUpstream::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AcknowledgedUpstream::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AcknowledgedUpstream::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AcknowledgedUpstream::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AcknowledgedUpstream::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Reader::getStartedMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Builder::getStartedMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setStartedMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Reader::getWithdrawnUntilMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Builder::getWithdrawnUntilMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setWithdrawnUntilMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AcknowledgedUpstream::Reader::getDrained() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool AcknowledgedUpstream::Builder::getDrained() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setDrained(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MemberRecord::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2369,6 +2603,45 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MemberRecord::Reader::hasAcknowledged() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasAcknowledged() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader MemberRecord::Reader::getAcknowledged() const {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder MemberRecord::Builder::getAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline MemberRecord::Pipeline::getAcknowledged() {
+  return  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void MemberRecord::Builder::setAcknowledged( ::hemlockshelf::wire::AcknowledgedUpstream::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder MemberRecord::Builder::initAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::adoptAcknowledged(
+    ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> MemberRecord::Builder::disownAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool Heartbeat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2478,6 +2751,59 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::getJoining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getJoining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setJoining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasAcknowledged() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasAcknowledged() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader Heartbeat::Reader::getAcknowledged() const {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder Heartbeat::Builder::getAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline Heartbeat::Pipeline::getAcknowledged() {
+  return  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setAcknowledged( ::hemlockshelf::wire::AcknowledgedUpstream::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder Heartbeat::Builder::initAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::adoptAcknowledged(
+    ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> Heartbeat::Builder::disownAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Push::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/adapters/rpc/control_messages.hpp
+++ b/adapters/rpc/control_messages.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,11 @@
     revision revision_;
     content_hash hash_;
     std::uint64_t membership_root_ = 0;
+    /// Whether the sender asks what it acknowledged to its upstream before it
+    /// started.
+    bool joining_ = false;
+    /// Answers that question, if the receiver knows.
+    std::optional<acknowledged_upstream> acknowledged_{};
 };
 
 /// Changes that the receiver takes and passes on.
--- a/adapters/rpc/message_codec.cpp
+++ b/adapters/rpc/message_codec.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr std::size_t max_text = 256;
+// The longest name of a row, which a service and an instance may have.
+constexpr std::size_t max_text = 1024;
 
 std::string text_of(capnp::Text::Reader text)
 {
@@ -43,6 +44,25 @@
                       : 0;
 }
 
+void write(
+    wire::AcknowledgedUpstream::Builder wire,
+    const acknowledged_upstream& acknowledged)
+{
+    wire.setInstance(acknowledged.order_.instance_.c_str());
+    wire.setStartedMs(acknowledged.order_.started_ms_);
+    wire.setSequence(acknowledged.order_.sequence_);
+    wire.setWithdrawnUntilMs(acknowledged.withdrawn_until_ms_);
+    wire.setDrained(acknowledged.drained_);
+}
+
+acknowledged_upstream read(wire::AcknowledgedUpstream::Reader wire)
+{
+    return {
+        {text_of(wire.getInstance()), wire.getStartedMs(), wire.getSequence()},
+        wire.getWithdrawnUntilMs(),
+        wire.getDrained()};
+}
+
 std::string from_data(capnp::Data::Reader data)
 {
     return {reinterpret_cast<const char*>(data.begin()), data.size()};
@@ -85,6 +105,10 @@
     wire.setLink(record.link_.value());
     wire.setPlatformLost(record.platform_lost_);
     wire.setPlatformRoundTripUs(to_wire(record.platform_round_trip_));
+    if (record.acknowledged_)
+    {
+        write(wire.initAcknowledged(), *record.acknowledged_);
+    }
 }
 
 member_update read(wire::MemberRecord::Reader wire)
@@ -114,6 +138,10 @@
     {
         record.platform_round_trip_ = std::chrono::microseconds{microseconds};
     }
+    if (wire.hasAcknowledged())
+    {
+        record.acknowledged_ = read(wire.getAcknowledged());
+    }
     update.down_ = wire.getDown();
     return update;
 }
@@ -147,15 +175,27 @@
     wire.setHashHigh(message.hash_.high());
     wire.setHashLow(message.hash_.low());
     wire.setMembershipRoot(message.membership_root_);
+    wire.setJoining(message.joining_);
+    if (message.acknowledged_)
+    {
+        write(wire.initAcknowledged(), *message.acknowledged_);
+    }
 }
 
 heartbeat_message read(wire::Heartbeat::Reader wire)
 {
-    return {
-        read(wire.getSender()), incarnation{wire.getIncarnation()},
+    heartbeat_message message{
+        read(wire.getSender()),
+        incarnation{wire.getIncarnation()},
         revision{wire.getRevision()},
         content_hash{wire.getHashHigh(), wire.getHashLow()},
-        wire.getMembershipRoot()};
+        wire.getMembershipRoot(),
+        wire.getJoining()};
+    if (wire.hasAcknowledged())
+    {
+        message.acknowledged_ = read(wire.getAcknowledged());
+    }
+    return message;
 }
 
 void write(wire::Push::Builder wire, const push_message& message)
--- a/include/hemlockshelf/core/clock.hpp
+++ b/include/hemlockshelf/core/clock.hpp
@@ -18,7 +18,8 @@
     /// Returns the monotonic time, for deadlines and intervals.
     [[nodiscard]] virtual steady_time now() const = 0;
 
-    /// Returns the wall-clock time, for audit entries and incarnations only.
+    /// Returns the wall-clock time, for audit entries, incarnations and the
+    /// comparison with an upstream's start only.
     [[nodiscard]] virtual wall_time wall_now() const = 0;
 
 protected:
--- a/include/hemlockshelf/membership/member_record.hpp
+++ b/include/hemlockshelf/membership/member_record.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/membership/acknowledged_upstream.hpp"
 
 namespace hemlockshelf {
 
@@ -61,6 +62,10 @@
     bool platform_lost_ = false;
     /// Shortest time in which the platform has answered the node, if it has.
     std::optional<std::chrono::microseconds> platform_round_trip_;
+    /// What the node has acknowledged to its upstream, if the upstream names
+    /// its starts or does not get work. The sequence number is that of the last
+    /// change of `state_`.
+    std::optional<acknowledged_upstream> acknowledged_;
 
     friend bool
     operator==(const member_record&, const member_record&) = default;
--- a/node/admin_handler.cpp
+++ b/node/admin_handler.cpp
@@ -1,5 +1,8 @@
 #include "node/admin_handler.hpp"
 
+#include <chrono>
+#include <future>
+#include <memory>
 #include <utility>
 
 #include <spdlog/spdlog.h>
@@ -142,6 +145,20 @@
     return json_response(200, *explanation);
 }
 
+/// Waits until other nodes hold what this one has acknowledged to its upstream,
+/// but not for nodes that do not answer.
+void share_upstream(control_plane& plane)
+{
+    constexpr std::chrono::milliseconds max_share_time{700};
+    const auto shared = std::make_shared<std::promise<void>>();
+    plane.share_upstream(
+        [shared]
+        {
+            shared->set_value();
+        });
+    shared->get_future().wait_for(max_share_time);
+}
+
 http_response drain(const admin_context& context, const http_request& request)
 {
     const auto account = authenticate_operator(context, request);
@@ -162,6 +179,7 @@
              "drain: the upstream belongs to another account"});
     }
     context.upstream_->drain();
+    share_upstream(*context.control_plane_);
     return json_response(200, {{"draining", true}});
 }
 
--- a/node/admin_handler.hpp
+++ b/node/admin_handler.hpp
@@ -28,7 +28,7 @@
     data_plane* data_plane_ = nullptr;
     const prometheus_metrics* metrics_ = nullptr;
     const member_table* members_ = nullptr;
-    const control_plane* control_plane_ = nullptr;
+    control_plane* control_plane_ = nullptr;
 };
 
 /// Authenticates a request by its bearer token and returns the operator's
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -59,7 +59,7 @@
         polled_services services,
         snapshot_store& snapshots,
         member_table& members,
-        const local_upstream& upstream,
+        local_upstream& upstream,
         metric_sink& metrics)
         : settings_(settings), time_(time), metrics_(metrics),
           config_(
@@ -89,6 +89,10 @@
                       {
                           joins_.add_contacts(contacts_of(rows));
                       });
+              },
+              [&upstream](const acknowledged_upstream& acknowledged)
+              {
+                  upstream.restore(acknowledged);
               }),
           poller_(
               services,
@@ -170,6 +174,15 @@
             });
     }
 
+    void share_upstream(std::function<void()> done)
+    {
+        network_.post(
+            [this, done = std::move(done)]
+            {
+                records_.share_upstream(done);
+            });
+    }
+
     void stop()
     {
         if (!std::exchange(running_, false))
@@ -393,6 +406,7 @@
         publish_state();
         heartbeats_.reset();
         records_.set_platform_lost(platform_contact_.lost_);
+        records_.on_joined();
         records_.announce();
         readers_.update();
         repairs_.shorten_intervals();
@@ -619,7 +633,7 @@
     polled_services services,
     snapshot_store& snapshots,
     member_table& members,
-    const local_upstream& upstream,
+    local_upstream& upstream,
     metric_sink& metrics)
     : impl_(std::make_unique<impl>(
           settings, time, services, snapshots, members, upstream, metrics))
@@ -642,6 +656,11 @@
     impl_->withdraw_upstream();
 }
 
+void control_plane::share_upstream(std::function<void()> done)
+{
+    impl_->share_upstream(std::move(done));
+}
+
 void control_plane::stop()
 {
     impl_->stop();
--- a/node/control_plane.hpp
+++ b/node/control_plane.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_NODE_CONTROL_PLANE_HPP
 #define HEMLOCKSHELF_NODE_CONTROL_PLANE_HPP
 
+#include <functional>
 #include <memory>
 
 #include "adapters/settings/node_settings.hpp"
@@ -31,7 +32,7 @@
         polled_services services,
         snapshot_store& snapshots,
         member_table& members,
-        const local_upstream& upstream,
+        local_upstream& upstream,
         metric_sink& metrics);
     ~control_plane();
 
@@ -47,6 +48,11 @@
     /// Notifies the other nodes to stop using this node's upstream.
     void withdraw_upstream();
 
+    /// Makes other nodes hold what has been acknowledged to the upstream, and
+    /// calls `done` on the control loop once enough of them do. A node that has
+    /// not joined or reaches no other may never call it.
+    void share_upstream(std::function<void()> done);
+
     /// Notifies the other nodes that this one leaves, then stops.
     void stop();
 
--- a/node/data_plane.cpp
+++ b/node/data_plane.cpp
@@ -143,7 +143,9 @@
         close_listeners();
         upstream_gate_.begin_shutdown();
         gate_sessions_.drain();
+        caller_sessions_.set_end(refuse_at);
         caller_sessions_.close_idle();
+        gate_sessions_.set_end(refuse_at);
         gate_sessions_.close_idle();
         if (caller_sessions_.wait_for_sessions(refuse_at) &&
             gate_sessions_.wait_for_sessions(refuse_at))
--- a/node/heartbeat_agent.cpp
+++ b/node/heartbeat_agent.cpp
@@ -250,7 +250,12 @@
             pushes_.send_records(*peer, {to_update(*entry)});
         }
     }
-    return own_heartbeat(context_);
+    auto answer = own_heartbeat(context_);
+    if (request.joining_ && entry)
+    {
+        answer.acknowledged_ = entry->record_.acknowledged_;
+    }
+    return answer;
 }
 
 void heartbeat_agent::on_probe(
--- a/node/join_agent.cpp
+++ b/node/join_agent.cpp
@@ -30,9 +30,11 @@
     control_context& context,
     push_agent& pushes,
     repair_agent& repairs,
-    std::function<void()> query_directory)
+    std::function<void()> query_directory,
+    acknowledged_handler on_acknowledged)
     : context_(context), pushes_(pushes), repairs_(repairs),
-      query_directory_(std::move(query_directory))
+      query_directory_(std::move(query_directory)),
+      on_acknowledged_(std::move(on_acknowledged))
 {}
 
 void join_agent::start(bool needs_platform)
@@ -117,14 +119,20 @@
     {
         send_record();
     }
+    auto query = own_heartbeat(context_);
+    query.joining_ = true;
     for (std::size_t index = 0; index < count; ++index)
     {
         const peer_address peer{contacts_.at(index), {}};
         context_.network_.heartbeat(
-            peer, own_heartbeat(context_), query_deadline,
+            peer, query, query_deadline,
             [this, peer,
              round = round_](const result<heartbeat_message>& answer)
             {
+                if (answer && answer->acknowledged_)
+                {
+                    on_acknowledged_(*answer->acknowledged_);
+                }
                 if (round == round_)
                 {
                     on_answer(peer, answer);
--- a/node/join_agent.hpp
+++ b/node/join_agent.hpp
@@ -15,13 +15,18 @@
 class join_agent
 {
 public:
+    using acknowledged_handler =
+        std::function<void(const acknowledged_upstream&)>;
+
     /// `query_directory` requests contacts from the platform's directory, which
-    /// are passed to `add_contacts` later.
+    /// are passed to `add_contacts` later. `on_acknowledged` gets what peers
+    /// tell of the time before this process.
     join_agent(
         control_context& context,
         push_agent& pushes,
         repair_agent& repairs,
-        std::function<void()> query_directory);
+        std::function<void()> query_directory,
+        acknowledged_handler on_acknowledged);
 
     /// Restarts the join, with the known members as contacts. If
     /// `needs_platform` is set, it completes only with the platform's revision,
@@ -78,6 +83,7 @@
     push_agent& pushes_;
     repair_agent& repairs_;
     std::function<void()> query_directory_;
+    acknowledged_handler on_acknowledged_;
     std::vector<endpoint> contacts_;
     std::vector<answered_peer> answers_;
     std::size_t unanswered_ = 0;
--- a/node/local_upstream.hpp
+++ b/node/local_upstream.hpp
@@ -2,11 +2,13 @@
 #define HEMLOCKSHELF_NODE_LOCAL_UPSTREAM_HPP
 
 #include <chrono>
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <string>
 
 #include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/membership/acknowledged_upstream.hpp"
 #include "hemlockshelf/membership/upstream_announcement.hpp"
 
 namespace hemlockshelf {
@@ -23,29 +25,41 @@
     /// withdrawn.
     bool announce(const upstream_announcement& announcement);
 
-    /// Permanently drains the upstream if its last announcement has this
-    /// instance name: only announcements of another start are accepted
-    /// afterwards. Returns false if the last announcement is from another
-    /// instance.
+    /// Permanently drains the upstream with this instance name: the start of
+    /// its last announcement or, if there is none, each start until now. Only
+    /// announcements of later starts are accepted afterwards. Returns false if
+    /// the last announcement is from another instance.
     bool withdraw(const std::string& instance);
 
     /// Drains the upstream until it announces itself after its announcement has
     /// expired, or announces another start.
     void drain();
 
+    /// Adds what an earlier process of the node has acknowledged.
+    void restore(const acknowledged_upstream& earlier);
+
     /// Returns the last announcement unless it has expired.
     [[nodiscard]] std::optional<upstream_announcement> current() const;
 
+    /// Returns what has been acknowledged, including what was restored.
+    [[nodiscard]] std::optional<acknowledged_upstream> acknowledged() const;
+
 private:
     [[nodiscard]] bool expired() const;
+    [[nodiscard]] bool was_withdrawn(const announcement_version& order) const;
+    void take_over(const acknowledged_upstream& earlier);
+    void add_withdrawal(acknowledged_upstream withdrawn);
 
     const clock& time_;
     std::chrono::milliseconds lifetime_;
     mutable std::mutex mutex_;
     std::optional<upstream_announcement> last_;
+    std::optional<acknowledged_upstream> acknowledged_;
+    /// When the last announcement arrived, or what an earlier process has
+    /// acknowledged was restored.
     steady_time announced_at_;
-    bool drained_ = false;
-    bool withdrawn_ = false;
+    /// Withdrawals of upstreams with other names than the last one's.
+    std::deque<acknowledged_upstream> other_withdrawals_;
 };
 
 } // namespace hemlockshelf
--- a/node/membership_agent.cpp
+++ b/node/membership_agent.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <utility>
 
 #include "adapters/telemetry/event_log.hpp"
@@ -12,6 +14,20 @@
 
 namespace {
 
+// Nodes that are asked to hold what has been acknowledged to the upstream, in
+// the own failure domain and elsewhere: either may be lost at once.
+constexpr std::size_t local_holders = 2;
+constexpr std::size_t remote_holders = 2;
+// Answers that are enough: one holder may end with this process.
+constexpr std::size_t needed_holders = 2;
+
+/// Returns whether a restarted node has to know this. Announcements without a
+/// name are of one start, which only a drain can end.
+bool is_worth_holding(const acknowledged_upstream& acknowledged)
+{
+    return !acknowledged.order_.instance_.empty() || acknowledged.drained_;
+}
+
 incarnation make_incarnation(const clock& time)
 {
     const auto since_epoch = time.wall_now().time_since_epoch();
@@ -58,7 +74,7 @@
 
 void membership_agent::refresh()
 {
-    const auto announcement = upstream_.current();
+    const auto announcement = joined_ ? upstream_.current() : std::nullopt;
     lifecycle_.observe(announcement, context_.time_.now());
     auto next = record_;
     next.state_ = lifecycle_.state();
@@ -71,6 +87,14 @@
         next.slots_ = announcement->slots_;
         next.connections_ = announcement->connections_;
     }
+    const auto acknowledged = joined_ ? upstream_.acknowledged() : std::nullopt;
+    const bool is_told =
+        next == record_ && equivalent(acknowledged, record_.acknowledged_);
+    if (acknowledged && !is_told)
+    {
+        next.acknowledged_ =
+            is_worth_holding(*acknowledged) ? acknowledged : std::nullopt;
+    }
     if (next == record_)
     {
         return;
@@ -165,6 +189,99 @@
     refresh();
 }
 
+void membership_agent::on_joined()
+{
+    joined_ = true;
+    refresh();
+    for (auto& done : std::exchange(early_shares_, {}))
+    {
+        send_to_holders(std::move(done));
+    }
+}
+
+void membership_agent::share_upstream(std::function<void()> done)
+{
+    if (!joined_)
+    {
+        early_shares_.push_back(std::move(done));
+        return;
+    }
+    refresh();
+    send_to_holders(std::move(done));
+}
+
+/// Progress of sending the own record to the nodes that are to hold it.
+struct membership_agent::share
+{
+    std::function<void()> done_;
+    std::size_t unanswered_ = 0;
+    std::size_t holders_ = 0;
+
+    void on_answer(bool holds)
+    {
+        --unanswered_;
+        holders_ += holds ? 1 : 0;
+        if (done_ && (holders_ == needed_holders || unanswered_ == 0))
+        {
+            std::exchange(done_, nullptr)();
+        }
+    }
+};
+
+void membership_agent::send_to_holders(std::function<void()> done)
+{
+    const auto holders = choose_holders();
+    if (holders.empty())
+    {
+        done();
+        return;
+    }
+    auto progress = std::make_shared<share>();
+    progress->done_ = std::move(done);
+    progress->unanswered_ = holders.size();
+    for (const auto& holder : holders)
+    {
+        pushes_.send_records(
+            holder, {{record_, false}},
+            [progress](bool holds)
+            {
+                progress->on_answer(holds);
+            });
+    }
+}
+
+std::vector<peer_address> membership_agent::choose_holders() const
+{
+    std::vector<peer_address> holders;
+    const auto add = [&](const failure_domain_id& domain, std::size_t limit)
+    {
+        auto peers = peers_in(context_, domain);
+        std::ranges::shuffle(peers, context_.random_);
+        for (const auto& vm : peers)
+        {
+            const auto entry = context_.members_.find(vm);
+            const auto address = address_of(context_, vm);
+            if (limit > 0 && address && entry &&
+                entry->liveness_ == liveness::alive)
+            {
+                holders.push_back(*address);
+                --limit;
+            }
+        }
+    };
+    add(context_.self_.failure_domain_, local_holders);
+    const auto local = holders.size();
+    for (const auto& [domain, region] : context_.members_.domains())
+    {
+        if (domain != context_.self_.failure_domain_ &&
+            holders.size() < local + remote_holders)
+        {
+            add(domain, 1);
+        }
+    }
+    return holders;
+}
+
 void membership_agent::publish(member_record next)
 {
     next.sequence_ = sequence{record_.sequence_.value() + 1};
--- a/node/membership_agent.hpp
+++ b/node/membership_agent.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_NODE_MEMBERSHIP_AGENT_HPP
 
 #include <chrono>
+#include <functional>
 #include <vector>
 
 #include "hemlockshelf/membership/upstream_lifecycle.hpp"
@@ -42,6 +43,17 @@
     void drain();
     void leave();
 
+    /// Lets the record show the upstream. Until the node has joined, it does
+    /// not know what an earlier process has acknowledged to the upstream, and
+    /// could announce one that has left.
+    void on_joined();
+
+    /// Makes other nodes hold what has been acknowledged to the upstream, so
+    /// that it outlasts this process. `done` is called once enough of them do,
+    /// or none of those asked is left to answer; at the earliest when the node
+    /// has joined.
+    void share_upstream(std::function<void()> done);
+
     [[nodiscard]] incarnation own_incarnation() const noexcept
     {
         return record_.incarnation_;
@@ -49,7 +61,11 @@
 
 private:
     bool merge_other(const member_update& update);
+    struct share;
+
     void publish(member_record next);
+    void send_to_holders(std::function<void()> done);
+    [[nodiscard]] std::vector<peer_address> choose_holders() const;
     void refute(const member_update& claim);
 
     control_context& context_;
@@ -57,6 +73,9 @@
     const local_upstream& upstream_;
     upstream_lifecycle lifecycle_;
     member_record record_;
+    bool joined_ = false;
+    /// Calls to `share_upstream` before the node has joined.
+    std::vector<std::function<void()>> early_shares_;
 };
 
 } // namespace hemlockshelf
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -1,6 +1,7 @@
 #include "node/node.hpp"
 
 #include <chrono>
+#include <functional>
 #include <thread>
 #include <utility>
 
@@ -92,6 +93,10 @@
                  [this]
                  {
                      return accepts_callers();
+                 },
+                 [this](std::function<void()> done)
+                 {
+                     control_plane_.share_upstream(std::move(done));
                  }});
         }
     }
--- a/node/platform_services.hpp
+++ b/node/platform_services.hpp
@@ -24,6 +24,9 @@
     const snapshot_store& snapshots_;
     /// Whether callers may send requests to the node.
     std::function<bool()> ready_;
+    /// Makes other nodes hold what the node acknowledges to its upstream, and
+    /// calls back, from any thread, once they do.
+    std::function<void(std::function<void()>)> share_upstream_;
 };
 
 /// Listener of a platform adapter; closed on destruction.
--- a/node/push_agent.cpp
+++ b/node/push_agent.cpp
@@ -81,7 +81,9 @@
 }
 
 void push_agent::send_records(
-    const peer_address& peer, std::vector<member_update> records)
+    const peer_address& peer,
+    std::vector<member_update> records,
+    completion_handler done)
 {
     push_message message;
     message.sender_ = context_.self_;
@@ -91,7 +93,13 @@
     context_.network_.push(
         peer, message,
         context_.settings_.dissemination_.cross_domain_push_deadline_,
-        [](const result<revision>&) {});
+        [done = std::move(done)](const result<revision>& answer)
+        {
+            if (done)
+            {
+                done(answer.has_value());
+            }
+        });
 }
 
 void push_agent::forward(push_message message)
--- a/node/push_agent.hpp
+++ b/node/push_agent.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -28,9 +29,14 @@
     /// Adds records to the next batch, which is pushed within milliseconds.
     void push_records(std::vector<member_update> records);
 
-    /// Sends records to one member, which does not forward them.
-    void
-    send_records(const peer_address& peer, std::vector<member_update> records);
+    using completion_handler = std::function<void(bool)>;
+
+    /// Sends records to one member, which does not forward them. `done` is
+    /// called with whether it holds them.
+    void send_records(
+        const peer_address& peer,
+        std::vector<member_update> records,
+        completion_handler done = {});
 
     /// Forwards a push to the part of the tree that this node is responsible
     /// for, unless it has forwarded that part before.
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -22,6 +22,20 @@
            entry.record_.state_ == upstream_state::left;
 }
 
+/// A restarted node has acknowledged nothing yet. What it acknowledged before
+/// is kept until the node has asked for it.
+member_entry merge_entry(const member_update& update, const member_entry* held)
+{
+    member_entry merged{
+        update.record_, update.down_ ? liveness::down : liveness::alive};
+    if (held != nullptr && !merged.record_.acknowledged_ &&
+        held->record_.incarnation_ != merged.record_.incarnation_)
+    {
+        merged.record_.acknowledged_ = held->record_.acknowledged_;
+    }
+    return merged;
+}
+
 std::uint64_t version_hash(const member_record& record)
 {
     return hash_text(fmt::format(
@@ -44,8 +58,7 @@
 bool member_table::merge(const member_update& update)
 {
     const auto& vm = update.record_.vm_;
-    const auto next = std::make_shared<const member_entry>(member_entry{
-        update.record_, update.down_ ? liveness::down : liveness::alive});
+    entry_pointer next;
     entry_pointer previous;
     const bool changed = members_.with_shard(
         vm,
@@ -56,6 +69,8 @@
             {
                 return false;
             }
+            next = std::make_shared<const member_entry>(
+                merge_entry(update, held.entry_.get()));
             previous = std::exchange(held.entry_, next);
             // A removed member stays removed until a record reports it as
             // active. A member that is inactive when first learned is stored
--- /dev/null
+++ b/test/node/test_departure.cpp
@@ -0,0 +1,128 @@
+#include <future>
+#include <memory>
+#include <optional>
+
+#include "test/node/control_node.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockshelf;
+using namespace std::chrono_literals;
+
+namespace {
+
+upstream_announcement announce(std::uint64_t started, std::uint64_t sequence)
+{
+    upstream_announcement announcement;
+    announcement.service_ = service_name{"order-desk"};
+    announcement.account_ = client_account_id{"regie"};
+    announcement.slots_ = slot_count{4};
+    announcement.connections_ = connection_count{8};
+    announcement.order_ = {"i-1", started, sequence};
+    return announcement;
+}
+
+/// Two nodes, of which the second one has the upstream.
+struct fixture
+{
+    fixture()
+    {
+        cr_assert(is_serving_within(5s, other_));
+        start();
+    }
+
+    void start()
+    {
+        auto settings = settings_of(2, "salle-bourg");
+        settings.peers_ = {other_.settings_.control_};
+        node_ = std::make_unique<control_node>(settings, tables_);
+        cr_assert(is_serving_within(5s, *node_));
+    }
+
+    void restart()
+    {
+        node_.reset();
+        start();
+    }
+
+    std::optional<member_record> known_record()
+    {
+        const auto entry = other_.members_.find(vm_id{"vm-2"});
+        return entry ? std::optional(entry->record_) : std::nullopt;
+    }
+
+    /// Returns whether the other node comes to send work to the upstream.
+    bool gets_work_within(std::chrono::milliseconds time)
+    {
+        return becomes_true_within(
+            time,
+            [this]
+            {
+                const auto record = known_record();
+                return record && (record->state_ == upstream_state::warming ||
+                                  record->state_ == upstream_state::ready);
+            });
+    }
+
+    bool is_shared_within(std::chrono::milliseconds time)
+    {
+        const auto shared = std::make_shared<std::promise<void>>();
+        node_->plane_.share_upstream(
+            [shared]
+            {
+                shared->set_value();
+            });
+        return shared->get_future().wait_for(time) == std::future_status::ready;
+    }
+
+    memory_tables tables_;
+    control_node other_{settings_of(1, "salle-belair"), tables_};
+    std::unique_ptr<control_node> node_;
+};
+
+} // namespace
+
+// Guards against an acknowledged departure that only the node's process knows:
+// once it is shared, another node holds it.
+Test(departure, what_is_shared_is_held_by_another_node)
+{
+    fixture nodes;
+    nodes.node_->upstream_.announce(announce(1000, 4));
+    cr_assert(nodes.gets_work_within(2s));
+    cr_assert(nodes.node_->upstream_.withdraw("i-1"));
+    cr_assert(nodes.is_shared_within(700ms));
+    const auto record = nodes.known_record();
+    cr_assert(record && record->state_ == upstream_state::draining);
+    cr_assert(record->acknowledged_.has_value());
+    cr_assert(is_withdrawn(*record->acknowledged_, {"i-1", 1000, 9}));
+}
+
+// Guards against an upstream that has left and gets work again: its node has
+// restarted, and an announcement that was sent before arrives late.
+Test(departure, a_restarted_node_knows_which_start_has_left)
+{
+    fixture nodes;
+    nodes.node_->upstream_.announce(announce(1000, 4));
+    cr_assert(nodes.gets_work_within(2s));
+    nodes.node_->upstream_.withdraw("i-1");
+    cr_assert(nodes.is_shared_within(700ms));
+    nodes.restart();
+    cr_assert(!nodes.node_->upstream_.announce(announce(1000, 5)));
+    cr_assert(!nodes.gets_work_within(500ms));
+    // The next start under the same name is not bound by it.
+    cr_assert(nodes.node_->upstream_.announce(announce(2000, 1)));
+    cr_assert(nodes.gets_work_within(2s));
+}
+
+// Guards against a departure of which the node hears only after its restart,
+// followed by a late announcement.
+Test(departure, a_restarted_node_knows_the_start_that_leaves)
+{
+    fixture nodes;
+    nodes.node_->upstream_.announce(announce(1000, 4));
+    cr_assert(nodes.gets_work_within(2s));
+    nodes.restart();
+    cr_assert(nodes.node_->upstream_.withdraw("i-1"));
+    cr_assert(!nodes.node_->upstream_.announce(announce(1000, 5)));
+    cr_assert(!nodes.gets_work_within(500ms));
+}
--- a/test/node/test_own_upstream.cpp
+++ b/test/node/test_own_upstream.cpp
@@ -1,5 +1,13 @@
 #include "node/local_upstream.hpp"
 
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
 #include "hemlockshelf/core/manual_clock.hpp"
 
 #include <criterion/criterion.h>
@@ -17,8 +25,209 @@
     return announcement;
 }
 
+std::uint64_t wall_milliseconds(const manual_clock& time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            time.wall_now().time_since_epoch())
+            .count());
+}
+
+/// Replaces the upstream's state as a restart of the node does: the next
+/// process knows what other nodes hold.
+std::unique_ptr<local_upstream>
+restart(const manual_clock& time, const local_upstream& before)
+{
+    auto next = std::make_unique<local_upstream>(time, 6s);
+    if (const auto held = before.acknowledged())
+    {
+        next->restore(*held);
+    }
+    return next;
+}
+
+bool gets_work(const local_upstream& upstream)
+{
+    const auto current = upstream.current();
+    return current && !current->draining_;
+}
+
 } // namespace
 
+// Guards against an instance that is used again after its deregistration has
+// been acknowledged: the node had just restarted and not yet heard of it, and
+// an announcement sent before arrived late.
+Test(own_upstream, a_withdrawal_before_the_first_announcement_holds)
+{
+    manual_clock time;
+    time.advance(10s);
+    const auto started = wall_milliseconds(time) - 5000;
+    local_upstream upstream(time, 6s);
+    upstream.withdraw("i-1");
+    cr_assert(!upstream.announce(announce("i-1", started, 5)));
+    cr_assert(!upstream.announce(announce("i-1", 0, 6)));
+    cr_assert(!upstream.current());
+    time.advance(1s);
+    cr_assert(upstream.announce(announce("i-1", wall_milliseconds(time), 1)));
+    cr_assert(gets_work(upstream));
+}
+
+// Guards against a deregistration that ends with the process that acknowledged
+// it.
+Test(own_upstream, a_withdrawal_outlasts_a_restart)
+{
+    const manual_clock time;
+    local_upstream before(time, 6s);
+    before.announce(announce("i-1", 1000, 4));
+    before.withdraw("i-1");
+    const auto after = restart(time, before);
+    cr_assert(!after->announce(announce("i-1", 1000, 5)));
+    cr_assert(!after->current());
+    cr_assert(after->announce(announce("i-1", 2000, 1)));
+    cr_assert(gets_work(*after));
+}
+
+// Guards against a late announcement that arrives before the restarted node has
+// learned of the departure.
+Test(own_upstream, a_restored_withdrawal_ends_what_came_before_it)
+{
+    const manual_clock time;
+    local_upstream before(time, 6s);
+    before.announce(announce("i-1", 1000, 4));
+    before.withdraw("i-1");
+    local_upstream after(time, 6s);
+    cr_assert(after.announce(announce("i-1", 1000, 5)));
+    after.restore(*before.acknowledged());
+    cr_assert(!gets_work(after));
+}
+
+// Guards against a late announcement of readiness that undoes a drain which an
+// earlier process has acknowledged.
+Test(own_upstream, a_drain_outlasts_a_restart)
+{
+    const manual_clock time;
+    local_upstream before(time, 6s);
+    auto draining = announce("i-1", 1000, 6);
+    draining.draining_ = true;
+    before.announce(draining);
+    const auto after = restart(time, before);
+    cr_assert(!after->announce(announce("i-1", 1000, 5)));
+    cr_assert(!after->current());
+}
+
+// Guards against an operator's drain that ends with the process, of an upstream
+// that does not name its starts.
+Test(own_upstream, an_operators_drain_outlasts_a_restart)
+{
+    const manual_clock time;
+    local_upstream before(time, 6s);
+    before.announce({});
+    before.drain();
+    const auto after = restart(time, before);
+    cr_assert(after->announce({}));
+    cr_assert(!gets_work(*after));
+}
+
+// Guards against what was held for an earlier start that takes a later one out
+// of use.
+Test(own_upstream, a_later_start_is_not_bound_by_what_was_held)
+{
+    const manual_clock time;
+    local_upstream before(time, 6s);
+    before.announce(announce("i-1", 1000, 4));
+    before.withdraw("i-1");
+    local_upstream after(time, 6s);
+    after.announce(announce("i-1", 2000, 1));
+    after.restore(*before.acknowledged());
+    cr_assert(gets_work(after));
+    cr_assert(after.announce(announce("i-1", 2000, 2)));
+}
+
+// Guards against an announcement that lacks the start, which an instance always
+// gives, and passes for a new start.
+Test(own_upstream, an_announcement_without_its_start_is_no_new_start)
+{
+    const manual_clock time;
+    local_upstream upstream(time, 6s);
+    upstream.announce(announce("i-1", 1000, 4));
+    upstream.withdraw("i-1");
+    cr_assert(!upstream.announce(announce("i-1", 0, 9)));
+    cr_assert(!gets_work(upstream));
+}
+
+// Guards against any order of late, repeated and reordered messages of one name
+// around restarts that brings back a start which has left, or that keeps the
+// next one out of use.
+Test(own_upstream, messages_in_any_order_never_bring_back_what_left)
+{
+    cr_assert(rc::check(
+        []
+        {
+            manual_clock time;
+            time.advance(100s);
+            auto upstream = std::make_unique<local_upstream>(time, 6s);
+            std::uint64_t newest = wall_milliseconds(time);
+            std::uint64_t sequence = 0;
+            std::vector<upstream_announcement> sent;
+            std::uint64_t left = 0;
+            std::map<std::uint64_t, std::uint64_t> drained_at;
+            const auto steps = *rc::gen::inRange(1, 40);
+            for (int step = 0; step < steps; ++step)
+            {
+                time.advance(
+                    std::chrono::milliseconds{*rc::gen::inRange(1, 3000)});
+                switch (*rc::gen::inRange(0, 6))
+                {
+                case 0:
+                    newest = wall_milliseconds(time);
+                    sequence = 0;
+                    break;
+                case 1:
+                {
+                    const auto known = upstream->acknowledged();
+                    const auto start = known ? known->order_.started_ms_ : 0;
+                    left = std::max(left, start > 0 ? start : newest);
+                    upstream->withdraw("i-1");
+                    break;
+                }
+                case 2:
+                    upstream = restart(time, *upstream);
+                    break;
+                default:
+                {
+                    const bool is_late =
+                        !sent.empty() && *rc::gen::arbitrary<bool>();
+                    if (!is_late)
+                    {
+                        sent.push_back(announce("i-1", newest, ++sequence));
+                        sent.back().draining_ = *rc::gen::arbitrary<bool>();
+                    }
+                    const auto message =
+                        is_late ? *rc::gen::elementOf(sent) : sent.back();
+                    const bool taken = upstream->announce(message);
+                    auto& drained = drained_at[message.order_.started_ms_];
+                    if (taken && message.draining_)
+                    {
+                        drained = message.order_.sequence_;
+                    }
+                    break;
+                }
+                }
+                const auto current = upstream->current();
+                if (current && !current->draining_)
+                {
+                    const auto& order = current->order_;
+                    RC_ASSERT(order.started_ms_ > left);
+                    RC_ASSERT(order.sequence_ > drained_at[order.started_ms_]);
+                }
+            }
+            time.advance(1ms);
+            cr_assert(upstream->announce(
+                announce("i-1", wall_milliseconds(time), 1)));
+            RC_ASSERT(gets_work(*upstream));
+        }));
+}
+
 // Guards against a delayed announcement of an instance that has been replaced
 // at the same address.
 Test(own_upstream, an_older_start_does_not_replace_a_newer_one)
--- a/test/platform/test_instance_listeners.cpp
+++ b/test/platform/test_instance_listeners.cpp
@@ -24,6 +24,14 @@
                [this]
                {
                    return ready_.load();
+               },
+               [this](std::function<void()> done)
+               {
+                   ++shares_;
+                   if (others_answer_)
+                   {
+                       done();
+                   }
                }}),
           thread_(
               [this]
@@ -63,6 +71,8 @@
     local_upstream upstream_{time_, 6s};
     snapshot_store snapshots_;
     std::atomic<bool> ready_ = false;
+    std::atomic<bool> others_answer_ = true;
+    std::atomic<int> shares_ = 0;
     boost::asio::io_context context_;
     instance_listeners listeners_;
     std::thread thread_;
@@ -111,6 +121,31 @@
     cr_assert(node.upstream_.current()->draining_);
 }
 
+// Guards against an acknowledged departure that ends with the process: before
+// the answer, other nodes are to hold it.
+Test(instance_listeners, what_leaves_is_shared_before_the_acknowledgement)
+{
+    fixture node;
+    const auto deregister = []
+    {
+        return fixture::send_request(
+            instances_port, boost::beast::http::verb::post,
+            "/api/Instances.Deregister/i-1");
+    };
+    fixture::send_heartbeat("ready", 4);
+    cr_assert(node.shares_ == 0);
+    fixture::send_heartbeat("draining", 5);
+    cr_assert(node.shares_ == 1);
+    cr_assert(deregister() == 200);
+    cr_assert(node.shares_ == 2);
+    // Guards against an acknowledgement that comes too late for the instance,
+    // which waits 1 s, because no other node answers.
+    node.others_answer_ = false;
+    const auto started = node.time_.now();
+    cr_assert(deregister() == 200);
+    cr_assert(node.time_.now() - started < 1s);
+}
+
 Test(instance_listeners, refuses_what_is_no_heartbeat)
 {
     fixture node;
--- a/test/rpc/test_message_codec.cpp
+++ b/test/rpc/test_message_codec.cpp
@@ -37,6 +37,8 @@
     record.link_ = bit_rate{7'000'000};
     record.platform_lost_ = true;
     record.platform_round_trip_ = std::chrono::microseconds{44'300};
+    record.acknowledged_ = {
+        {"i-7f3a91c2", 1'700'000'000'123, 9}, 1'700'000'000'124, true};
     update.down_ = true;
     return update;
 }
@@ -68,3 +70,37 @@
             RC_ASSERT(arrived.down_ == down);
         }));
 }
+
+// Guards against a joining node that does not learn what an earlier process
+// acknowledged to its upstream.
+Test(message_codec, every_field_of_a_heartbeat_arrives)
+{
+    const heartbeat_message heartbeat{
+        {vm_id{"order-desk-2"}, failure_domain_id{"salle-belair"},
+         region_id{"quebec-centre"}},
+        incarnation{4},
+        revision{12},
+        content_hash{3, 5},
+        6,
+        true,
+        make_update().record_.acknowledged_};
+    capnp::MallocMessageBuilder message;
+    auto wire = message.initRoot<wire::Heartbeat>();
+    write(wire, heartbeat);
+    const auto arrived = read(wire.asReader());
+    cr_assert(arrived.incarnation_ == heartbeat.incarnation_);
+    cr_assert(arrived.revision_ == heartbeat.revision_);
+    cr_assert(arrived.hash_ == heartbeat.hash_);
+    cr_assert(arrived.membership_root_ == heartbeat.membership_root_);
+    cr_assert(arrived.joining_);
+    cr_assert(arrived.acknowledged_ == heartbeat.acknowledged_);
+}
+
+// Guards against the name of a service that a node may hold and that its peers
+// refuse, with all the records that are sent along with it.
+Test(message_codec, the_longest_names_arrive)
+{
+    auto update = make_update();
+    update.record_.service_ = service_name{std::string(1019, 's')};
+    cr_assert(sent_and_read(update) == update);
+}
