platform: refuse a check-in whose optional fields have another type

`born`, `zone`, `version` and `cold_remaining` may be missing, but a value of another type is an error, as for the other fields. An announcement without a start does not follow one with a start of the same instance. Names of services and instances are limited to what other nodes accept in a record: a longer one would make them refuse the records sent along with it.

--- a/src/membership/upstream_announcement.cpp
+++ b/src/membership/upstream_announcement.cpp
@@ -59,7 +59,12 @@
     {
         return next.sequence_ == 0 || next.sequence_ > last.sequence_;
     }
-    return next.started_ms_ == 0 || next.started_ms_ >= last.started_ms_;
+    if (next.started_ms_ == 0)
+    {
+        // An instance that has given its start gives it each time.
+        return last.started_ms_ == 0 || next.instance_ != last.instance_;
+    }
+    return next.started_ms_ >= last.started_ms_;
 }
 
 result<upstream_announcement> announcement_from_json(const nlohmann::json& json)
--- a/test/platform/test_instance_message.cpp
+++ b/test/platform/test_instance_message.cpp
@@ -44,6 +44,29 @@
         wrong[field] = nlohmann::json::array();
         cr_assert(!parse_heartbeat("i-1", wrong), "%s", field);
     }
+    // Guards against a check-in of another sender that passes for a new start
+    // of the instance and undoes its departure.
+    for (const auto* field : {"born", "zone", "version", "cold_remaining"})
+    {
+        auto wrong = make_heartbeat();
+        wrong[field] = nlohmann::json::array();
+        cr_assert(!parse_heartbeat("i-1", wrong), "%s", field);
+    }
+    for (const auto& born :
+         {nlohmann::json("1700000000000"), nlohmann::json(-1),
+          nlohmann::json(1.5), nlohmann::json(nullptr)})
+    {
+        auto wrong = make_heartbeat();
+        wrong["born"] = born;
+        cr_assert(!parse_heartbeat("i-1", wrong));
+    }
+    // Guards against names that other nodes refuse in a record.
+    auto longest = make_heartbeat();
+    longest["service"] = std::string(1020, 's');
+    cr_assert(!parse_heartbeat("i-1", longest));
+    longest["service"] = std::string(1019, 's');
+    cr_assert(parse_heartbeat("i-1", longest).has_value());
+    cr_assert(!parse_heartbeat(std::string(1025, 'i'), make_heartbeat()));
     auto invalid = make_heartbeat();
     invalid["state"] = "resting";
     cr_assert(!parse_heartbeat("i-1", invalid));
