http: do not parse the same bytes of a last chunk twice

A node built with assertions ended when an upstream sent the last chunk of an empty chunked answer in pieces ("0\r\n", then the rest): Beast's parser asserts that it gets at least five bytes once it has seen the line of the last chunk, and the reader passed it the same three bytes again. Release builds define NDEBUG and were not affected. The reader now waits for more bytes than the parser has left.

--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -48,6 +48,18 @@
         return buffer_;
     }
 
+    /// Number of buffered bytes that the parser has seen and left in place,
+    /// because they are the beginning of a line.
+    [[nodiscard]] std::size_t bytes_left_by_parser() const noexcept
+    {
+        return left_by_parser_;
+    }
+
+    void set_bytes_left_by_parser(std::size_t count) noexcept
+    {
+        left_by_parser_ = count;
+    }
+
     /// Reads at least one byte into the buffer.
     boost::asio::awaitable<boost::system::error_code> fill();
 
@@ -125,6 +137,7 @@
 
     socket_type socket_;
     boost::beast::flat_buffer buffer_;
+    std::size_t left_by_parser_ = 0;
     std::uint64_t written_ = 0;
     std::vector<std::string> refused_requests_;
     /// Consecutive reads and writes that completed without waiting.
--- a/adapters/http/message_reader.cpp
+++ b/adapters/http/message_reader.cpp
@@ -11,6 +11,18 @@
 
 namespace {
 
+/// Returns whether the parser can use the buffer. Bytes that it has left are
+/// not passed to it again without more of them: after the line of the last
+/// chunk, Beast's parser requires the whole end of a message, and fails an
+/// assertion if that end arrives in pieces.
+bool has_bytes_to_parse(http_connection& source)
+{
+    constexpr std::size_t last_chunk_size = 5;
+    const auto left = source.bytes_left_by_parser();
+    const auto size = source.buffer().size();
+    return left == 0 ? size > 0 : size > left && size >= last_chunk_size;
+}
+
 template <class Parser>
 asio::awaitable<error_code>
 read_any_head(http_connection& source, Parser& parser)
@@ -26,6 +38,7 @@
                 (!failure || failure == http::error::need_more))
             {
                 parser.eager(true);
+                source.set_bytes_left_by_parser(0);
                 co_return error_code{};
             }
             if (failure && failure != http::error::need_more)
@@ -63,10 +76,12 @@
     auto& body = parser.get().body();
     body.data = space.data();
     body.size = space.size();
-    while (!parser.is_done() && source.buffer().size() > 0)
+    while (!parser.is_done() && has_bytes_to_parse(source))
     {
         const auto used = parser.put(source.buffer().data(), failure);
         source.buffer().consume(used);
+        const bool left = used == 0 && failure == http::error::need_more;
+        source.set_bytes_left_by_parser(left ? source.buffer().size() : 0);
         const bool wants_more = failure == http::error::need_more ||
                                 failure == http::error::need_buffer;
         if (wants_more)
