http: refuse late requests that may outlast a stopping node

Report of an operator: in a planned stop, requests that came late in the grace time were passed on and cut at its end, among them ones that may not be repeated. It can happen here in two ways. A request whose head became complete after the listeners had closed was passed on until 0.4 s before the end, whatever its deadline. A connection that was accepted while the listeners closed was not among the idle ones that were being closed, and stayed open for a later request.

Once the listeners close, a request whose deadline is after the time at which the node refuses what is left is refused as not run, with Retry-After; one that must end before is served. A connection that is accepted from then on is closed unless it has sent a request.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -235,6 +235,13 @@
         auto failure = std::move(call.error());
         co_return co_await reject(request, std::move(failure), true);
     }
+    if (group().ends_before(call->deadline_))
+    {
+        error failure{
+            error_kind::draining,
+            "the node stops before the deadline of the request"};
+        co_return co_await reject(request, std::move(failure), true);
+    }
     const auto& route = *call->route_;
     const auto ticket = environment_.call_quota_.take(
         call->account_, route.pool_key_, route.pool_->max_concurrent_calls_);
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -227,6 +227,12 @@
         group_.end_call();
         co_return complete&& stop_ != stop_reason::node_stops;
     }
+    if (group_.has_end() && client_.probe() != connection_readiness::readable)
+    {
+        // The connection was accepted while the idle ones were being closed.
+        stop(stop_reason::drained);
+        co_return false;
+    }
     request_parser request;
     request.header_limit(settings_.max_header_bytes_);
     request.body_limit(settings_.max_body_bytes_);
--- a/adapters/http/session_group.hpp
+++ b/adapters/http/session_group.hpp
@@ -46,6 +46,26 @@
     /// close after their current answer if the group drains.
     void close_idle();
 
+    /// Sets when the calls in progress end at the latest. A request that may
+    /// take longer is not forwarded from now on, and a connection that is still
+    /// accepted is closed unless it has sent one.
+    void set_end(steady_time end) noexcept
+    {
+        end_ = end;
+    }
+
+    [[nodiscard]] bool has_end() const noexcept
+    {
+        return end_.load() != steady_time::max();
+    }
+
+    /// Returns whether a call with this deadline may still be in progress when
+    /// the group ends.
+    [[nodiscard]] bool ends_before(steady_time deadline) const noexcept
+    {
+        return end_.load() < deadline;
+    }
+
     /// Refuses all current and later requests of which nothing has been
     /// forwarded. Requests that were forwarded are left to finish.
     void refuse_unforwarded();
@@ -67,6 +87,7 @@
 
     std::atomic<bool> draining_ = false;
     std::atomic<bool> refusing_ = false;
+    std::atomic<steady_time> end_ = steady_time::max();
     std::atomic<std::size_t> calls_ = 0;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
