--- a/test/http/test_cut_answer.cpp
+++ b/test/http/test_cut_answer.cpp
@@ -214,3 +214,62 @@
     cr_assert(contains(start, "xxxx"));
     cr_assert(contains(caller.read_until("0\r\n\r\n"), "last"));
 }
+
+// Guards against an answer that ends within its head and reaches the caller as
+// a success with an empty or short body.
+Test(cut_answer, a_head_that_breaks_off_is_never_a_success)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Field: text\r\n"
+                               "Content-Length: 6\r\n\r\n";
+    std::atomic<std::size_t> sent = 0;
+    scripted_server upstream(
+        [&](raw_connection& gate)
+        {
+            if (!gate.read_until("\r\n\r\n").empty())
+            {
+                gate.send(answer.substr(0, sent));
+            }
+        });
+    gate_under_test gate(upstream.address(), 4, 8, long_timeout_settings());
+    entry_under_test entry({gate.where()});
+    for (sent = 0; sent < answer.size(); ++sent)
+    {
+        const auto seen = entry.call(caller_request("POST", "order"));
+        cr_assert_eq(
+            seen.substr(0, 12), "HTTP/1.1 502", "after %zu bytes: %s",
+            sent.load(), seen.c_str());
+        cr_assert(!contains(seen, "Not-Run"));
+    }
+}
+
+// Guards against the same on the connection between the nodes, whose head the
+// entry reads.
+Test(cut_answer, a_gates_head_that_breaks_off_is_never_a_success)
+{
+    std::atomic<std::size_t> sent = 0;
+    std::size_t whole = 0;
+    scripted_server gate(
+        [&](raw_connection& entry)
+        {
+            const auto head = entry.read_until("\r\n\r\n");
+            if (head.empty())
+            {
+                return;
+            }
+            entry.send("HTTP/1.1 100 Continue\r\n\r\n");
+            entry.read_until("0\r\n\r\n");
+            const auto answer = head_to(head, "Content-Length: 6\r\n");
+            whole = answer.size();
+            entry.send(answer.substr(0, sent));
+        });
+    entry_under_test entry({gate.address()});
+    do
+    {
+        const auto seen = entry.call(caller_request("POST", "order"));
+        cr_assert_eq(
+            seen.substr(0, 10), "HTTP/1.1 5", "after %zu bytes: %s",
+            sent.load(), seen.c_str());
+        cr_assert(!contains(seen, "503") && !contains(seen, "Not-Run"));
+        sent += 7;
+    } while (sent < whole);
+}
