http: bound what a listener and the platform client keep of a message

Report of an operator: an instance sent bytes without end, and the machine that it called kept them until it ran out of memory. It can happen here where Beast's async_read reads into a buffer without a limit: in the interface for instances, the readiness and admin interfaces and the answers of the platform.

Both now read with read_whole_message, whose buffer of 64 KiB ends the exchange at hand when a line does not fit. It shares the rule for a last chunk in pieces with the relay's reader: Beast's async_read fails the same assertion, so that a build with assertions ended on such an answer of the platform.

--- a/adapters/http/http_client.cpp
+++ b/adapters/http/http_client.cpp
@@ -14,11 +14,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 
 #include "adapters/http/tcp_endpoint.hpp"
+#include "adapters/http/whole_message.hpp"
 
 namespace hemlockshelf {
 
@@ -102,12 +102,10 @@
         co_return exchange_error(
             error_kind::outcome_unknown, target.server_, failure);
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(whole_message_buffer_bytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_body_bytes);
-    co_await http::async_read(
-        stream, buffer, parser,
-        asio::redirect_error(asio::use_awaitable, failure));
+    failure = co_await read_whole_message(stream, buffer, parser);
     if (failure)
     {
         co_return exchange_error(
--- a/adapters/http/http_listener.cpp
+++ b/adapters/http/http_listener.cpp
@@ -13,10 +13,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "adapters/http/tcp_endpoint.hpp"
+#include "adapters/http/whole_message.hpp"
 
 namespace hemlockshelf {
 
@@ -81,16 +81,14 @@
         socket.set_option(tcp::no_delay(true), failure);
     }
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(whole_message_buffer_bytes);
     while (!failure)
     {
         http::request_parser<http::string_body> parser;
         parser.body_limit(options_.max_body_.value());
         parser.header_limit(max_header_bytes);
         stream.expires_after(idle_timeout);
-        co_await http::async_read(
-            stream, buffer, parser,
-            asio::redirect_error(asio::use_awaitable, failure));
+        failure = co_await read_whole_message(stream, buffer, parser);
         if (failure)
         {
             break;
--- a/adapters/http/message_reader.cpp
+++ b/adapters/http/message_reader.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "adapters/http/unparsed_bytes.hpp"
+
 namespace hemlockshelf {
 
 namespace asio = boost::asio;
@@ -11,18 +13,6 @@
 
 namespace {
 
-/// Returns whether the parser can use the buffer. Bytes that it has left are
-/// not passed to it again without more of them: after the line of the last
-/// chunk, Beast's parser requires the whole end of a message, and fails an
-/// assertion if that end arrives in pieces.
-bool has_bytes_to_parse(http_connection& source)
-{
-    constexpr std::size_t last_chunk_size = 5;
-    const auto left = source.bytes_left_by_parser();
-    const auto size = source.buffer().size();
-    return left == 0 ? size > 0 : size > left && size >= last_chunk_size;
-}
-
 template <class Parser>
 asio::awaitable<error_code>
 read_any_head(http_connection& source, Parser& parser)
@@ -76,7 +66,9 @@
     auto& body = parser.get().body();
     body.data = space.data();
     body.size = space.size();
-    while (!parser.is_done() && has_bytes_to_parse(source))
+    while (!parser.is_done() &&
+           has_bytes_to_parse(
+               source.buffer().size(), source.bytes_left_by_parser()))
     {
         const auto used = parser.put(source.buffer().data(), failure);
         source.buffer().consume(used);
--- a/test/http/test_http_listener.cpp
+++ b/test/http/test_http_listener.cpp
@@ -131,6 +131,44 @@
 
 // Guards against handlers that run on the thread of the context, where one
 // that blocks would stop every connection.
+// Guards against a process that ends because the last chunk of an empty body
+// arrives in pieces.
+Test(http_listener, a_last_chunk_may_arrive_in_pieces)
+{
+    const server_runner<call_server> server(echo_path);
+    const std::string body = "0\r\n\r\n";
+    raw_connection client(own_address());
+    for (std::size_t first = 0; first < body.size(); ++first)
+    {
+        client.send(get("/chunked", "Transfer-Encoding: chunked\r\n"));
+        client.send(body.substr(0, first));
+        std::this_thread::sleep_for(milliseconds{5});
+        client.send(body.substr(first, 1));
+        std::this_thread::sleep_for(milliseconds{5});
+        client.send(body.substr(first + 1));
+        cr_assert(
+            ends_with_body(client.read_message(), "/chunked"),
+            "after %zu bytes", first);
+    }
+}
+
+// Guards against a faulty client that sends a line without end, such as a chunk
+// extension, all of which is kept until the process runs out of memory.
+Test(http_listener, a_line_without_end_closes_the_connection)
+{
+    const server_runner<call_server> server(echo_path);
+    raw_connection client(own_address());
+    client.send(get("/chunked", "Transfer-Encoding: chunked\r\n") + "5;x=");
+    const std::string block(std::size_t{64} << 10U, 'x');
+    constexpr int most_blocks = 256;
+    int sent = 0;
+    while (sent < most_blocks && client.send(block))
+    {
+        ++sent;
+    }
+    cr_assert(sent < most_blocks);
+}
+
 Test(json_server, a_blocked_handler_does_not_stop_the_others)
 {
     auto released = std::make_shared<std::promise<void>>();
--- a/test/platform/test_instance_listeners.cpp
+++ b/test/platform/test_instance_listeners.cpp
@@ -25,7 +25,7 @@
                {
                    return ready_.load();
                },
-               [this](std::function<void()> done)
+               [this](const std::function<void()>& done)
                {
                    ++shares_;
                    if (others_answer_)
