--- a/node/admin_handler.cpp
+++ b/node/admin_handler.cpp
@@ -1,6 +1,5 @@
 #include "node/admin_handler.hpp"
 
-#include <chrono>
 #include <future>
 #include <memory>
 #include <utility>
@@ -149,14 +148,13 @@
 /// but not for nodes that do not answer.
 void share_upstream(control_plane& plane)
 {
-    constexpr std::chrono::milliseconds max_share_time{700};
     const auto shared = std::make_shared<std::promise<void>>();
     plane.share_upstream(
         [shared]
         {
             shared->set_value();
         });
-    shared->get_future().wait_for(max_share_time);
+    shared->get_future().wait_for(max_upstream_share_time);
 }
 
 http_response drain(const admin_context& context, const http_request& request)
--- a/node/local_upstream.hpp
+++ b/node/local_upstream.hpp
@@ -13,6 +13,11 @@
 
 namespace hemlockshelf {
 
+/// Longest wait for other nodes to hold what a node acknowledges to its
+/// upstream. An instance waits 1 s for the answer. A node that reaches no other
+/// answers after this time: the instance then gets no work from elsewhere.
+inline constexpr std::chrono::milliseconds max_upstream_share_time{700};
+
 /// Holds the last announcement of the upstream on the node's VM. Thread-safe.
 class local_upstream
 {
