--- a/node/local_upstream.cpp
+++ b/node/local_upstream.cpp
@@ -38,7 +38,7 @@
     }
     if (!acknowledged_ || !same_start(acknowledged_->order_, order))
     {
-        acknowledged_ = acknowledged_upstream{};
+        replace({order});
     }
     if (expired())
     {
@@ -56,7 +56,7 @@
     const auto now = to_milliseconds(time_.wall_now());
     if (!acknowledged_)
     {
-        acknowledged_ = acknowledged_upstream{{instance}, now};
+        replace({{instance}, now});
         return false;
     }
     if (acknowledged_->order_.instance_ != instance)
@@ -104,25 +104,38 @@
     {
         own.drained_ = own.drained_ || earlier.drained_;
     }
-    if (same_name)
-    {
-        own.withdrawn_until_ms_ = withdrawn_until;
-    }
     else
     {
         add_withdrawal(earlier);
     }
+    if (same_name)
+    {
+        own.withdrawn_until_ms_ = withdrawn_until;
+    }
 }
 
 void local_upstream::take_over(const acknowledged_upstream& earlier)
 {
-    acknowledged_ = earlier;
+    replace(earlier);
     last_.reset();
     announced_at_ = time_.now();
 }
 
+void local_upstream::replace(acknowledged_upstream next)
+{
+    if (acknowledged_)
+    {
+        add_withdrawal(std::move(*acknowledged_));
+    }
+    acknowledged_ = std::move(next);
+}
+
 void local_upstream::add_withdrawal(acknowledged_upstream withdrawn)
 {
+    if (withdrawn.withdrawn_until_ms_ == 0)
+    {
+        return;
+    }
     other_withdrawals_.push_back(std::move(withdrawn));
     if (other_withdrawals_.size() > max_other_withdrawals)
     {
--- a/node/local_upstream.hpp
+++ b/node/local_upstream.hpp
@@ -53,6 +53,9 @@
     [[nodiscard]] bool expired() const;
     [[nodiscard]] bool was_withdrawn(const announcement_version& order) const;
     void take_over(const acknowledged_upstream& earlier);
+    /// Replaces what is acknowledged and keeps its withdrawal.
+    void replace(acknowledged_upstream next);
+    /// Keeps what has been withdrawn of an upstream, if anything has.
     void add_withdrawal(acknowledged_upstream withdrawn);
 
     const clock& time_;
@@ -63,7 +66,7 @@
     /// When the last announcement arrived, or what an earlier process has
     /// acknowledged was restored.
     steady_time announced_at_;
-    /// Withdrawals of upstreams with other names than the last one's.
+    /// Withdrawals of upstreams and starts other than the last one's.
     std::deque<acknowledged_upstream> other_withdrawals_;
 };
 
--- a/test/node/test_own_upstream.cpp
+++ b/test/node/test_own_upstream.cpp
@@ -143,6 +143,22 @@
     cr_assert(after.announce(announce("i-1", 2000, 2)));
 }
 
+// Guards against a withdrawal that is forgotten when another upstream takes the
+// place of the withdrawn one.
+Test(own_upstream, a_withdrawal_outlasts_another_upstream)
+{
+    const manual_clock time;
+    const auto now = wall_milliseconds(time);
+    local_upstream announced(time, 6s);
+    announced.withdraw("i-1");
+    cr_assert(announced.announce(announce("i-2", now - 2000, 1)));
+    cr_assert(!announced.announce(announce("i-1", now - 1000, 1)));
+    local_upstream restored(time, 6s);
+    restored.withdraw("i-1");
+    restored.restore({{"i-2", now - 2000, 1}});
+    cr_assert(!restored.announce(announce("i-1", now - 1000, 1)));
+}
+
 // Guards against an announcement that lacks the start, which an instance always
 // gives, and passes for a new start.
 Test(own_upstream, an_announcement_without_its_start_is_no_new_start)
--- a/test/platform/test_instance_listeners.cpp
+++ b/test/platform/test_instance_listeners.cpp
@@ -146,6 +146,23 @@
     cr_assert(node.time_.now() - started < 1s);
 }
 
+// Guards against a name that other nodes refuse in a record, with the records
+// that are sent along with it.
+Test(instance_listeners, refuses_a_deregistration_of_no_instance)
+{
+    fixture node;
+    const auto deregister = [](const std::string& id)
+    {
+        return fixture::send_request(
+            instances_port, boost::beast::http::verb::post,
+            ("/api/Instances.Deregister/" + id).c_str());
+    };
+    cr_assert(deregister("") == 400);
+    cr_assert(deregister(std::string(1025, 'i')) == 400);
+    cr_assert(!node.upstream_.acknowledged());
+    cr_assert(deregister(std::string(1024, 'i')) == 200);
+}
+
 Test(instance_listeners, refuses_what_is_no_heartbeat)
 {
     fixture node;
