node: measure the age of published versions on every node

convergence_duration covered edits that nodes accept, but not configurations that operators publish: their deltas carried no time. A reader now stamps them with the time at which the platform answered, which travels with the delta, and a node whose version is more than 1 s old logs revision_late with the way it came.

published_config/the_age_of_a_version_is_measured_on_every_way fails without the change (no sample).

--- a/adapters/telemetry/log_fields.cpp
+++ b/adapters/telemetry/log_fields.cpp
@@ -23,6 +23,7 @@
     log_field_info{down, "down", "boolean", "Whether the record says that the member is down."},
     log_field_info{members, "members", "number", "Members that the node knows, itself included."},
     log_field_info{changes, "changes", "number", "Number of change rows."},
+    log_field_info{age_ms, "age_ms", "number", "Time since the change was accepted or, if operators publish whole configurations, since the first reader received it, in milliseconds by the clocks of the two nodes."},
     log_field_info{pause_ms, "pause_ms", "number", "Length of the pause in milliseconds."},
     log_field_info{client_account, "client_account", "string", "Client account of the operator."},
     log_field_info{new_level, "new_level", "string", "Level that is in force from now on."},
--- a/adapters/telemetry/log_fields.hpp
+++ b/adapters/telemetry/log_fields.hpp
@@ -31,6 +31,7 @@
     down,
     members,
     changes,
+    age_ms,
     pause_ms,
     client_account,
     new_level,
@@ -151,6 +152,8 @@
 inline constexpr maker<log_field_id::down, bool> down{};
 inline constexpr maker<log_field_id::members, std::size_t> members{};
 inline constexpr maker<log_field_id::changes, std::size_t> changes{};
+inline constexpr maker<log_field_id::age_ms, std::chrono::milliseconds>
+    age_ms{};
 inline constexpr maker<log_field_id::pause_ms, std::chrono::milliseconds>
     pause_ms{};
 inline constexpr maker<log_field_id::client_account, client_account_id>
--- a/include/hemlockshelf/config/configuration_source.hpp
+++ b/include/hemlockshelf/config/configuration_source.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "hemlockshelf/config/config_snapshot.hpp"
+#include "hemlockshelf/core/clock.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
 
@@ -26,6 +27,9 @@
     /// bytes.
     std::size_t documents_ = 0;
     std::uint64_t bytes_ = 0;
+    /// When the platform answered, by the clock of this node; the epoch if the
+    /// source does not tell.
+    wall_time read_at_;
     /// Time spent on validating and preparing them, excluding the wait.
     std::chrono::milliseconds preparation_{0};
 };
--- a/node/config_manager.cpp
+++ b/node/config_manager.cpp
@@ -24,6 +24,9 @@
 // serves a peer better, and the log stays small.
 constexpr std::size_t rows_per_kept_change = 2;
 
+// A third of the time in which a revision must be in force on every node.
+constexpr std::chrono::seconds late_after{1};
+
 accepted_delta
 delta_between(const config_snapshot& before, const config_snapshot& after)
 {
@@ -173,18 +176,25 @@
     {
         return applied;
     }
+    keep(delta);
+    report_applied(source, delta.accepted_at_);
+    return {};
+}
+
+void config_manager::keep(const accepted_delta& delta)
+{
     log_.append(delta.delta_);
     accepted_at_[delta.delta_.to_] = delta.accepted_at_;
     if (accepted_at_.size() > kept_deltas_)
     {
         accepted_at_.erase(accepted_at_.begin());
     }
-    report_applied(source, delta.accepted_at_);
-    return {};
 }
 
 result<accepted_delta> config_manager::apply_snapshot(
-    const std::shared_ptr<const config_snapshot>& snapshot, apply_source source)
+    const std::shared_ptr<const config_snapshot>& snapshot,
+    apply_source source,
+    wall_time accepted_at)
 {
     const std::lock_guard lock(mutex_);
     const auto before = snapshots_.current();
@@ -194,16 +204,17 @@
         return tl::unexpected<error>(applied.error());
     }
     auto delta = delta_between(*before, *snapshot);
+    delta.accepted_at_ = accepted_at;
     if (should_keep(delta, snapshot->tables()))
     {
-        log_.append(delta.delta_);
+        keep(delta);
     }
     else
     {
         log_.reset(snapshot->number());
         accepted_at_.clear();
     }
-    report_applied(source, std::nullopt);
+    report_applied(source, accepted_at);
     // A gap that remains in the queue is not an error of the snapshot.
     static_cast<void>(apply_pending(source));
     return delta;
@@ -246,20 +257,29 @@
 }
 
 void config_manager::report_applied(
-    apply_source source, std::optional<wall_time> accepted_at) const
+    apply_source source, wall_time accepted_at) const
 {
     metrics_.add(metric_id::config_applies, to_string(source));
+    log_event<log_event_id::revision_applied>(
+        log_fields::revision(current_revision()),
+        log_fields::source(to_string(source)));
     // Older edits are left out, because a node that has just started catches up
     // with them.
-    if (accepted_at && *accepted_at >= started_at_)
+    if (accepted_at < started_at_)
     {
-        metrics_.observe(
-            metric_id::convergence_duration, to_string(source),
-            seconds(time_.wall_now() - *accepted_at));
+        return;
+    }
+    const auto age = time_.wall_now() - accepted_at;
+    metrics_.observe(
+        metric_id::convergence_duration, to_string(source), seconds(age));
+    if (age > late_after)
+    {
+        log_event<log_event_id::revision_late>(
+            log_fields::revision(current_revision()),
+            log_fields::source(to_string(source)),
+            log_fields::age_ms(
+                std::chrono::duration_cast<std::chrono::milliseconds>(age)));
     }
-    log_event<log_event_id::revision_applied>(
-        log_fields::revision(current_revision()),
-        log_fields::source(to_string(source)));
 }
 
 } // namespace hemlockshelf
--- a/node/config_manager.hpp
+++ b/node/config_manager.hpp
@@ -53,9 +53,11 @@
 
     /// Applies a whole snapshot, unless the current revision is equal or newer.
     /// Returns the delta from the previous revision to it, for peers.
+    /// `accepted_at` is when its newest change was accepted, if that is known.
     result<accepted_delta> apply_snapshot(
         const std::shared_ptr<const config_snapshot>& snapshot,
-        apply_source source);
+        apply_source source,
+        wall_time accepted_at = {});
 
     /// Counts a configuration that could not be read and so reached none of the
     /// functions above, which count their own rejections.
@@ -76,8 +78,10 @@
     /// if any.
     std::optional<accepted_delta> take_next_pending();
     result<void> apply_one(const accepted_delta& delta, apply_source source);
-    void report_applied(
-        apply_source source, std::optional<wall_time> accepted_at) const;
+    /// Keeps an applied delta for peers.
+    void keep(const accepted_delta& delta);
+    /// `accepted_at` is the epoch if the time is not known.
+    void report_applied(apply_source source, wall_time accepted_at) const;
 
     snapshot_store& snapshots_;
     const clock& time_;
@@ -90,7 +94,8 @@
     /// Queued deltas beyond a gap, by target and base revision, because deltas
     /// from two readers may have the same target revision.
     std::map<std::pair<revision, revision>, accepted_delta> pending_;
-    /// Times at which the edits of the logged deltas were accepted.
+    /// Times at which the edits of the logged deltas were accepted, or at which
+    /// a reader received the published configuration.
     std::map<revision, wall_time> accepted_at_;
 };
 
--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -50,7 +50,8 @@
     if (read->newest_ != nullptr)
     {
         // A peer may have delivered the same revision in the meantime.
-        auto adopted = config.apply_snapshot(read->newest_, apply_source::poll);
+        auto adopted = config.apply_snapshot(
+            read->newest_, apply_source::poll, read->read_at_);
         if (adopted)
         {
             report.deltas_.push_back(std::move(*adopted));
