node: ask the next member before a silent one's deadline has passed

Callers saw requests handled by a version that was more than 3 s old in one failure domain of the region without the store. A push to another domain or region asked its members one after the other, waited 800 ms for each and gave up after four. Domains of which three contacts in a row had failed, also with members that were down, got no push at all.

Deltas for another domain or region are now offered to the next of up to eight members every 150 ms until one holds the revision. An offer carries no deltas, so that only one member is sent them. Pushes of deltas no longer leave out a domain that counts as unreachable, and members that fail beside one that answers do not count as failed contacts. Member records are pushed as before.

--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -607,6 +607,12 @@
         {"cross_domain_push_deadline",
          "Limit of a push to another failure domain or region."},
         settings.cross_domain_push_deadline_);
+    read_duration(
+        section,
+        {"push_hedge_delay",
+         "Time after which deltas for another failure domain or region are "
+         "offered to the next candidate as well."},
+        settings.push_hedge_delay_);
     read_count(
         section,
         {"bridge_attempts",
--- a/include/hemlockshelf/dissemination/dissemination_settings.hpp
+++ b/include/hemlockshelf/dissemination/dissemination_settings.hpp
@@ -44,9 +44,14 @@
     /// candidate.
     std::chrono::milliseconds domain_push_deadline_{250};
     std::chrono::milliseconds cross_domain_push_deadline_{800};
+    /// Time after which a push of deltas to another failure domain or region is
+    /// offered to the next candidate as well. A node of another region that is
+    /// not overloaded answers within 50 ms.
+    std::chrono::milliseconds push_hedge_delay_{150};
     /// Maximum number of candidates tried for another failure domain or
-    /// region.
-    std::size_t bridge_attempts_ = 4;
+    /// region. If half of the members are silent, so are all of eight in one of
+    /// 256 pushes.
+    std::size_t bridge_attempts_ = 8;
     /// Maximum number of members of the local failure domain tried for one
     /// subtree.
     std::size_t takeover_attempts_ = 32;
--- a/node/push_agent.cpp
+++ b/node/push_agent.cpp
@@ -1,6 +1,7 @@
 #include "node/push_agent.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "adapters/telemetry/event_log.hpp"
@@ -13,6 +14,9 @@
 // A receiver that lacks more fetches it. The message is forwarded to all nodes
 // of the receiver's failure domain, most of which lack fewer.
 constexpr std::size_t max_added_deltas = 32;
+// Candidates that are tried for member records, one after the other. Digests
+// find records that were not pushed.
+constexpr std::size_t record_attempts = 4;
 
 } // namespace
 
@@ -120,7 +124,7 @@
         message,
         plan_push(
             message.duty_, context_.self_,
-            members_in_scope(message.duty_.scope_),
+            members_in_scope(message.duty_.scope_, !message.deltas_.empty()),
             context_.settings_.dissemination_.domain_fanout_),
         offer_to_other_domains);
 }
@@ -136,7 +140,7 @@
         task->message_ = message;
         task->offer_ = offer_to_other_domains && !is_local(target);
         task->target_ = std::move(target);
-        send(task);
+        ask_next(task);
     }
 }
 
@@ -159,18 +163,28 @@
     return repeated;
 }
 
-std::vector<tree_member> push_agent::members_in_scope(push_scope scope) const
+std::vector<tree_member>
+push_agent::members_in_scope(push_scope scope, bool include_unreachable) const
 {
     std::vector<tree_member> view;
+    std::vector<tree_member> unreachable;
+    std::set<region_id> reachable_regions;
     const auto add = [&](const failure_domain_id& domain)
     {
         const auto members = context_.members_.members_in_domain(domain);
         for (const auto& entry : *members)
         {
-            if (may_answer(*entry) && entry->liveness_ != liveness::unreachable)
+            if (!may_answer(*entry))
             {
-                view.push_back(to_tree_member(entry->record_));
+                continue;
             }
+            const bool reachable = entry->liveness_ != liveness::unreachable;
+            auto member = to_tree_member(entry->record_);
+            if (reachable)
+            {
+                reachable_regions.insert(member.region_);
+            }
+            (reachable ? view : unreachable).push_back(std::move(member));
         }
     };
     if (scope == push_scope::domain)
@@ -185,68 +199,158 @@
             add(domain);
         }
     }
+    // Each failure domain of the own region is asked by itself, another region
+    // by any of its members.
+    for (auto& member : unreachable)
+    {
+        if (include_unreachable &&
+            (member.region_ == context_.self_.region_ ||
+             !reachable_regions.contains(member.region_)))
+        {
+            view.push_back(std::move(member));
+        }
+    }
     return view;
 }
 
-void push_agent::send(const std::shared_ptr<push_task>& task)
+void push_agent::ask_next(const push_task_pointer& task)
 {
-    if (task->candidate_ >= attempts_for(task->target_))
+    while (task->next_ < attempts_for(*task))
     {
-        log_event<log_event_id::push_unanswered>(
-            log_fields::peer_region(task->target_.region_),
-            log_fields::peer_failure_domain(task->target_.failure_domain_));
-        return;
-    }
-    const auto& vm = task->target_.candidates_.at(task->candidate_);
-    const auto peer = address_of(context_, vm);
-    if (!peer)
-    {
-        ++task->candidate_;
-        send(task);
+        const auto candidate = task->next_++;
+        if (!address_of(context_, task->target_.candidates_.at(candidate)))
+        {
+            continue;
+        }
+        auto message = task->message_;
+        // The candidates before may have received the message although they
+        // have not answered, so the later ones are asked what they hold.
+        if (task->offer_ || (candidate > 0 && is_hedged(*task)))
+        {
+            message.deltas_.clear();
+            message.records_.clear();
+        }
+        send(task, candidate, std::move(message));
         return;
     }
-    auto message = task->message_;
-    message.duty_ =
-        assignment_for(task->target_, task->candidate_, message.duty_.seed_);
-    if (task->offer_)
+    if (task->outstanding_ == 0)
     {
-        message.deltas_.clear();
-        message.records_.clear();
+        log_event<log_event_id::push_unanswered>(
+            log_fields::peer_region(task->target_.region_),
+            log_fields::peer_failure_domain(task->target_.failure_domain_));
     }
+}
+
+void push_agent::send(
+    const push_task_pointer& task, std::size_t candidate, push_message message)
+{
     const auto& settings = context_.settings_.dissemination_;
+    const auto peer =
+        address_of(context_, task->target_.candidates_.at(candidate));
+    const bool is_offer = message.deltas_.empty() && message.records_.empty();
+    message.duty_ =
+        assignment_for(task->target_, candidate, message.duty_.seed_);
+    ++task->outstanding_;
     context_.network_.push(
-        *peer, message,
+        peer.value_or(peer_address{}), message,
         is_local(task->target_) ? settings.domain_push_deadline_
                                 : settings.cross_domain_push_deadline_,
-        [this, task](const result<revision>& answer)
+        [this, task, candidate, is_offer](const result<revision>& answer)
         {
-            on_answer(task, answer);
+            on_answer(task, candidate, is_offer, answer);
         });
+    if (is_hedged(*task))
+    {
+        context_.network_.after(
+            settings.push_hedge_delay_,
+            [this, task, next = task->next_]
+            {
+                if (!task->done_ && task->next_ == next)
+                {
+                    ask_next(task);
+                }
+            });
+    }
 }
 
 void push_agent::on_answer(
-    const std::shared_ptr<push_task>& task, const result<revision>& answer)
+    const push_task_pointer& task,
+    std::size_t candidate,
+    bool was_offer,
+    const result<revision>& answer)
 {
-    const auto& vm = task->target_.candidates_.at(task->candidate_);
-    if (const auto entry = context_.members_.find(vm))
+    --task->outstanding_;
+    // Members that failed beside one that answered do not make their failure
+    // domain unreachable.
+    const auto entry =
+        context_.members_.find(task->target_.candidates_.at(candidate));
+    if (entry && (answer || !task->done_))
     {
         contacts_.record_contact(
             to_tree_member(entry->record_), answer.has_value());
     }
-    if (!answer)
+    if (task->done_)
     {
-        ++task->candidate_;
-        send(task);
         return;
     }
-    if (std::exchange(task->offer_, false) &&
-        *answer < task->message_.revision_)
+    if (!answer)
+    {
+        if (!was_offer && task->receiver_ == candidate)
+        {
+            task->receiver_.reset();
+        }
+        on_failure(task);
+    }
+    else if (was_offer && *answer < task->message_.revision_)
+    {
+        on_offer_answer(task, {candidate, *answer});
+    }
+    else
+    {
+        task->done_ = true;
+    }
+}
+
+void push_agent::on_failure(const push_task_pointer& task)
+{
+    if (task->fallback_ && !task->receiver_)
+    {
+        deliver(task, *std::exchange(task->fallback_, std::nullopt));
+    }
+    // Otherwise the timers of those that are outstanding ask the next one.
+    else if (task->outstanding_ == 0)
     {
-        add_missing_deltas(task->message_, *answer);
-        send(task);
+        ask_next(task);
     }
 }
 
+void push_agent::on_offer_answer(
+    const push_task_pointer& task, const offer_answer& answer)
+{
+    if (task->receiver_)
+    {
+        task->fallback_ = answer;
+    }
+    else
+    {
+        deliver(task, answer);
+    }
+}
+
+void push_agent::deliver(
+    const push_task_pointer& task, const offer_answer& answer)
+{
+    task->receiver_ = answer.candidate_;
+    auto message = task->message_;
+    add_missing_deltas(message, answer.held_);
+    send(task, answer.candidate_, std::move(message));
+}
+
+bool push_agent::is_hedged(const push_task& task) const
+{
+    return !is_local(task.target_) && !task.message_.deltas_.empty();
+}
+
 // The receiver of an offer has said which revision it has. With the deltas from
 // there on it need not fetch what precedes the offered one.
 void push_agent::add_missing_deltas(push_message& message, revision held) const
@@ -260,12 +364,15 @@
     }
 }
 
-std::size_t push_agent::attempts_for(const push_target& target) const
+std::size_t push_agent::attempts_for(const push_task& task) const
 {
     const auto& settings = context_.settings_.dissemination_;
-    const auto limit = is_local(target) ? settings.takeover_attempts_
-                                        : settings.bridge_attempts_;
-    return std::min(limit, target.candidates_.size());
+    const auto limit =
+        is_local(task.target_) ? settings.takeover_attempts_
+        : is_hedged(task)
+            ? settings.bridge_attempts_
+            : std::min(settings.bridge_attempts_, record_attempts);
+    return std::min(limit, task.target_.candidates_.size());
 }
 
 bool push_agent::is_local(const push_target& target) const
--- a/node/push_agent.hpp
+++ b/node/push_agent.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "node/contact_tracker.hpp"
@@ -52,22 +53,59 @@
         bool offer_to_other_domains);
     [[nodiscard]] push_message make_push(
         const std::vector<accepted_delta>& deltas, push_scope scope) const;
+    /// A member that answered an offer and the revision that it holds.
+    struct offer_answer
+    {
+        std::size_t candidate_ = 0;
+        revision held_;
+    };
+
     struct push_task
     {
         push_message message_;
         push_target target_;
-        std::size_t candidate_ = 0;
+        /// The candidate to be asked next.
+        std::size_t next_ = 0;
+        /// Messages that have not been answered and have not failed.
+        std::size_t outstanding_ = 0;
+        /// Whether the first candidate is sent an offer as well.
         bool offer_ = false;
+        /// The candidate that lacks the revision and is being sent it.
+        std::optional<std::size_t> receiver_;
+        /// Another candidate that lacks the revision.
+        std::optional<offer_answer> fallback_;
+        /// Whether a candidate holds the revision.
+        bool done_ = false;
     };
 
+    using push_task_pointer = std::shared_ptr<push_task>;
+
     void flush_records();
     bool is_duplicate(const push_assignment& duty);
-    std::vector<tree_member> members_in_scope(push_scope scope) const;
-    void send(const std::shared_ptr<push_task>& task);
+    /// Members of failure domains that count as unreachable are included if
+    /// there is no other way to reach them.
+    [[nodiscard]] std::vector<tree_member>
+    members_in_scope(push_scope scope, bool include_unreachable) const;
+    /// Sends the task's message to the next candidate, or an offer of it.
+    void ask_next(const push_task_pointer& task);
+    void send(
+        const push_task_pointer& task,
+        std::size_t candidate,
+        push_message message);
     void on_answer(
-        const std::shared_ptr<push_task>& task, const result<revision>& answer);
+        const push_task_pointer& task,
+        std::size_t candidate,
+        bool was_offer,
+        const result<revision>& answer);
+    void on_failure(const push_task_pointer& task);
+    void
+    on_offer_answer(const push_task_pointer& task, const offer_answer& answer);
+    void deliver(const push_task_pointer& task, const offer_answer& answer);
     void add_missing_deltas(push_message& message, revision held) const;
-    [[nodiscard]] std::size_t attempts_for(const push_target& target) const;
+    [[nodiscard]] std::size_t attempts_for(const push_task& task) const;
+    /// Returns whether the next candidate is asked before the one before it has
+    /// failed.
+    [[nodiscard]] bool is_hedged(const push_task& task) const;
     [[nodiscard]] bool is_local(const push_target& target) const;
 
     control_context& context_;
