node: let every member watch the readers, and ask the next silent one sooner

The watch of a failure domain is what finds a version whose push was lost. Two nodes of the domain did it; when both were silent, the others took over 3 s to replace them. A silent reader cost the deadline of a heartbeat, 800 ms, and the wait for the next tick.

The other members now take turns, as many in each tick as are chosen, and the next reader is asked every 250 ms until one answers. The reader that answered last is asked first the next time.

The first form of the readers' test was wrong, its node was a reader itself; it names other domains for the silent readers.

--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -613,6 +613,12 @@
          "Time after which deltas for another failure domain or region are "
          "offered to the next candidate as well."},
         settings.push_hedge_delay_);
+    read_duration(
+        section,
+        {"reader_hedge_delay",
+         "Time after which a node that compares its revision with a silent "
+         "reader asks the next reader as well."},
+        settings.reader_hedge_delay_);
     read_count(
         section,
         {"bridge_attempts",
--- a/include/hemlockshelf/dissemination/dissemination_settings.hpp
+++ b/include/hemlockshelf/dissemination/dissemination_settings.hpp
@@ -48,6 +48,10 @@
     /// offered to the next candidate as well. A node of another region that is
     /// not overloaded answers within 50 ms.
     std::chrono::milliseconds push_hedge_delay_{150};
+    /// Time after which a node that compares its revision with a silent reader
+    /// asks the next reader as well. Longer than the delay of a push, because
+    /// such a comparison is made every heartbeat interval.
+    std::chrono::milliseconds reader_hedge_delay_{250};
     /// Maximum number of candidates tried for another failure domain or
     /// region. If half of the members are silent, so are all of eight in one of
     /// 256 pushes.
--- a/node/reader_watch.cpp
+++ b/node/reader_watch.cpp
@@ -29,34 +29,80 @@
 {}
 
 void reader_watch::tick()
+{
+    if (outstanding_ > 0 || readers_.all().empty() || !is_due())
+    {
+        return;
+    }
+    answered_ = false;
+    asked_ = 0;
+    ask(0);
+}
+
+// The chosen nodes may be silent, and their neighbours need seconds to notice
+// it. The other nodes take turns, so that as many of them as are chosen ask in
+// each tick.
+bool reader_watch::is_due()
+{
+    if (is_watching())
+    {
+        return true;
+    }
+    const auto members =
+        peers_in(context_, context_.self_.failure_domain_).size() + 1;
+    if (readers_.own_rank() || ++ticks_ < members / watching_nodes)
+    {
+        return false;
+    }
+    ticks_ = 0;
+    return true;
+}
+
+void reader_watch::ask(std::size_t distance)
 {
     const auto& readers = readers_.all();
-    if (outstanding_ || readers.empty() || !is_watching())
+    if (distance >= readers.size())
     {
         return;
     }
-    const auto peer =
-        address_of(context_, readers.at(failures_ % readers.size()));
+    asked_ = distance + 1;
+    const auto index = (first_ + distance) % readers.size();
+    const auto peer = address_of(context_, readers.at(index));
     if (!peer)
     {
         ++failures_;
+        ask(distance + 1);
         return;
     }
-    outstanding_ = true;
+    ++outstanding_;
+    const auto ask_further = [this, distance]
+    {
+        if (!answered_ && asked_ == distance + 1)
+        {
+            ask(distance + 1);
+        }
+    };
+    const auto& settings = context_.settings_.dissemination_;
     context_.network_.heartbeat(
-        *peer, own_heartbeat(context_),
-        context_.settings_.dissemination_.cross_domain_push_deadline_,
-        [this, peer = *peer](const result<heartbeat_message>& answer)
+        *peer, own_heartbeat(context_), settings.cross_domain_push_deadline_,
+        [this, index, peer = *peer,
+         ask_further](const result<heartbeat_message>& answer)
         {
-            outstanding_ = false;
-            if (!answer)
+            --outstanding_;
+            if (answer)
+            {
+                first_ = index;
+                failures_ = 0;
+                answered_ = true;
+                on_answer(peer, answer->revision_);
+            }
+            else if (!answered_)
             {
                 ++failures_;
-                return;
+                ask_further();
             }
-            failures_ = 0;
-            on_answer(peer, answer->revision_);
         });
+    context_.network_.after(settings.reader_hedge_delay_, ask_further);
 }
 
 void reader_watch::find_configuration()
--- a/node/reader_watch.hpp
+++ b/node/reader_watch.hpp
@@ -25,8 +25,9 @@
         push_agent& pushes,
         repair_agent& repairs);
 
-    /// Sends a heartbeat to a reader, if this node is one of those that watch
-    /// for their failure domain and the last heartbeat was answered or failed.
+    /// Sends a heartbeat to a reader, if it is this node's turn to watch and
+    /// the last heartbeats were answered or failed. Further readers are asked
+    /// while the ones before are silent.
     void tick();
 
     /// Returns whether this node watches for its failure domain and no reader
@@ -41,6 +42,9 @@
 
 private:
     [[nodiscard]] bool is_watching() const;
+    [[nodiscard]] bool is_due();
+    /// Asks the reader at this distance from the one that answered last.
+    void ask(std::size_t distance);
     [[nodiscard]] std::optional<peer_address> choose_member();
     void on_answer(const peer_address& peer, revision held);
     void fetch_and_push(const peer_address& peer, revision seen);
@@ -49,9 +53,17 @@
     const publication_readers& readers_;
     push_agent& pushes_;
     repair_agent& repairs_;
-    /// Heartbeats that failed in a row. Each failure turns to the next reader.
+    /// Index of the reader that answered last.
+    std::size_t first_ = 0;
+    /// Heartbeats that failed since one was answered.
     std::size_t failures_ = 0;
-    bool outstanding_ = false;
+    std::size_t outstanding_ = 0;
+    /// Whether a reader has answered since the last tick that asked.
+    bool answered_ = false;
+    /// Readers asked since then.
+    std::size_t asked_ = 0;
+    /// Ticks since this node watched although it is not one of the chosen ones.
+    std::size_t ticks_ = 0;
     steady_time next_search_;
     bool searching_ = false;
     /// Searches before any node has reported a configuration.
--- a/test/node/test_lost_step.cpp
+++ b/test/node/test_lost_step.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
-#include <initializer_list>
 #include <memory>
 #include <string>
 #include <thread>
@@ -162,14 +162,14 @@
 /// holds a newer revision.
 struct stale_domain
 {
-    explicit stale_domain(std::uint16_t count)
+    stale_domain(std::uint16_t count, std::size_t readers)
     {
         source_.publish(snapshot_of(1));
         for (std::uint16_t number = 1; number <= count; ++number)
         {
             auto settings =
                 settings_of_one(number, fmt::format("vm-{}", number), domain);
-            settings.dissemination_.publication_readers_ = 4;
+            settings.dissemination_.publication_readers_ = readers;
             // Only the watch of the readers finds the revision in time.
             settings.dissemination_.cross_domain_interval_ = 1h;
             settings.dissemination_.repair_interval_ = 1h;
@@ -210,14 +210,16 @@
         }
     }
 
-    void add_readers(std::initializer_list<const char*> silent)
+    /// Adds silent readers that are preferred over the one that answers, each
+    /// in a failure domain of its own.
+    void add_silent_readers(int count)
     {
-        for (const auto* vm : silent)
+        for (int number = 0; number < count; ++number)
         {
-            add_to_all(
-                silent_member(silent_, vm, "salle-belair", bit_rate{2000}));
+            add_to_all(silent_member(
+                silent_, fmt::format("silent-reader-{}", number),
+                fmt::format("salle-{}", number), bit_rate{2000}));
         }
-        add_to_all(reader_.record());
     }
 
     [[nodiscard]] bool all_hold(std::uint64_t number) const
@@ -246,8 +248,10 @@
 // heartbeat.
 Test(lost_step, silent_readers_do_not_delay_the_watch_of_a_domain)
 {
-    stale_domain mesh(1);
-    mesh.add_readers({"first", "second", "third"});
+    constexpr int silent_readers = 3;
+    stale_domain mesh(1, silent_readers + 1);
+    mesh.add_silent_readers(silent_readers);
+    mesh.add_to_all(mesh.reader_.record());
     cr_assert(becomes_true_within(
         2s,
         [&mesh]
@@ -261,7 +265,7 @@
 // to notice that.
 Test(lost_step, silent_watchers_do_not_delay_the_watch_of_a_domain)
 {
-    stale_domain mesh(2);
+    stale_domain mesh(2, 1);
     std::vector<vm_id> members;
     for (const auto& node : mesh.nodes_)
     {
@@ -283,9 +287,9 @@
             ++added;
         }
     }
-    mesh.add_readers({});
+    mesh.add_to_all(mesh.reader_.record());
     cr_assert(becomes_true_within(
-        2500ms,
+        2s,
         [&mesh]
         {
             return mesh.all_hold(9);
