node: fetch from another peer while one is silent

A node that fetched what a push lacked refused every other fetch until the first one ended, up to the deadline of 1 s, and then asked the origin, which may be silent as well. A sound peer that pushed meanwhile was not asked.

A second fetch now starts 250 ms after a first one that has not ended; a fetch that is requested earlier waits for that, and is dropped if nothing is missing any more.

--- a/node/repair_agent.cpp
+++ b/node/repair_agent.cpp
@@ -15,6 +15,10 @@
 
 // A peer that serves snapshots may be busy for several attempts.
 constexpr int max_fetch_attempts = 8;
+// A second fetch is started beside one that has not ended after this time. The
+// peer may be silent, and its deadline is longer than other steps can wait.
+constexpr std::chrono::milliseconds fetch_hedge_delay{250};
+constexpr std::size_t max_parallel_fetches = 2;
 // Minimum interval between record exchanges with neighbours whose digests
 // differ.
 constexpr std::chrono::seconds exchange_interval{2};
@@ -246,15 +250,58 @@
 void repair_agent::fetch_from(
     const peer_address& peer, const completion_handler& done)
 {
-    if (fetching_)
+    if (may_start_fetch())
     {
-        done(false);
+        start_fetch(peer, done);
         return;
     }
-    fetching_ = true;
+    if (const auto replaced =
+            std::exchange(waiting_, waiting_fetch{peer, done}))
+    {
+        replaced->done_(false);
+    }
+    context_.network_.after(
+        fetch_hedge_delay,
+        [this]
+        {
+            start_waiting_fetch();
+        });
+}
+
+bool repair_agent::may_start_fetch() const
+{
+    return fetches_ == 0 ||
+           (fetches_ < max_parallel_fetches &&
+            context_.time_.now() - last_fetch_ >= fetch_hedge_delay);
+}
+
+void repair_agent::start_fetch(
+    const peer_address& peer, const completion_handler& done)
+{
+    ++fetches_;
+    last_fetch_ = context_.time_.now();
     fetch(peer, false, 0, done);
 }
 
+void repair_agent::start_waiting_fetch()
+{
+    const bool is_current =
+        context_.config_.current_revision() >= highest_seen_;
+    if (!waiting_ || (!is_current && !may_start_fetch()))
+    {
+        return;
+    }
+    const auto next = std::exchange(waiting_, std::nullopt);
+    if (is_current)
+    {
+        next->done_(true);
+    }
+    else
+    {
+        start_fetch(next->peer_, next->done_);
+    }
+}
+
 void repair_agent::fetch(
     const peer_address& peer,
     bool whole,
@@ -341,8 +388,9 @@
 
 void repair_agent::finish_fetch(const completion_handler& done, bool success)
 {
-    fetching_ = false;
+    --fetches_;
     done(success);
+    start_waiting_fetch();
 }
 
 void repair_agent::exchange_records(
--- a/node/repair_agent.hpp
+++ b/node/repair_agent.hpp
@@ -80,7 +80,12 @@
         int attempt,
         const config_answer& answer,
         const completion_handler& done);
+    void start_fetch(const peer_address& peer, const completion_handler& done);
     void finish_fetch(const completion_handler& done, bool success);
+    /// Starts the waiting fetch if the ones in progress have stalled, or ends
+    /// it if nothing is missing any more.
+    void start_waiting_fetch();
+    [[nodiscard]] bool may_start_fetch() const;
     void on_records(const peer_address& peer, const digest_answer& answer);
 
     control_context& context_;
@@ -96,7 +101,16 @@
     revision highest_seen_;
     /// Failure domain to contact next because the last contact with it failed.
     std::optional<failure_domain_id> retried_domain_;
-    bool fetching_ = false;
+    struct waiting_fetch
+    {
+        peer_address peer_;
+        completion_handler done_;
+    };
+
+    std::size_t fetches_ = 0;
+    steady_time last_fetch_;
+    /// The last fetch that was requested while others were in progress.
+    std::optional<waiting_fetch> waiting_;
     bool fetch_planned_ = false;
     steady_time next_exchange_;
 };
--- a/test/node/test_lost_step.cpp
+++ b/test/node/test_lost_step.cpp
@@ -57,6 +57,21 @@
     return node.snapshots_.current()->number() == revision{number};
 }
 
+/// Returns a push of a delta whose base no node in the test holds.
+push_message push_with_gap(std::uint64_t number)
+{
+    push_message message;
+    message.duty_ = {push_scope::domain, number, {}};
+    message.revision_ = revision{number};
+    message.deltas_ = encode_deltas(
+        {{{revision{number},
+           {pool_change(number)},
+           snapshot_of(number)->tables().hash_,
+           revision{number - 2}},
+          {}}});
+    return message;
+}
+
 bool was_sent(scripted_peer& peer, std::uint64_t number)
 {
     return std::ranges::any_of(
@@ -295,3 +310,37 @@
             return mesh.all_hold(9);
         }));
 }
+
+// Guards against a node that refuses what a sound peer offers while it waits
+// for a fetch from a silent one.
+Test(lost_step, a_silent_peer_does_not_block_a_fetch_from_another)
+{
+    memory_tables tables;
+    control_node receiver(
+        settings_of_one(1, "receiver", "salle-belair"), tables);
+    cr_assert(is_serving_within(5s, receiver));
+    scripted_peer sender(settings_of_one(2, "sender", "salle-belair"));
+    sender.set_fetch_answer(
+        {config_answer_kind::snapshot, encode_snapshot(*snapshot_of(9)), {}});
+    const silent_server silent{{unique_address(1).address_, 17100}};
+    receiver.members_.merge(sender.record());
+    receiver.members_.merge(
+        silent_member(silent, "silent", "salle-belair", bit_rate{0}));
+    auto message = push_with_gap(8);
+    message.sender_ = {
+        vm_id{"silent"}, failure_domain_id{"salle-belair"},
+        region_id{"quebec-centre"}};
+    message.origin_ = message.sender_.vm_;
+    sender.push(receiver.settings_.control_, message);
+    std::this_thread::sleep_for(100ms);
+    message = push_with_gap(9);
+    message.sender_ = sender.sender();
+    message.origin_ = sender.record().vm_;
+    sender.push(receiver.settings_.control_, message);
+    cr_assert(becomes_true_within(
+        800ms,
+        [&receiver]
+        {
+            return holds(receiver, 9);
+        }));
+}
