node: repeat a lost call of the platform at once

A reader whose call for changes gets no answer notices it after 2.5 s and then waited another interval of 0.5 s, so that one lost call took the whole 3 s in which a version must be in force if the other readers lost theirs too. The first poll that fails is now repeated at once; later ones wait as before.

lost_step/a_lost_call_of_the_platform_is_repeated_at_once failed in two of two runs before and passes in two of two; test_node passes, 67 tests.

--- a/node/platform_poller.cpp
+++ b/node/platform_poller.cpp
@@ -140,11 +140,13 @@
 }
 
 // In the mode `follow`, a call to a configuration source waits for the next
-// configuration, so an answered poll is followed by the next one at once. A
-// call for the head alone does not wait.
+// configuration, so an answered poll is followed by the next one at once, and
+// so is the first one that fails: its timeout has taken most of the time in
+// which a revision must be in force. A call for the head alone does not wait.
 std::chrono::milliseconds platform_poller::delay_after(bool answered)
 {
-    if (services_.configurations_ != nullptr && answered &&
+    failures_ = answered ? 0 : failures_ + 1;
+    if (services_.configurations_ != nullptr && failures_ <= 1 &&
         mode_ == poll_mode::follow)
     {
         return std::chrono::milliseconds{0};
--- a/node/platform_poller.hpp
+++ b/node/platform_poller.hpp
@@ -79,6 +79,8 @@
     poll_mode mode_ = poll_mode::off;
     /// Polls since the mode was set.
     std::uint32_t polls_ = 0;
+    /// Polls that failed since one was answered. Used on the poller's thread.
+    std::uint32_t failures_ = 0;
     random_source random_{std::random_device{}()};
     std::vector<std::function<void(table_service&)>> tasks_;
     std::thread thread_;
--- a/test/node/scripted_source.hpp
+++ b/test/node/scripted_source.hpp
@@ -29,9 +29,9 @@
             lock, std::min(wait, longest_wait),
             [&]
             {
-                return cancelled_ || !answers_ || is_newer();
+                return cancelled_ || !answers_ || fails_next_ || is_newer();
             });
-        if (!answers_)
+        if (!answers_ || std::exchange(fails_next_, false))
         {
             return make_error(
                 error_kind::platform_unavailable, "refused by the test");
@@ -59,6 +59,14 @@
         changed_.notify_all();
     }
 
+    /// Lets one call fail, the one in progress or the next one.
+    void fail_once()
+    {
+        const std::lock_guard lock(mutex_);
+        fails_next_ = true;
+        changed_.notify_all();
+    }
+
     void publish(std::shared_ptr<const config_snapshot> snapshot)
     {
         const std::lock_guard lock(mutex_);
@@ -74,6 +82,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     bool answers_ = true;
+    bool fails_next_ = false;
     bool cancelled_ = false;
     std::shared_ptr<const config_snapshot> published_;
 };
--- a/test/node/test_lost_step.cpp
+++ b/test/node/test_lost_step.cpp
@@ -344,3 +344,34 @@
             return holds(receiver, 9);
         }));
 }
+
+// Guards against a reader that waits for its next poll after a single lost call
+// of the platform. A lost call is noticed only after its timeout, which takes
+// most of the time that a version has.
+Test(lost_step, a_lost_call_of_the_platform_is_repeated_at_once)
+{
+    memory_tables tables;
+    scripted_source source;
+    auto settings = settings_of_one(1, "reader", "salle-belair");
+    // The next poll comes too late.
+    settings.dissemination_.poll_interval_ = 60s;
+    const control_node reader(
+        settings, polled_services{tables, tables, &source});
+    cr_assert(is_serving_within(5s, reader));
+    source.publish(snapshot_of(8));
+    cr_assert(becomes_true_within(
+        1s,
+        [&reader]
+        {
+            return holds(reader, 8);
+        }));
+    source.fail_once();
+    std::this_thread::sleep_for(100ms);
+    source.publish(snapshot_of(9));
+    cr_assert(becomes_true_within(
+        1s,
+        [&reader]
+        {
+            return holds(reader, 9);
+        }));
+}
