node: leave time to push after a lost call of the platform

test_delay_budget adds up the limits of all stages of a version's way for every way to lose up to five steps of a push, for a lost push that the domain's watch makes good, and for a call of the platform that all readers lose. The last one was 3.2 s: a wait of 1 s, a timeout of 1.5 s and 0.7 s for the push.

--- a/node/platform_poller.cpp
+++ b/node/platform_poller.cpp
@@ -7,6 +7,7 @@
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/editing/config_reader.hpp"
 #include "hemlockshelf/editing/snapshot_blob.hpp"
+#include "node/poll_policy.hpp"
 #include "node/published_config.hpp"
 
 namespace hemlockshelf {
@@ -14,10 +15,6 @@
 namespace {
 
 constexpr std::size_t changes_per_read = 256;
-// Longest wait for a published configuration. A platform that stops answering
-// is detected after this wait and the timeout of the call, well within the time
-// in which a revision must take effect. Each wait costs one call per reader.
-constexpr std::chrono::milliseconds published_wait{1000};
 
 } // namespace
 
--- a/node/poll_policy.hpp
+++ b/node/poll_policy.hpp
@@ -9,6 +9,12 @@
 
 namespace hemlockshelf {
 
+/// Longest wait of a call for a published configuration. A lost call is noticed
+/// after this wait and the timeout of the call, and repeated at once; both
+/// together must leave time to push what it brings. Each wait costs one call
+/// per reader.
+inline constexpr std::chrono::milliseconds published_wait{800};
+
 /// Conditions that determine how a node polls the platform.
 struct reader_status
 {
