--- a/node/push_agent.cpp
+++ b/node/push_agent.cpp
@@ -235,6 +235,7 @@
     }
     if (task->outstanding_ == 0)
     {
+        task->ended_ = true;
         log_event<log_event_id::push_unanswered>(
             log_fields::peer_region(task->target_.region_),
             log_fields::peer_failure_domain(task->target_.failure_domain_));
@@ -265,7 +266,7 @@
             settings.push_hedge_delay_,
             [this, task, next = task->next_]
             {
-                if (!task->done_ && task->next_ == next)
+                if (!task->ended_ && task->next_ == next)
                 {
                     ask_next(task);
                 }
@@ -284,12 +285,12 @@
     // domain unreachable.
     const auto entry =
         context_.members_.find(task->target_.candidates_.at(candidate));
-    if (entry && (answer || !task->done_))
+    if (entry && (answer || !task->ended_))
     {
         contacts_.record_contact(
             to_tree_member(entry->record_), answer.has_value());
     }
-    if (task->done_)
+    if (task->ended_)
     {
         return;
     }
@@ -307,7 +308,7 @@
     }
     else
     {
-        task->done_ = true;
+        task->ended_ = true;
     }
 }
 
--- a/node/push_agent.hpp
+++ b/node/push_agent.hpp
@@ -74,8 +74,8 @@
         std::optional<std::size_t> receiver_;
         /// Another candidate that lacks the revision.
         std::optional<offer_answer> fallback_;
-        /// Whether a candidate holds the revision.
-        bool done_ = false;
+        /// Whether a candidate holds the revision, or none is left to be asked.
+        bool ended_ = false;
     };
 
     using push_task_pointer = std::shared_ptr<push_task>;
