--- a/test/node/control_node.hpp
+++ b/test/node/control_node.hpp
@@ -51,6 +51,15 @@
         unique_address(host), fmt::format("vm-{}", host), domain);
 }
 
+/// Returns the settings of a node with its own port.
+inline node_settings settings_of_one(
+    std::uint16_t number, const std::string& vm, const std::string& domain)
+{
+    auto control = unique_address(1);
+    control.port_ = static_cast<std::uint16_t>(control.port_ + number);
+    return settings_at(control, vm, domain);
+}
+
 /// Returns the settings of one of `count` nodes that have different ports and
 /// are split between two failure domains.
 inline node_settings settings_of_many(std::size_t number, std::size_t count)
--- a/test/node/test_domain_push.cpp
+++ b/test/node/test_domain_push.cpp
@@ -23,11 +23,9 @@
 /// Returns the settings of a node with its own port. All nodes share a failure
 /// domain that has one reader.
 node_settings
-settings_of_one(std::uint16_t number, const std::string& vm, bit_rate link)
+settings_in_domain(std::uint16_t number, const std::string& vm, bit_rate link)
 {
-    auto control = unique_address(1);
-    control.port_ = static_cast<std::uint16_t>(control.port_ + number);
-    auto settings = settings_at(control, vm, "salle-belair");
+    auto settings = settings_of_one(number, vm, "salle-belair");
     settings.link_ = link;
     settings.dissemination_.readers_per_domain_ = 1;
     settings.dissemination_.publication_readers_ = 1;
@@ -47,7 +45,7 @@
     {
         for (std::uint16_t number = 1; number <= count; ++number)
         {
-            auto settings = settings_of_one(
+            auto settings = settings_in_domain(
                 number, fmt::format("vm-{}", number), bit_rate{100});
             if (number > 1)
             {
@@ -98,11 +96,11 @@
     constexpr std::uint64_t number = 9;
     memory_tables tables;
     scripted_source source;
-    const auto settings = settings_of_one(1, "reader", bit_rate{200});
+    const auto settings = settings_in_domain(1, "reader", bit_rate{200});
     const control_node reader(
         settings, polled_services{tables, tables, &source});
     cr_assert(is_serving_within(5s, reader));
-    auto receiver_settings = settings_of_one(2, "taker", bit_rate{100});
+    auto receiver_settings = settings_in_domain(2, "taker", bit_rate{100});
     receiver_settings.peers_ = {settings.control_};
     const control_node receiver(receiver_settings, tables);
     cr_assert(is_serving_within(5s, receiver));
@@ -133,7 +131,8 @@
         {
             return nodes.know_each_other();
         }));
-    scripted_peer origin(settings_of_one(count + 1, "origin", bit_rate{100}));
+    scripted_peer origin(
+        settings_in_domain(count + 1, "origin", bit_rate{100}));
     origin.set_fetch_answer(
         {config_answer_kind::snapshot, encode_snapshot(*snapshot_of(9)), {}});
     nodes.first().members_.merge(origin.record());
--- a/test/node/test_lost_step.cpp
+++ b/test/node/test_lost_step.cpp
@@ -27,14 +27,6 @@
 
 namespace {
 
-node_settings settings_of_one(
-    std::uint16_t number, const std::string& vm, const std::string& domain)
-{
-    auto control = unique_address(1);
-    control.port_ = static_cast<std::uint16_t>(control.port_ + number);
-    return settings_at(control, vm, domain);
-}
-
 /// Returns the record of a member that accepts connections and never answers.
 member_record silent_member(
     const silent_server& silent,
--- a/test/node/test_publication.cpp
+++ b/test/node/test_publication.cpp
@@ -21,15 +21,6 @@
 
 namespace {
 
-/// Returns the settings of a node with its own port.
-node_settings settings_of_one(
-    std::uint16_t number, const std::string& vm, const std::string& domain)
-{
-    auto control = unique_address(1);
-    control.port_ = static_cast<std::uint16_t>(control.port_ + number);
-    return settings_at(control, vm, domain);
-}
-
 accepted_delta delta_between(std::uint64_t from, std::uint64_t to)
 {
     return {
