test/node: cover pushes to a domain that counts as unreachable

No test reached the case: in silent_members_do_not_exclude_their_domain_from_ pushes the domain is no longer marked, because failures beside an answer do not count. The new test fails when such members are left out again (1.5 s) and passes in three of three; test_node passes, 71 tests.

--- a/test/node/test_lost_step.cpp
+++ b/test/node/test_lost_step.cpp
@@ -163,6 +163,29 @@
         }));
 }
 
+// Guards against pushes that leave out a failure domain that counts as
+// unreachable although one of its members answers.
+Test(lost_step, a_domain_that_counts_as_unreachable_is_still_pushed_to)
+{
+    silent_domains mesh;
+    for (const auto& entry : mesh.reader_.members_.all())
+    {
+        if (entry.record_.vm_ != mesh.reader_.settings_.vm_)
+        {
+            mesh.reader_.members_.set_liveness(
+                entry.record_.vm_, entry.record_.incarnation_,
+                liveness::unreachable);
+        }
+    }
+    mesh.source_.publish(snapshot_of(9));
+    cr_assert(becomes_true_within(
+        1500ms,
+        [&mesh]
+        {
+            return mesh.all_were_sent(9);
+        }));
+}
+
 namespace {
 
 /// A failure domain that no push reaches, and a reader in another one that
