--- a/node/reader_watch.cpp
+++ b/node/reader_watch.cpp
@@ -35,7 +35,6 @@
         return;
     }
     answered_ = false;
-    asked_ = 0;
     ask(0);
 }
 
--- a/node/repair_agent.hpp
+++ b/node/repair_agent.hpp
@@ -64,6 +64,12 @@
     void compare_revision(const peer_address& peer, revision peer_revision);
 
 private:
+    struct waiting_fetch
+    {
+        peer_address peer_;
+        completion_handler done_;
+    };
+
     [[nodiscard]] bool records_differ(const heartbeat_message& heartbeat) const;
     void contact(const peer_address& peer, std::optional<tree_member> member);
     void contact_member(const vm_id& vm);
@@ -101,12 +107,7 @@
     revision highest_seen_;
     /// Failure domain to contact next because the last contact with it failed.
     std::optional<failure_domain_id> retried_domain_;
-    struct waiting_fetch
-    {
-        peer_address peer_;
-        completion_handler done_;
-    };
-
+    /// Fetches in progress, and the start of the last one.
     std::size_t fetches_ = 0;
     steady_time last_fetch_;
     /// The last fetch that was requested while others were in progress.
--- a/test/node/test_delay_budget.cpp
+++ b/test/node/test_delay_budget.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <vector>
