--- a/adapters/http/caller_protocol.hpp
+++ b/adapters/http/caller_protocol.hpp
@@ -28,6 +28,9 @@
     /// value; not sent if the name is empty.
     std::string caller_service_;
     std::string caller_service_value_;
+    /// Header that names the client account of the caller's API key to the
+    /// upstream; empty if callers do not authenticate with API keys.
+    std::string account_header_;
     /// Header that every successful answer of an upstream carries; an answer
     /// without it came from something else. Empty if upstreams do not use one.
     std::string signature_;
--- a/adapters/http/entry_call.cpp
+++ b/adapters/http/entry_call.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "adapters/http/headers.hpp"
+#include "hemlockshelf/accounts/authentication.hpp"
 #include "hemlockshelf/core/random_source.hpp"
 #include "hemlockshelf/retry/first_gate_wait_limit.hpp"
 
@@ -186,6 +187,45 @@
            method == http::verb::delete_;
 }
 
+/// Returns the account of the caller's API key; see `authenticate_caller`.
+result<const known_account*> find_caller(
+    const config_snapshot& snapshot,
+    const client_account_id& owner,
+    const request_head& head,
+    const route_row& route,
+    bool accounts_confirmed)
+{
+    const auto name = http::field::authorization;
+    return authenticate_caller(
+        {snapshot.accounts(), owner, accounts_confirmed},
+        {head.count(name), to_view(head[name])}, route.public_);
+}
+
+/// Removes what identifies the caller to the node only, and what may not reach
+/// the upstream unless the node sets it.
+void remove_credentials(
+    const entry_call& call, request_head& head, const caller_protocol& protocol)
+{
+    if (!call.snapshot_->accounts().has_accounts(call.account_))
+    {
+        return;
+    }
+    head.erase(http::field::authorization);
+    if (!protocol.account_header_.empty())
+    {
+        head.erase(protocol.account_header_);
+    }
+}
+
+/// The priority of an account takes precedence over that of the route.
+std::uint32_t priority_of(const entry_call& call)
+{
+    const auto own = call.route_->route_->priority_;
+    return call.caller_ == nullptr
+               ? own
+               : call.caller_->row_->priority_.value_or(own);
+}
+
 void prepare_head(
     entry_call& call,
     request_head& head,
@@ -203,6 +243,7 @@
     {
         head.set(protocol.caller_service_, protocol.caller_service_value_);
     }
+    remove_credentials(call, head, protocol);
     append_head(call.head_, head);
     append_field(call.head_, headers::account, call.account_.value());
     append_field(call.head_, headers::pool, call.route_->pool_key_.value());
@@ -212,8 +253,12 @@
         call.head_, headers::traffic_class,
         to_string(call.route_->route_->class_));
     append_field(
-        call.head_, headers::priority,
-        std::uint64_t{call.route_->route_->priority_});
+        call.head_, headers::priority, std::uint64_t{priority_of(call)});
+    if (call.caller_ != nullptr)
+    {
+        append_field(
+            call.head_, headers::client_account, call.caller_->name_.value());
+    }
     append_field(call.head_, headers::entry_vm, entry_vm.value());
     append_field(call.head_, headers::request_id, call.request_id_);
 }
@@ -225,7 +270,8 @@
     request_parser& request,
     const caller_protocol& protocol,
     const vm_id& entry_vm,
-    steady_time now)
+    steady_time now,
+    bool accounts_confirmed)
 {
     request_head& head = request.get();
     const auto checked = check_head(head);
@@ -241,12 +287,19 @@
         return tl::unexpected<error>(route.error());
     }
     const auto& row = *(*route)->route_;
+    const auto caller =
+        find_caller(*snapshot, call.account_, head, row, accounts_confirmed);
+    if (!caller)
+    {
+        return tl::unexpected<error>(caller.error());
+    }
     const auto deadline = deadline_of(head, row, protocol, now);
     if (!deadline)
     {
         return tl::unexpected<error>(deadline.error());
     }
     call.snapshot_ = std::move(snapshot);
+    call.caller_ = *caller;
     call.route_ = &choose_split_target(**route, next_weight_position());
     call.request_id_ = request_id_of(head, protocol);
     call.framing_.chunked_ = request.chunked();
--- a/adapters/http/entry_call.hpp
+++ b/adapters/http/entry_call.hpp
@@ -22,7 +22,11 @@
     /// Keeps `route_` alive.
     std::shared_ptr<const config_snapshot> snapshot_;
     const resolved_route* route_ = nullptr;
+    /// Owner of the route.
     client_account_id account_;
+    /// Account of the caller's API key, kept alive by `snapshot_`; null if
+    /// callers of the route do not authenticate.
+    const known_account* caller_ = nullptr;
     std::string request_id_;
     /// Request head for the gate, without the fields that differ between
     /// attempts.
@@ -40,14 +44,16 @@
 };
 
 /// Finds the route of a request and prepares the request for forwarding.
-/// Removes the header fields that a caller may not send. Every error is of a
-/// kind that says that the request was not run.
+/// Removes the header fields that a caller may not send, and the API key.
+/// `accounts_confirmed` says whether the node may rely on its accounts. Every
+/// error is of a kind that says that the request was not run.
 result<entry_call> resolve_call(
     std::shared_ptr<const config_snapshot> snapshot,
     request_parser& request,
     const caller_protocol& protocol,
     const vm_id& entry_vm,
-    steady_time now);
+    steady_time now,
+    bool accounts_confirmed = true);
 
 /// Whether a request is idempotent according to its route and method. A request
 /// without a route is not.
--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -1,10 +1,18 @@
 #include "adapters/http/entry_session.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <memory>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
@@ -24,6 +32,9 @@
 
 namespace {
 
+// Covers a question to another region and one to the next grantor.
+constexpr std::chrono::milliseconds longest_quota_wait{300};
+
 error body_error(const error_code& failure)
 {
     if (failure == http::error::body_limit)
@@ -33,6 +44,20 @@
     return {error_kind::bad_request, "body: " + failure.message()};
 }
 
+/// A decision about a request's quota that comes from another thread.
+struct quota_answer
+{
+    quota_answer(
+        const asio::any_io_executor& executor, steady_time::duration wait)
+        : timer_(executor, wait)
+    {}
+
+    asio::steady_timer timer_;
+    result<void> outcome_ = make_error(
+        error_kind::quota_unavailable,
+        "the account's quota could not be checked in time");
+};
+
 bool is_unavailable(error_kind kind)
 {
     return error_properties_of(kind).http_status_ ==
@@ -227,9 +252,13 @@
             "the node has not yet received the current configuration"};
         co_return co_await reject(request, std::move(failure), true);
     }
+    // Before the snapshot is taken: a newer one may come into force between the
+    // two, and its confirmation says nothing about the older accounts.
+    const bool accounts_confirmed =
+        !environment_.accounts_confirmed_ || environment_.accounts_confirmed_();
     auto call = resolve_call(
         environment_.snapshots_.current(), request, settings().protocol_,
-        environment_.vm_, now());
+        environment_.vm_, now(), accounts_confirmed);
     if (!call)
     {
         auto failure = std::move(call.error());
@@ -242,6 +271,12 @@
             "the node stops before the deadline of the request"};
         co_return co_await reject(request, std::move(failure), true);
     }
+    auto within_quota = co_await admit(*call);
+    if (!within_quota)
+    {
+        auto failure = std::move(within_quota.error());
+        co_return co_await reject(request, std::move(failure), true);
+    }
     const auto& route = *call->route_;
     const auto ticket = environment_.call_quota_.take(
         call->account_, route.pool_key_, route.pool_->max_concurrent_calls_);
@@ -280,6 +315,52 @@
     co_return co_await run_attempts(state);
 }
 
+asio::awaitable<result<void>> entry_session::admit(const entry_call& call)
+{
+    result<void> outcome;
+    if (environment_.account_quota_ == nullptr || call.caller_ == nullptr)
+    {
+        co_return outcome;
+    }
+    const client_account_id account{call.caller_->key_.value()};
+    const auto& row = *call.caller_->row_;
+    const account_quota quota{row.requests_per_second_, row.burst_};
+    if (auto decided = environment_.account_quota_->try_admit(account, quota))
+    {
+        co_return *decided;
+    }
+    const auto executor = co_await asio::this_coro::executor;
+    set_time_limit(call.deadline_);
+    const auto answered = std::make_shared<quota_answer>(
+        executor, std::min<steady_time::duration>(
+                      longest_quota_wait, call.deadline_ - now()));
+    environment_.account_quota_->admit_later(
+        account, quota,
+        // The timer must not outlive the event loop of the session.
+        [executor,
+         waiting = std::weak_ptr(answered)](const result<void>& decision)
+        {
+            const auto answer = waiting.lock();
+            if (answer == nullptr)
+            {
+                return;
+            }
+            asio::post(
+                executor,
+                [answer, decision]
+                {
+                    answer->outcome_ = decision;
+                    // Also ends a wait that has not begun yet.
+                    answer->timer_.expires_at(
+                        asio::steady_timer::time_point::min());
+                });
+        });
+    error_code ignored;
+    co_await answered->timer_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    co_return answered->outcome_;
+}
+
 asio::awaitable<bool> entry_session::run_attempts(call_state& state)
 {
     const auto& route = *state.call_.route_;
@@ -422,7 +503,10 @@
         log_fields::revision(environment_.snapshots_.current()->number()),
         log_fields::error_kind(failure.kind_),
         log_fields::detail(failure.message_));
-    failure.retry_after_ = retry_after_delay({}, thread_random());
+    failure.retry_after_ =
+        failure.retry_after_.count() > 0
+            ? spread_delay(failure.retry_after_, thread_random())
+            : retry_after_delay({}, thread_random());
     const auto claim = not_run ? not_run_claim::by_kind : not_run_claim::never;
     co_return co_await refuse(request, std::move(failure), claim);
 }
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -17,6 +17,7 @@
 #include "adapters/http/relay_session.hpp"
 #include "adapters/http/request_body.hpp"
 #include "adapters/http/request_pipeline.hpp"
+#include "adapters/http/request_quota.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/core/metric_sink.hpp"
 #include "hemlockshelf/retry/retry_settings.hpp"
@@ -40,6 +41,11 @@
     /// Whether the node has joined the cluster; until then every call is
     /// refused.
     std::function<bool()> ready_;
+    /// Whether the node may rely on the client accounts that it holds; empty if
+    /// it always may.
+    std::function<bool()> accounts_confirmed_{};
+    /// Null if there are no quotas.
+    request_quota* account_quota_ = nullptr;
 };
 
 /// A caller's connection. Forwards each request to a gate.
@@ -102,6 +108,9 @@
         std::vector<vm_id> tried_gates_{};
     };
 
+    /// Admits a call within the quota of its account, if it has one. The errors
+    /// are those of `request_quota`.
+    boost::asio::awaitable<result<void>> admit(const entry_call& call);
     boost::asio::awaitable<bool> run_attempts(call_state& state);
     boost::asio::awaitable<bool>
     reject(const request_parser& request, error failure, bool not_run);
--- a/adapters/http/gate_call_head.cpp
+++ b/adapters/http/gate_call_head.cpp
@@ -84,8 +84,10 @@
         return tl::unexpected<error>(time_left.error());
     }
     gate_request read;
-    read.call_.account_ =
-        client_account_id{std::string(field_value(head, headers::account))};
+    const std::string caller(field_value(head, headers::client_account));
+    read.call_.account_ = client_account_id{
+        caller.empty() ? std::string(field_value(head, headers::account))
+                       : caller};
     read.call_.entry_vm_ =
         vm_id{std::string(field_value(head, headers::entry_vm))};
     read.call_.service_ =
@@ -123,6 +125,10 @@
     read.to_head_request_ = head.method() == http::verb::head;
     read.version_ = head.version();
     append_upstream_fields(read, head, protocol);
+    if (!protocol.account_header_.empty() && !caller.empty())
+    {
+        append_field(read.head_, protocol.account_header_, caller);
+    }
     return read;
 }
 
--- a/adapters/http/headers.hpp
+++ b/adapters/http/headers.hpp
@@ -13,6 +13,8 @@
 inline constexpr auto not_run = "Hemlockshelf-Not-Run";
 /// Name of the error kind of a refusal.
 inline constexpr auto error = "Hemlockshelf-Error";
+/// Client account of the caller's API key, if it has one.
+inline constexpr auto client_account = "Hemlockshelf-Client-Account";
 inline constexpr auto pool = "Hemlockshelf-Pool";
 /// Service of the pool; a gate refuses requests for another service.
 inline constexpr auto service = "Hemlockshelf-Service";
--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -42,6 +42,48 @@
   # Microseconds; 0 if it is not known.
   acknowledged @17 :AcknowledgedUpstream;
   # Null if there is nothing that a restarted node has to know.
+  upstreamVersion @18 :Text;
+  # Version of the upstream's software; empty if it is not known.
+  rollouts @19 :List(RolloutPlan);
+  # Plans of the roll-outs that the member leads.
+}
+
+struct RolloutPlan {
+  service @0 :Text;
+  version @1 :Text;
+  # Version that the roll-out moves the service's calls to.
+  sharePermille @2 :UInt16;
+  # Share of the service's calls that the version gets.
+  step @3 :UInt8;
+  epoch @4 :UInt64;
+  # Plans of a service are ordered by epoch, then by step.
+}
+
+struct RolloutCounts {
+  service @0 :Text;
+  route @1 :Text;
+  target @2 :Bool;
+  # Whether the counts are those of the version that is rolled out.
+  answers @3 :UInt64;
+  failures @4 :UInt64;
+  totalMs @5 :UInt64;
+  # Sum of the durations of the answers.
+  slow @6 :UInt64;
+  # Answers that took longer than the route's target latency.
+  inProgress @7 :UInt32;
+}
+
+struct TokenRequest {
+  account @0 :Text;
+  count @1 :UInt32;
+}
+
+struct TokenGrant {
+  granted @0 :UInt32;
+  waitMs @1 :UInt32;
+  # Time until the grantor has further tokens; 0 if it granted all.
+  unknownAccount @2 :Bool;
+  # Whether the grantor's configuration does not have the account.
 }
 
 struct Heartbeat {
@@ -55,6 +97,9 @@
   # Asks what the sender acknowledged to its upstream before it started.
   acknowledged @7 :AcknowledgedUpstream;
   # In an answer to a joining node; null if the receiver does not know.
+  confirmationAgeMs @8 :UInt32;
+  # One more than the age of the sender's confirmation that its accounts are
+  # current; 0 if it has none.
 }
 
 enum Scope {
@@ -102,4 +147,10 @@
       -> (differing :UInt64, records :List(MemberRecord));
   # Bit n of `differing` stands for bucket n.
   probe @4 (sender :Sender, target :Text) -> (reachable :Bool);
+  grantTokens @5 (sender :Sender, requests :List(TokenRequest))
+      -> (isGrantor :Bool, grants :List(TokenGrant));
+  # `grants` has one entry for each request, in the same order.
+  reportRollout @6 (sender :Sender, counts :List(RolloutCounts))
+      -> (plans :List(RolloutPlan));
+  # Counts since the start of the sender; the answer has the receiver's plans.
 }
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -22,6 +22,10 @@
 CAPNP_DECLARE_SCHEMA(929118754909d3b2);
 CAPNP_DECLARE_SCHEMA(d07055f3c27355f7);
 CAPNP_DECLARE_SCHEMA(f7166dbce51ecbb7);
+CAPNP_DECLARE_SCHEMA(c1a2c06cb2bc17be);
+CAPNP_DECLARE_SCHEMA(be5b9f73c96c286b);
+CAPNP_DECLARE_SCHEMA(e776bcea6315f343);
+CAPNP_DECLARE_SCHEMA(d0ae87073db2bbd9);
 CAPNP_DECLARE_SCHEMA(f11a1cecb624b4eb);
 CAPNP_DECLARE_SCHEMA(b286c3c8ba9bc541);
 enum class Scope_b286c3c8ba9bc541: uint16_t {
@@ -51,6 +55,10 @@
 CAPNP_DECLARE_SCHEMA(8b9b30680b965e78);
 CAPNP_DECLARE_SCHEMA(c7140b5fbb78436b);
 CAPNP_DECLARE_SCHEMA(c1c3abfe70a7bef7);
+CAPNP_DECLARE_SCHEMA(b1b8104ffae2cd1f);
+CAPNP_DECLARE_SCHEMA(a1794af531d35310);
+CAPNP_DECLARE_SCHEMA(978507c89fbed8a2);
+CAPNP_DECLARE_SCHEMA(8d0a3eb31845bf06);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -96,7 +104,67 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7166dbce51ecbb7, 5, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(f7166dbce51ecbb7, 5, 11)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutPlan {
+  RolloutPlan() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c1a2c06cb2bc17be, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutCounts {
+  RolloutCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be5b9f73c96c286b, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TokenRequest {
+  TokenRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e776bcea6315f343, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TokenGrant {
+  TokenGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d0ae87073db2bbd9, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -170,6 +238,10 @@
   struct MemberDigestResults;
   struct ProbeParams;
   struct ProbeResults;
+  struct GrantTokensParams;
+  struct GrantTokensResults;
+  struct ReportRolloutParams;
+  struct ReportRolloutResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -329,6 +401,66 @@
   };
 };
 
+struct Control::GrantTokensParams {
+  GrantTokensParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b1b8104ffae2cd1f, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::GrantTokensResults {
+  GrantTokensResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a1794af531d35310, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::ReportRolloutParams {
+  ReportRolloutParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(978507c89fbed8a2, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::ReportRolloutResults {
+  ReportRolloutResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8d0a3eb31845bf06, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Sender::Reader {
@@ -595,6 +727,12 @@
   inline bool hasAcknowledged() const;
   inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader getAcknowledged() const;
 
+  inline bool hasUpstreamVersion() const;
+  inline  ::capnp::Text::Reader getUpstreamVersion() const;
+
+  inline bool hasRollouts() const;
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Reader getRollouts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -713,6 +851,20 @@
   inline void adoptAcknowledged(::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value);
   inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> disownAcknowledged();
 
+  inline bool hasUpstreamVersion();
+  inline  ::capnp::Text::Builder getUpstreamVersion();
+  inline void setUpstreamVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstreamVersion(unsigned int size);
+  inline void adoptUpstreamVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstreamVersion();
+
+  inline bool hasRollouts();
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts( ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Builder initRollouts(unsigned int size);
+  inline void adoptRollouts(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>> disownRollouts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -740,9 +892,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Heartbeat::Reader {
+class RolloutPlan::Reader {
 public:
-  typedef Heartbeat Reads;
+  typedef RolloutPlan Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -757,23 +909,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline  ::uint64_t getHashHigh() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getHashLow() const;
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
 
-  inline  ::uint64_t getMembershipRoot() const;
+  inline  ::uint16_t getSharePermille() const;
 
-  inline bool getJoining() const;
+  inline  ::uint8_t getStep() const;
 
-  inline bool hasAcknowledged() const;
-  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader getAcknowledged() const;
+  inline  ::uint64_t getEpoch() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -787,9 +933,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Heartbeat::Builder {
+class RolloutPlan::Builder {
 public:
-  typedef Heartbeat Builds;
+  typedef RolloutPlan Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -803,37 +949,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::hemlockshelf::wire::Sender::Builder getSender();
-  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
-  inline  ::hemlockshelf::wire::Sender::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline  ::uint64_t getHashHigh();
-  inline void setHashHigh( ::uint64_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getHashLow();
-  inline void setHashLow( ::uint64_t value);
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
 
-  inline  ::uint64_t getMembershipRoot();
-  inline void setMembershipRoot( ::uint64_t value);
+  inline  ::uint16_t getSharePermille();
+  inline void setSharePermille( ::uint16_t value);
 
-  inline bool getJoining();
-  inline void setJoining(bool value);
+  inline  ::uint8_t getStep();
+  inline void setStep( ::uint8_t value);
 
-  inline bool hasAcknowledged();
-  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder getAcknowledged();
-  inline void setAcknowledged( ::hemlockshelf::wire::AcknowledgedUpstream::Reader value);
-  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder initAcknowledged();
-  inline void adoptAcknowledged(::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> disownAcknowledged();
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -845,16 +982,14 @@
 };
 
 #if !CAPNP_LITE
-class Heartbeat::Pipeline {
+class RolloutPlan::Pipeline {
 public:
-  typedef Heartbeat Pipelines;
+  typedef RolloutPlan Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
-  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline getAcknowledged();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -863,9 +998,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Push::Reader {
+class RolloutCounts::Reader {
 public:
-  typedef Push Reads;
+  typedef RolloutCounts Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -880,27 +1015,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
-
-  inline  ::hemlockshelf::wire::Scope getScope() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasOrigin() const;
-  inline  ::capnp::Text::Reader getOrigin() const;
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
 
-  inline  ::uint64_t getSeed() const;
+  inline bool getTarget() const;
 
-  inline  ::uint64_t getFirstPosition() const;
+  inline  ::uint64_t getAnswers() const;
 
-  inline  ::uint64_t getPositionCount() const;
+  inline  ::uint64_t getFailures() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline  ::uint64_t getTotalMs() const;
 
-  inline bool hasDeltas() const;
-  inline  ::capnp::Data::Reader getDeltas() const;
+  inline  ::uint64_t getSlow() const;
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline  ::uint32_t getInProgress() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -914,9 +1045,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Push::Builder {
+class RolloutCounts::Builder {
 public:
-  typedef Push Builds;
+  typedef RolloutCounts Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -930,48 +1061,37 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::hemlockshelf::wire::Sender::Builder getSender();
-  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
-  inline  ::hemlockshelf::wire::Sender::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
-
-  inline  ::hemlockshelf::wire::Scope getScope();
-  inline void setScope( ::hemlockshelf::wire::Scope value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasOrigin();
-  inline  ::capnp::Text::Builder getOrigin();
-  inline void setOrigin( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOrigin(unsigned int size);
-  inline void adoptOrigin(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOrigin();
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
 
-  inline  ::uint64_t getSeed();
-  inline void setSeed( ::uint64_t value);
+  inline bool getTarget();
+  inline void setTarget(bool value);
 
-  inline  ::uint64_t getFirstPosition();
-  inline void setFirstPosition( ::uint64_t value);
+  inline  ::uint64_t getAnswers();
+  inline void setAnswers( ::uint64_t value);
 
-  inline  ::uint64_t getPositionCount();
-  inline void setPositionCount( ::uint64_t value);
+  inline  ::uint64_t getFailures();
+  inline void setFailures( ::uint64_t value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline  ::uint64_t getTotalMs();
+  inline void setTotalMs( ::uint64_t value);
 
-  inline bool hasDeltas();
-  inline  ::capnp::Data::Builder getDeltas();
-  inline void setDeltas( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDeltas(unsigned int size);
-  inline void adoptDeltas(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDeltas();
+  inline  ::uint64_t getSlow();
+  inline void setSlow( ::uint64_t value);
 
-  inline bool hasRecords();
-  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+  inline  ::uint32_t getInProgress();
+  inline void setInProgress( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -983,15 +1103,14 @@
 };
 
 #if !CAPNP_LITE
-class Push::Pipeline {
+class RolloutCounts::Pipeline {
 public:
-  typedef Push Pipelines;
+  typedef RolloutCounts Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1000,9 +1119,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Config::Reader {
+class TokenRequest::Reader {
 public:
-  typedef Config Reads;
+  typedef TokenRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1017,12 +1136,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::hemlockshelf::wire::Config::Kind getKind() const;
-
-  inline bool hasPayload() const;
-  inline  ::capnp::Data::Reader getPayload() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
-  inline  ::uint32_t getRetryAfterMs() const;
+  inline  ::uint32_t getCount() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1036,9 +1153,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Config::Builder {
+class TokenRequest::Builder {
 public:
-  typedef Config Builds;
+  typedef TokenRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1052,18 +1169,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::hemlockshelf::wire::Config::Kind getKind();
-  inline void setKind( ::hemlockshelf::wire::Config::Kind value);
-
-  inline bool hasPayload();
-  inline  ::capnp::Data::Builder getPayload();
-  inline void setPayload( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
-  inline  ::uint32_t getRetryAfterMs();
-  inline void setRetryAfterMs( ::uint32_t value);
+  inline  ::uint32_t getCount();
+  inline void setCount( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1075,9 +1189,9 @@
 };
 
 #if !CAPNP_LITE
-class Config::Pipeline {
+class TokenRequest::Pipeline {
 public:
-  typedef Config Pipelines;
+  typedef TokenRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1091,86 +1205,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Control::Client
-    : public virtual ::capnp::Capability::Client {
+class TokenGrant::Reader {
 public:
-  typedef Control Calls;
-  typedef Control Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::hemlockshelf::wire::Control::HeartbeatParams,  ::hemlockshelf::wire::Control::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hemlockshelf::wire::Control::PushParams,  ::hemlockshelf::wire::Control::PushResults> pushRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hemlockshelf::wire::Control::FetchConfigParams,  ::hemlockshelf::wire::Control::FetchConfigResults> fetchConfigRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hemlockshelf::wire::Control::MemberDigestParams,  ::hemlockshelf::wire::Control::MemberDigestResults> memberDigestRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hemlockshelf::wire::Control::ProbeParams,  ::hemlockshelf::wire::Control::ProbeResults> probeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Control::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Control Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::hemlockshelf::wire::Control::HeartbeatParams HeartbeatParams;
-  typedef  ::hemlockshelf::wire::Control::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::hemlockshelf::wire::Control::PushParams PushParams;
-  typedef  ::hemlockshelf::wire::Control::PushResults PushResults;
-  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
-  virtual ::kj::Promise<void> push(PushContext context);
-  typedef  ::hemlockshelf::wire::Control::FetchConfigParams FetchConfigParams;
-  typedef  ::hemlockshelf::wire::Control::FetchConfigResults FetchConfigResults;
-  typedef ::capnp::CallContext<FetchConfigParams, FetchConfigResults> FetchConfigContext;
-  virtual ::kj::Promise<void> fetchConfig(FetchConfigContext context);
-  typedef  ::hemlockshelf::wire::Control::MemberDigestParams MemberDigestParams;
-  typedef  ::hemlockshelf::wire::Control::MemberDigestResults MemberDigestResults;
-  typedef ::capnp::CallContext<MemberDigestParams, MemberDigestResults> MemberDigestContext;
-  virtual ::kj::Promise<void> memberDigest(MemberDigestContext context);
-  typedef  ::hemlockshelf::wire::Control::ProbeParams ProbeParams;
-  typedef  ::hemlockshelf::wire::Control::ProbeResults ProbeResults;
-  typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
-  virtual ::kj::Promise<void> probe(ProbeContext context);
-
-  inline  ::hemlockshelf::wire::Control::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::hemlockshelf::wire::Control>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Control::HeartbeatParams::Reader {
-public:
-  typedef HeartbeatParams Reads;
+  typedef TokenGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1185,8 +1222,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::hemlockshelf::wire::Heartbeat::Reader getRequest() const;
+  inline  ::uint32_t getGranted() const;
+
+  inline  ::uint32_t getWaitMs() const;
+
+  inline bool getUnknownAccount() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1200,9 +1240,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::HeartbeatParams::Builder {
+class TokenGrant::Builder {
 public:
-  typedef HeartbeatParams Builds;
+  typedef TokenGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1216,12 +1256,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::hemlockshelf::wire::Heartbeat::Builder getRequest();
-  inline void setRequest( ::hemlockshelf::wire::Heartbeat::Reader value);
-  inline  ::hemlockshelf::wire::Heartbeat::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::hemlockshelf::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::Heartbeat> disownRequest();
+  inline  ::uint32_t getGranted();
+  inline void setGranted( ::uint32_t value);
+
+  inline  ::uint32_t getWaitMs();
+  inline void setWaitMs( ::uint32_t value);
+
+  inline bool getUnknownAccount();
+  inline void setUnknownAccount(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1233,15 +1275,14 @@
 };
 
 #if !CAPNP_LITE
-class Control::HeartbeatParams::Pipeline {
+class TokenGrant::Pipeline {
 public:
-  typedef HeartbeatParams Pipelines;
+  typedef TokenGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockshelf::wire::Heartbeat::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1250,9 +1291,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::HeartbeatResults::Reader {
+class Heartbeat::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef Heartbeat Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1267,8 +1308,25 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::hemlockshelf::wire::Heartbeat::Reader getAnswer() const;
+  inline bool hasSender() const;
+  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getHashHigh() const;
+
+  inline  ::uint64_t getHashLow() const;
+
+  inline  ::uint64_t getMembershipRoot() const;
+
+  inline bool getJoining() const;
+
+  inline bool hasAcknowledged() const;
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader getAcknowledged() const;
+
+  inline  ::uint32_t getConfirmationAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1282,9 +1340,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::HeartbeatResults::Builder {
+class Heartbeat::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef Heartbeat Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1298,12 +1356,40 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::hemlockshelf::wire::Heartbeat::Builder getAnswer();
-  inline void setAnswer( ::hemlockshelf::wire::Heartbeat::Reader value);
-  inline  ::hemlockshelf::wire::Heartbeat::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::hemlockshelf::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::Heartbeat> disownAnswer();
+  inline bool hasSender();
+  inline  ::hemlockshelf::wire::Sender::Builder getSender();
+  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
+  inline  ::hemlockshelf::wire::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getHashHigh();
+  inline void setHashHigh( ::uint64_t value);
+
+  inline  ::uint64_t getHashLow();
+  inline void setHashLow( ::uint64_t value);
+
+  inline  ::uint64_t getMembershipRoot();
+  inline void setMembershipRoot( ::uint64_t value);
+
+  inline bool getJoining();
+  inline void setJoining(bool value);
+
+  inline bool hasAcknowledged();
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder getAcknowledged();
+  inline void setAcknowledged( ::hemlockshelf::wire::AcknowledgedUpstream::Reader value);
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder initAcknowledged();
+  inline void adoptAcknowledged(::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> disownAcknowledged();
+
+  inline  ::uint32_t getConfirmationAgeMs();
+  inline void setConfirmationAgeMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1315,15 +1401,16 @@
 };
 
 #if !CAPNP_LITE
-class Control::HeartbeatResults::Pipeline {
+class Heartbeat::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef Heartbeat Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockshelf::wire::Heartbeat::Pipeline getAnswer();
+  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+  inline  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline getAcknowledged();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1332,9 +1419,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::PushParams::Reader {
+class Push::Reader {
 public:
-  typedef PushParams Reads;
+  typedef Push Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1349,8 +1436,27 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::hemlockshelf::wire::Push::Reader getRequest() const;
+  inline bool hasSender() const;
+  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
+
+  inline  ::hemlockshelf::wire::Scope getScope() const;
+
+  inline bool hasOrigin() const;
+  inline  ::capnp::Text::Reader getOrigin() const;
+
+  inline  ::uint64_t getSeed() const;
+
+  inline  ::uint64_t getFirstPosition() const;
+
+  inline  ::uint64_t getPositionCount() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasDeltas() const;
+  inline  ::capnp::Data::Reader getDeltas() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1364,9 +1470,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::PushParams::Builder {
+class Push::Builder {
 public:
-  typedef PushParams Builds;
+  typedef Push Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1380,12 +1486,48 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::hemlockshelf::wire::Push::Builder getRequest();
-  inline void setRequest( ::hemlockshelf::wire::Push::Reader value);
-  inline  ::hemlockshelf::wire::Push::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::hemlockshelf::wire::Push>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::Push> disownRequest();
+  inline bool hasSender();
+  inline  ::hemlockshelf::wire::Sender::Builder getSender();
+  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
+  inline  ::hemlockshelf::wire::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
+
+  inline  ::hemlockshelf::wire::Scope getScope();
+  inline void setScope( ::hemlockshelf::wire::Scope value);
+
+  inline bool hasOrigin();
+  inline  ::capnp::Text::Builder getOrigin();
+  inline void setOrigin( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrigin(unsigned int size);
+  inline void adoptOrigin(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrigin();
+
+  inline  ::uint64_t getSeed();
+  inline void setSeed( ::uint64_t value);
+
+  inline  ::uint64_t getFirstPosition();
+  inline void setFirstPosition( ::uint64_t value);
+
+  inline  ::uint64_t getPositionCount();
+  inline void setPositionCount( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasDeltas();
+  inline  ::capnp::Data::Builder getDeltas();
+  inline void setDeltas( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDeltas(unsigned int size);
+  inline void adoptDeltas(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDeltas();
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1397,15 +1539,15 @@
 };
 
 #if !CAPNP_LITE
-class Control::PushParams::Pipeline {
+class Push::Pipeline {
 public:
-  typedef PushParams Pipelines;
+  typedef Push Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockshelf::wire::Push::Pipeline getRequest();
+  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1414,9 +1556,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::PushResults::Reader {
+class Config::Reader {
 public:
-  typedef PushResults Reads;
+  typedef Config Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1431,10 +1573,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision() const;
+  inline  ::hemlockshelf::wire::Config::Kind getKind() const;
 
-private:
-  ::capnp::_::StructReader _reader;
+  inline bool hasPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
+
+  inline  ::uint32_t getRetryAfterMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   template <typename, ::capnp::Kind>
@@ -1445,9 +1592,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::PushResults::Builder {
+class Config::Builder {
 public:
-  typedef PushResults Builds;
+  typedef Config Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1461,8 +1608,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline  ::hemlockshelf::wire::Config::Kind getKind();
+  inline void setKind( ::hemlockshelf::wire::Config::Kind value);
+
+  inline bool hasPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1474,9 +1631,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::PushResults::Pipeline {
+class Config::Pipeline {
 public:
-  typedef PushResults Pipelines;
+  typedef Config Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1490,9 +1647,98 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::FetchConfigParams::Reader {
+#if !CAPNP_LITE
+class Control::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FetchConfigParams Reads;
+  typedef Control Calls;
+  typedef Control Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::hemlockshelf::wire::Control::HeartbeatParams,  ::hemlockshelf::wire::Control::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hemlockshelf::wire::Control::PushParams,  ::hemlockshelf::wire::Control::PushResults> pushRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hemlockshelf::wire::Control::FetchConfigParams,  ::hemlockshelf::wire::Control::FetchConfigResults> fetchConfigRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hemlockshelf::wire::Control::MemberDigestParams,  ::hemlockshelf::wire::Control::MemberDigestResults> memberDigestRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hemlockshelf::wire::Control::ProbeParams,  ::hemlockshelf::wire::Control::ProbeResults> probeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hemlockshelf::wire::Control::GrantTokensParams,  ::hemlockshelf::wire::Control::GrantTokensResults> grantTokensRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hemlockshelf::wire::Control::ReportRolloutParams,  ::hemlockshelf::wire::Control::ReportRolloutResults> reportRolloutRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Control::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Control Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::hemlockshelf::wire::Control::HeartbeatParams HeartbeatParams;
+  typedef  ::hemlockshelf::wire::Control::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+  typedef  ::hemlockshelf::wire::Control::PushParams PushParams;
+  typedef  ::hemlockshelf::wire::Control::PushResults PushResults;
+  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
+  virtual ::kj::Promise<void> push(PushContext context);
+  typedef  ::hemlockshelf::wire::Control::FetchConfigParams FetchConfigParams;
+  typedef  ::hemlockshelf::wire::Control::FetchConfigResults FetchConfigResults;
+  typedef ::capnp::CallContext<FetchConfigParams, FetchConfigResults> FetchConfigContext;
+  virtual ::kj::Promise<void> fetchConfig(FetchConfigContext context);
+  typedef  ::hemlockshelf::wire::Control::MemberDigestParams MemberDigestParams;
+  typedef  ::hemlockshelf::wire::Control::MemberDigestResults MemberDigestResults;
+  typedef ::capnp::CallContext<MemberDigestParams, MemberDigestResults> MemberDigestContext;
+  virtual ::kj::Promise<void> memberDigest(MemberDigestContext context);
+  typedef  ::hemlockshelf::wire::Control::ProbeParams ProbeParams;
+  typedef  ::hemlockshelf::wire::Control::ProbeResults ProbeResults;
+  typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
+  virtual ::kj::Promise<void> probe(ProbeContext context);
+  typedef  ::hemlockshelf::wire::Control::GrantTokensParams GrantTokensParams;
+  typedef  ::hemlockshelf::wire::Control::GrantTokensResults GrantTokensResults;
+  typedef ::capnp::CallContext<GrantTokensParams, GrantTokensResults> GrantTokensContext;
+  virtual ::kj::Promise<void> grantTokens(GrantTokensContext context);
+  typedef  ::hemlockshelf::wire::Control::ReportRolloutParams ReportRolloutParams;
+  typedef  ::hemlockshelf::wire::Control::ReportRolloutResults ReportRolloutResults;
+  typedef ::capnp::CallContext<ReportRolloutParams, ReportRolloutResults> ReportRolloutContext;
+  virtual ::kj::Promise<void> reportRollout(ReportRolloutContext context);
+
+  inline  ::hemlockshelf::wire::Control::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::hemlockshelf::wire::Control>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Control::HeartbeatParams::Reader {
+public:
+  typedef HeartbeatParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1507,12 +1753,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
-
-  inline  ::uint64_t getFromRevision() const;
-
-  inline bool getWhole() const;
+  inline bool hasRequest() const;
+  inline  ::hemlockshelf::wire::Heartbeat::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1526,9 +1768,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::FetchConfigParams::Builder {
+class Control::HeartbeatParams::Builder {
 public:
-  typedef FetchConfigParams Builds;
+  typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1542,18 +1784,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::hemlockshelf::wire::Sender::Builder getSender();
-  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
-  inline  ::hemlockshelf::wire::Sender::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
-
-  inline  ::uint64_t getFromRevision();
-  inline void setFromRevision( ::uint64_t value);
-
-  inline bool getWhole();
-  inline void setWhole(bool value);
+  inline bool hasRequest();
+  inline  ::hemlockshelf::wire::Heartbeat::Builder getRequest();
+  inline void setRequest( ::hemlockshelf::wire::Heartbeat::Reader value);
+  inline  ::hemlockshelf::wire::Heartbeat::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::hemlockshelf::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Heartbeat> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1565,15 +1801,15 @@
 };
 
 #if !CAPNP_LITE
-class Control::FetchConfigParams::Pipeline {
+class Control::HeartbeatParams::Pipeline {
 public:
-  typedef FetchConfigParams Pipelines;
+  typedef HeartbeatParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+  inline  ::hemlockshelf::wire::Heartbeat::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1582,9 +1818,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::FetchConfigResults::Reader {
+class Control::HeartbeatResults::Reader {
 public:
-  typedef FetchConfigResults Reads;
+  typedef HeartbeatResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1599,8 +1835,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfig() const;
-  inline  ::hemlockshelf::wire::Config::Reader getConfig() const;
+  inline bool hasAnswer() const;
+  inline  ::hemlockshelf::wire::Heartbeat::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1614,9 +1850,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::FetchConfigResults::Builder {
+class Control::HeartbeatResults::Builder {
 public:
-  typedef FetchConfigResults Builds;
+  typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1630,12 +1866,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfig();
-  inline  ::hemlockshelf::wire::Config::Builder getConfig();
-  inline void setConfig( ::hemlockshelf::wire::Config::Reader value);
-  inline  ::hemlockshelf::wire::Config::Builder initConfig();
-  inline void adoptConfig(::capnp::Orphan< ::hemlockshelf::wire::Config>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::Config> disownConfig();
+  inline bool hasAnswer();
+  inline  ::hemlockshelf::wire::Heartbeat::Builder getAnswer();
+  inline void setAnswer( ::hemlockshelf::wire::Heartbeat::Reader value);
+  inline  ::hemlockshelf::wire::Heartbeat::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::hemlockshelf::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Heartbeat> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1647,15 +1883,15 @@
 };
 
 #if !CAPNP_LITE
-class Control::FetchConfigResults::Pipeline {
+class Control::HeartbeatResults::Pipeline {
 public:
-  typedef FetchConfigResults Pipelines;
+  typedef HeartbeatResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockshelf::wire::Config::Pipeline getConfig();
+  inline  ::hemlockshelf::wire::Heartbeat::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1664,9 +1900,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::MemberDigestParams::Reader {
+class Control::PushParams::Reader {
 public:
-  typedef MemberDigestParams Reads;
+  typedef PushParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1681,11 +1917,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
-
-  inline bool hasBuckets() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
+  inline bool hasRequest() const;
+  inline  ::hemlockshelf::wire::Push::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1699,9 +1932,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::MemberDigestParams::Builder {
+class Control::PushParams::Builder {
 public:
-  typedef MemberDigestParams Builds;
+  typedef PushParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1715,20 +1948,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::hemlockshelf::wire::Sender::Builder getSender();
-  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
-  inline  ::hemlockshelf::wire::Sender::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
-  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
-
-  inline bool hasBuckets();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
-  inline void setBuckets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setBuckets(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBuckets(unsigned int size);
-  inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
+  inline bool hasRequest();
+  inline  ::hemlockshelf::wire::Push::Builder getRequest();
+  inline void setRequest( ::hemlockshelf::wire::Push::Reader value);
+  inline  ::hemlockshelf::wire::Push::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::hemlockshelf::wire::Push>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Push> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1740,15 +1965,15 @@
 };
 
 #if !CAPNP_LITE
-class Control::MemberDigestParams::Pipeline {
+class Control::PushParams::Pipeline {
 public:
-  typedef MemberDigestParams Pipelines;
+  typedef PushParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+  inline  ::hemlockshelf::wire::Push::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1757,9 +1982,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::MemberDigestResults::Reader {
+class Control::PushResults::Reader {
 public:
-  typedef MemberDigestResults Reads;
+  typedef PushResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1774,10 +1999,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getDiffering() const;
-
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1791,9 +2013,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::MemberDigestResults::Builder {
+class Control::PushResults::Builder {
 public:
-  typedef MemberDigestResults Builds;
+  typedef PushResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1807,15 +2029,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getDiffering();
-  inline void setDiffering( ::uint64_t value);
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1827,9 +2042,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::MemberDigestResults::Pipeline {
+class Control::PushResults::Pipeline {
 public:
-  typedef MemberDigestResults Pipelines;
+  typedef PushResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1843,9 +2058,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::ProbeParams::Reader {
+class Control::FetchConfigParams::Reader {
 public:
-  typedef ProbeParams Reads;
+  typedef FetchConfigParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1863,8 +2078,9 @@
   inline bool hasSender() const;
   inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline  ::uint64_t getFromRevision() const;
+
+  inline bool getWhole() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1878,9 +2094,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::ProbeParams::Builder {
+class Control::FetchConfigParams::Builder {
 public:
-  typedef ProbeParams Builds;
+  typedef FetchConfigParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1901,12 +2117,11 @@
   inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
   inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline  ::uint64_t getFromRevision();
+  inline void setFromRevision( ::uint64_t value);
+
+  inline bool getWhole();
+  inline void setWhole(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1918,9 +2133,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::ProbeParams::Pipeline {
+class Control::FetchConfigParams::Pipeline {
 public:
-  typedef ProbeParams Pipelines;
+  typedef FetchConfigParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1935,9 +2150,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::ProbeResults::Reader {
+class Control::FetchConfigResults::Reader {
 public:
-  typedef ProbeResults Reads;
+  typedef FetchConfigResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1952,7 +2167,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getReachable() const;
+  inline bool hasConfig() const;
+  inline  ::hemlockshelf::wire::Config::Reader getConfig() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1966,9 +2182,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::ProbeResults::Builder {
+class Control::FetchConfigResults::Builder {
 public:
-  typedef ProbeResults Builds;
+  typedef FetchConfigResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1982,8 +2198,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getReachable();
-  inline void setReachable(bool value);
+  inline bool hasConfig();
+  inline  ::hemlockshelf::wire::Config::Builder getConfig();
+  inline void setConfig( ::hemlockshelf::wire::Config::Reader value);
+  inline  ::hemlockshelf::wire::Config::Builder initConfig();
+  inline void adoptConfig(::capnp::Orphan< ::hemlockshelf::wire::Config>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Config> disownConfig();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1995,14 +2215,15 @@
 };
 
 #if !CAPNP_LITE
-class Control::ProbeResults::Pipeline {
+class Control::FetchConfigResults::Pipeline {
 public:
-  typedef ProbeResults Pipelines;
+  typedef FetchConfigResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hemlockshelf::wire::Config::Pipeline getConfig();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2011,635 +2232,1753 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline bool Sender::Reader::hasVm() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Sender::Builder::hasVm() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Sender::Reader::getVm() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Sender::Builder::getVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Sender::Builder::setVm( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Sender::Builder::initVm(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Sender::Builder::adoptVm(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+class Control::MemberDigestParams::Reader {
+public:
+  typedef MemberDigestParams Reads;
 
-inline bool Sender::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Sender::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Sender::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Sender::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Sender::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Sender::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Sender::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool Sender::Reader::hasRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Sender::Builder::hasRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Sender::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Sender::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Sender::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Sender::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Sender::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool AcknowledgedUpstream::Reader::hasInstance() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AcknowledgedUpstream::Builder::hasInstance() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AcknowledgedUpstream::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AcknowledgedUpstream::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AcknowledgedUpstream::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder AcknowledgedUpstream::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void AcknowledgedUpstream::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> AcknowledgedUpstream::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t AcknowledgedUpstream::Reader::getStartedMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline bool hasSender() const;
+  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
 
-inline  ::uint64_t AcknowledgedUpstream::Builder::getStartedMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AcknowledgedUpstream::Builder::setStartedMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasBuckets() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
 
-inline  ::uint64_t AcknowledgedUpstream::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint64_t AcknowledgedUpstream::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void AcknowledgedUpstream::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+class Control::MemberDigestParams::Builder {
+public:
+  typedef MemberDigestParams Builds;
 
-inline  ::uint64_t AcknowledgedUpstream::Reader::getWithdrawnUntilMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint64_t AcknowledgedUpstream::Builder::getWithdrawnUntilMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void AcknowledgedUpstream::Builder::setWithdrawnUntilMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline bool AcknowledgedUpstream::Reader::getDrained() const {
-  return _reader.getDataField<bool>(
+  inline bool hasSender();
+  inline  ::hemlockshelf::wire::Sender::Builder getSender();
+  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
+  inline  ::hemlockshelf::wire::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
+
+  inline bool hasBuckets();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
+  inline void setBuckets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBuckets(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBuckets(unsigned int size);
+  inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::MemberDigestParams::Pipeline {
+public:
+  typedef MemberDigestParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::MemberDigestResults::Reader {
+public:
+  typedef MemberDigestResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getDiffering() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::MemberDigestResults::Builder {
+public:
+  typedef MemberDigestResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getDiffering();
+  inline void setDiffering( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::MemberRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::MemberDigestResults::Pipeline {
+public:
+  typedef MemberDigestResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::ProbeParams::Reader {
+public:
+  typedef ProbeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::ProbeParams::Builder {
+public:
+  typedef ProbeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::hemlockshelf::wire::Sender::Builder getSender();
+  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
+  inline  ::hemlockshelf::wire::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::ProbeParams::Pipeline {
+public:
+  typedef ProbeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::ProbeResults::Reader {
+public:
+  typedef ProbeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getReachable() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::ProbeResults::Builder {
+public:
+  typedef ProbeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getReachable();
+  inline void setReachable(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::ProbeResults::Pipeline {
+public:
+  typedef ProbeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::GrantTokensParams::Reader {
+public:
+  typedef GrantTokensParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
+
+  inline bool hasRequests() const;
+  inline  ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>::Reader getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::GrantTokensParams::Builder {
+public:
+  typedef GrantTokensParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::hemlockshelf::wire::Sender::Builder getSender();
+  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
+  inline  ::hemlockshelf::wire::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
+
+  inline bool hasRequests();
+  inline  ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>::Builder getRequests();
+  inline void setRequests( ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>::Builder initRequests(unsigned int size);
+  inline void adoptRequests(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>> disownRequests();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::GrantTokensParams::Pipeline {
+public:
+  typedef GrantTokensParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::GrantTokensResults::Reader {
+public:
+  typedef GrantTokensResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsGrantor() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::GrantTokensResults::Builder {
+public:
+  typedef GrantTokensResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsGrantor();
+  inline void setIsGrantor(bool value);
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::GrantTokensResults::Pipeline {
+public:
+  typedef GrantTokensResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::ReportRolloutParams::Reader {
+public:
+  typedef ReportRolloutParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader getCounts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::ReportRolloutParams::Builder {
+public:
+  typedef ReportRolloutParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::hemlockshelf::wire::Sender::Builder getSender();
+  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
+  inline  ::hemlockshelf::wire::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>> disownCounts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::ReportRolloutParams::Pipeline {
+public:
+  typedef ReportRolloutParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::ReportRolloutResults::Reader {
+public:
+  typedef ReportRolloutResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPlans() const;
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Reader getPlans() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::ReportRolloutResults::Builder {
+public:
+  typedef ReportRolloutResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPlans();
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Builder getPlans();
+  inline void setPlans( ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Builder initPlans(unsigned int size);
+  inline void adoptPlans(::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>> disownPlans();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::ReportRolloutResults::Pipeline {
+public:
+  typedef ReportRolloutResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Sender::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Sender::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Sender::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Sender::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Sender::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Sender::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Sender::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Sender::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Sender::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Sender::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Sender::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Sender::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Sender::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Sender::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Sender::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Sender::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Sender::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Sender::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Sender::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Sender::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Sender::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool AcknowledgedUpstream::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AcknowledgedUpstream::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AcknowledgedUpstream::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AcknowledgedUpstream::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AcknowledgedUpstream::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AcknowledgedUpstream::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AcknowledgedUpstream::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AcknowledgedUpstream::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Reader::getStartedMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Builder::getStartedMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setStartedMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Reader::getWithdrawnUntilMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcknowledgedUpstream::Builder::getWithdrawnUntilMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setWithdrawnUntilMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AcknowledgedUpstream::Reader::getDrained() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
-
-inline bool AcknowledgedUpstream::Builder::getDrained() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+
+inline bool AcknowledgedUpstream::Builder::getDrained() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setDrained(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberRecord::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MemberRecord::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MemberRecord::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool MemberRecord::Reader::hasGateAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasGateAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getGateAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getGateAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setGateAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initGateAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptGateAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownGateAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool MemberRecord::Reader::hasControlAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasControlAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getControlAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getControlAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setControlAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initControlAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptControlAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownControlAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MemberRecord::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberRecord::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MemberRecord::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberRecord::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t MemberRecord::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t MemberRecord::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberRecord::Reader::getDown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+
+inline bool MemberRecord::Builder::getDown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setDown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberRecord::Reader::hasAccount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasAccount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool MemberRecord::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t MemberRecord::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberRecord::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MemberRecord::Reader::getConnections() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberRecord::Builder::getConnections() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setConnections( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberRecord::Reader::hasAdminAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasAdminAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getAdminAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getAdminAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setAdminAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initAdminAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptAdminAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownAdminAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MemberRecord::Reader::getLink() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberRecord::Builder::getLink() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setLink( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberRecord::Reader::getPlatformLost() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS);
+}
+
+inline bool MemberRecord::Builder::getPlatformLost() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setPlatformLost(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MemberRecord::Reader::getPlatformRoundTripUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberRecord::Builder::getPlatformRoundTripUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setPlatformRoundTripUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberRecord::Reader::hasAcknowledged() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasAcknowledged() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader MemberRecord::Reader::getAcknowledged() const {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder MemberRecord::Builder::getAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline MemberRecord::Pipeline::getAcknowledged() {
+  return  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void MemberRecord::Builder::setAcknowledged( ::hemlockshelf::wire::AcknowledgedUpstream::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder MemberRecord::Builder::initAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::adoptAcknowledged(
+    ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> MemberRecord::Builder::disownAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool MemberRecord::Reader::hasUpstreamVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasUpstreamVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getUpstreamVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getUpstreamVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setUpstreamVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initUpstreamVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptUpstreamVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownUpstreamVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool MemberRecord::Reader::hasRollouts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasRollouts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Reader MemberRecord::Reader::getRollouts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::getRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setRollouts( ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Builder MemberRecord::Builder::initRollouts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
 }
-inline void AcknowledgedUpstream::Builder::setDrained(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::adoptRollouts(
+    ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>> MemberRecord::Builder::disownRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::hasVm() const {
+inline bool RolloutPlan::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasVm() {
+inline bool RolloutPlan::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getVm() const {
+inline  ::capnp::Text::Reader RolloutPlan::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getVm() {
+inline  ::capnp::Text::Builder RolloutPlan::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setVm( ::capnp::Text::Reader value) {
+inline void RolloutPlan::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initVm(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutPlan::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptVm(
+inline void RolloutPlan::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownVm() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutPlan::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::hasFailureDomain() const {
+inline bool RolloutPlan::Reader::hasVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasFailureDomain() {
+inline bool RolloutPlan::Builder::hasVersion() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader RolloutPlan::Reader::getVersion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder RolloutPlan::Builder::getVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void RolloutPlan::Builder::setVersion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutPlan::Builder::initVersion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptFailureDomain(
+inline void RolloutPlan::Builder::adoptVersion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutPlan::Builder::disownVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::hasRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::uint16_t RolloutPlan::Reader::getSharePermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool MemberRecord::Builder::hasRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint16_t RolloutPlan::Builder::getSharePermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void RolloutPlan::Builder::setSharePermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint8_t RolloutPlan::Reader::getStep() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline  ::uint8_t RolloutPlan::Builder::getStep() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void RolloutPlan::Builder::setStep( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void MemberRecord::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t RolloutPlan::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RolloutPlan::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RolloutPlan::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasGateAddress() const {
+inline bool RolloutCounts::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasGateAddress() {
+inline bool RolloutCounts::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getGateAddress() const {
+inline  ::capnp::Text::Reader RolloutCounts::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getGateAddress() {
+inline  ::capnp::Text::Builder RolloutCounts::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setGateAddress( ::capnp::Text::Reader value) {
+inline void RolloutCounts::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initGateAddress(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutCounts::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptGateAddress(
+inline void RolloutCounts::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownGateAddress() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutCounts::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::hasControlAddress() const {
+inline bool RolloutCounts::Reader::hasRoute() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasControlAddress() {
+inline bool RolloutCounts::Builder::hasRoute() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getControlAddress() const {
+inline  ::capnp::Text::Reader RolloutCounts::Reader::getRoute() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getControlAddress() {
+inline  ::capnp::Text::Builder RolloutCounts::Builder::getRoute() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setControlAddress( ::capnp::Text::Reader value) {
+inline void RolloutCounts::Builder::setRoute( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initControlAddress(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutCounts::Builder::initRoute(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptControlAddress(
+inline void RolloutCounts::Builder::adoptRoute(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownControlAddress() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutCounts::Builder::disownRoute() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberRecord::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool RolloutCounts::Reader::getTarget() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberRecord::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool RolloutCounts::Builder::getTarget() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RolloutCounts::Builder::setTarget(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MemberRecord::Reader::getSequence() const {
+inline  ::uint64_t RolloutCounts::Reader::getAnswers() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberRecord::Builder::getSequence() {
+inline  ::uint64_t RolloutCounts::Builder::getAnswers() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setSequence( ::uint64_t value) {
+inline void RolloutCounts::Builder::setAnswers( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t MemberRecord::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t MemberRecord::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void MemberRecord::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool MemberRecord::Reader::getDown() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RolloutCounts::Reader::getFailures() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberRecord::Builder::getDown() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RolloutCounts::Builder::getFailures() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setDown(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
+inline void RolloutCounts::Builder::setFailures( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasAccount() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberRecord::Builder::hasAccount() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MemberRecord::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void MemberRecord::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
-}
-inline void MemberRecord::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::uint64_t RolloutCounts::Reader::getTotalMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberRecord::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberRecord::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MemberRecord::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void MemberRecord::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
-}
-inline void MemberRecord::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint64_t RolloutCounts::Builder::getTotalMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline void RolloutCounts::Builder::setTotalMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t MemberRecord::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RolloutCounts::Reader::getSlow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MemberRecord::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RolloutCounts::Builder::getSlow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void RolloutCounts::Builder::setSlow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t MemberRecord::Reader::getConnections() const {
+inline  ::uint32_t RolloutCounts::Reader::getInProgress() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MemberRecord::Builder::getConnections() {
+inline  ::uint32_t RolloutCounts::Builder::getInProgress() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setConnections( ::uint32_t value) {
+inline void RolloutCounts::Builder::setInProgress( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasAdminAddress() const {
+inline bool TokenRequest::Reader::hasAccount() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasAdminAddress() {
+inline bool TokenRequest::Builder::hasAccount() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getAdminAddress() const {
+inline  ::capnp::Text::Reader TokenRequest::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getAdminAddress() {
+inline  ::capnp::Text::Builder TokenRequest::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setAdminAddress( ::capnp::Text::Reader value) {
+inline void TokenRequest::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initAdminAddress(unsigned int size) {
+inline  ::capnp::Text::Builder TokenRequest::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptAdminAddress(
+inline void TokenRequest::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownAdminAddress() {
+inline ::capnp::Orphan< ::capnp::Text> TokenRequest::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberRecord::Reader::getLink() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t TokenRequest::Reader::getCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberRecord::Builder::getLink() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t TokenRequest::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setLink( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void TokenRequest::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::getPlatformLost() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<137>() * ::capnp::ELEMENTS);
+inline  ::uint32_t TokenGrant::Reader::getGranted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberRecord::Builder::getPlatformLost() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<137>() * ::capnp::ELEMENTS);
+inline  ::uint32_t TokenGrant::Builder::getGranted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setPlatformLost(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<137>() * ::capnp::ELEMENTS, value);
+inline void TokenGrant::Builder::setGranted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t MemberRecord::Reader::getPlatformRoundTripUs() const {
+inline  ::uint32_t TokenGrant::Reader::getWaitMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MemberRecord::Builder::getPlatformRoundTripUs() {
+inline  ::uint32_t TokenGrant::Builder::getWaitMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setPlatformRoundTripUs( ::uint32_t value) {
+inline void TokenGrant::Builder::setWaitMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasAcknowledged() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberRecord::Builder::hasAcknowledged() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline  ::hemlockshelf::wire::AcknowledgedUpstream::Reader MemberRecord::Reader::getAcknowledged() const {
-  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder MemberRecord::Builder::getAcknowledged() {
-  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline MemberRecord::Pipeline::getAcknowledged() {
-  return  ::hemlockshelf::wire::AcknowledgedUpstream::Pipeline(_typeless.getPointerField(8));
-}
-#endif  // !CAPNP_LITE
-inline void MemberRecord::Builder::setAcknowledged( ::hemlockshelf::wire::AcknowledgedUpstream::Reader value) {
-  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
-}
-inline  ::hemlockshelf::wire::AcknowledgedUpstream::Builder MemberRecord::Builder::initAcknowledged() {
-  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline bool TokenGrant::Reader::getUnknownAccount() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::adoptAcknowledged(
-    ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream>&& value) {
-  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool TokenGrant::Builder::getUnknownAccount() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::hemlockshelf::wire::AcknowledgedUpstream> MemberRecord::Builder::disownAcknowledged() {
-  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::AcknowledgedUpstream>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline void TokenGrant::Builder::setUnknownAccount(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::hasSender() const {
@@ -2804,6 +4143,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Heartbeat::Reader::getConfirmationAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Heartbeat::Builder::getConfirmationAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setConfirmationAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Push::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3550,6 +4903,234 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Control::GrantTokensParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::GrantTokensParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockshelf::wire::Sender::Reader Control::GrantTokensParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hemlockshelf::wire::Sender::Builder Control::GrantTokensParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockshelf::wire::Sender::Pipeline Control::GrantTokensParams::Pipeline::getSender() {
+  return  ::hemlockshelf::wire::Sender::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Control::GrantTokensParams::Builder::setSender( ::hemlockshelf::wire::Sender::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockshelf::wire::Sender::Builder Control::GrantTokensParams::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::GrantTokensParams::Builder::adoptSender(
+    ::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> Control::GrantTokensParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::GrantTokensParams::Reader::hasRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::GrantTokensParams::Builder::hasRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>::Reader Control::GrantTokensParams::Reader::getRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>::Builder Control::GrantTokensParams::Builder::getRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::GrantTokensParams::Builder::setRequests( ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>::Builder Control::GrantTokensParams::Builder::initRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Control::GrantTokensParams::Builder::adoptRequests(
+    ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>> Control::GrantTokensParams::Builder::disownRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Control::GrantTokensResults::Reader::getIsGrantor() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Control::GrantTokensResults::Builder::getIsGrantor() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Control::GrantTokensResults::Builder::setIsGrantor(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Control::GrantTokensResults::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::GrantTokensResults::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>::Reader Control::GrantTokensResults::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>::Builder Control::GrantTokensResults::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::GrantTokensResults::Builder::setGrants( ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>::Builder Control::GrantTokensResults::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::GrantTokensResults::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>> Control::GrantTokensResults::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::TokenGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ReportRolloutParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ReportRolloutParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockshelf::wire::Sender::Reader Control::ReportRolloutParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hemlockshelf::wire::Sender::Builder Control::ReportRolloutParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockshelf::wire::Sender::Pipeline Control::ReportRolloutParams::Pipeline::getSender() {
+  return  ::hemlockshelf::wire::Sender::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Control::ReportRolloutParams::Builder::setSender( ::hemlockshelf::wire::Sender::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockshelf::wire::Sender::Builder Control::ReportRolloutParams::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::ReportRolloutParams::Builder::adoptSender(
+    ::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> Control::ReportRolloutParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ReportRolloutParams::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ReportRolloutParams::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader Control::ReportRolloutParams::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder Control::ReportRolloutParams::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::ReportRolloutParams::Builder::setCounts( ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder Control::ReportRolloutParams::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Control::ReportRolloutParams::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>> Control::ReportRolloutParams::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ReportRolloutResults::Reader::hasPlans() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ReportRolloutResults::Builder::hasPlans() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Reader Control::ReportRolloutResults::Reader::getPlans() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Builder Control::ReportRolloutResults::Builder::getPlans() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::ReportRolloutResults::Builder::setPlans( ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>::Builder Control::ReportRolloutResults::Builder::initPlans(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::ReportRolloutResults::Builder::adoptPlans(
+    ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>> Control::ReportRolloutResults::Builder::disownPlans() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockshelf::wire::RolloutPlan,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/adapters/rpc/control_handler.hpp
+++ b/adapters/rpc/control_handler.hpp
@@ -29,6 +29,12 @@
     virtual void on_probe(
         const probe_request& request, std::function<void(bool)> answer) = 0;
 
+    /// Grants tokens of client accounts' quotas, if the node is a grantor.
+    virtual grant_answer on_grant(const grant_request& /*request*/)
+    {
+        return {};
+    }
+
 protected:
     control_handler() = default;
     control_handler(const control_handler&) = default;
--- a/adapters/rpc/control_messages.hpp
+++ b/adapters/rpc/control_messages.hpp
@@ -12,6 +12,7 @@
 #include "hemlockshelf/dissemination/push_plan.hpp"
 #include "hemlockshelf/membership/member_digest.hpp"
 #include "hemlockshelf/membership/member_record.hpp"
+#include "hemlockshelf/quota/token_grantor.hpp"
 
 namespace hemlockshelf {
 
@@ -31,6 +32,9 @@
     bool joining_ = false;
     /// Answers that question, if the receiver knows.
     std::optional<acknowledged_upstream> acknowledged_{};
+    /// Age of the sender's confirmation that its accounts are current, in an
+    /// answer; nothing if it has none.
+    std::optional<std::chrono::milliseconds> confirmation_age_{};
 };
 
 /// Changes that the receiver takes and passes on.
@@ -92,6 +96,27 @@
     vm_id target_;
 };
 
+/// Tokens of one account that a node requests from a grantor.
+struct token_demand
+{
+    client_account_id account_;
+    std::uint32_t count_ = 0;
+};
+
+struct grant_request
+{
+    message_sender sender_;
+    std::vector<token_demand> demands_;
+};
+
+struct grant_answer
+{
+    /// Whether the receiver grants tokens; otherwise there are no grants.
+    bool is_grantor_ = false;
+    /// One for each demand, in the same order.
+    std::vector<token_grant> grants_;
+};
+
 } // namespace hemlockshelf
 
 #endif
--- a/adapters/rpc/control_network.cpp
+++ b/adapters/rpc/control_network.cpp
@@ -456,4 +456,30 @@
         std::move(done));
 }
 
+void control_network::grant_tokens(
+    const peer_address& peer,
+    const grant_request& request,
+    std::chrono::milliseconds deadline,
+    callback<grant_answer> done)
+{
+    impl_->loop().call<grant_answer>(
+        "grant_tokens", peer, deadline,
+        [&request](wire::Control::Client& client)
+        {
+            auto call = client.grantTokensRequest();
+            write(call.initSender(), request.sender_);
+            write(
+                call.initRequests(
+                    static_cast<unsigned>(request.demands_.size())),
+                request.demands_);
+            return call.send();
+        },
+        [](const auto& response, byte_meter&)
+        {
+            return grant_answer{
+                response.getIsGrantor(), read(response.getGrants())};
+        },
+        std::move(done));
+}
+
 } // namespace hemlockshelf
--- a/adapters/rpc/control_network.hpp
+++ b/adapters/rpc/control_network.hpp
@@ -76,6 +76,13 @@
         std::chrono::milliseconds deadline,
         callback<bool> done);
 
+    /// An answer has one grant for each demand, or none.
+    void grant_tokens(
+        const peer_address& peer,
+        const grant_request& request,
+        std::chrono::milliseconds deadline,
+        callback<grant_answer> done);
+
 private:
     class impl;
     std::unique_ptr<impl> impl_;
--- a/adapters/rpc/control_service.cpp
+++ b/adapters/rpc/control_service.cpp
@@ -88,4 +88,19 @@
         });
 }
 
+kj::Promise<void> control_service::grantTokens(GrantTokensContext context)
+{
+    const auto params = context.getParams();
+    const grant_request request{
+        read(params.getSender()), read(params.getRequests())};
+    attribute(request.sender_);
+    const auto answer = handler_.on_grant(request);
+    auto results = context.getResults();
+    results.setIsGrantor(answer.is_grantor_);
+    write(
+        results.initGrants(static_cast<unsigned>(answer.grants_.size())),
+        answer.grants_);
+    return kj::READY_NOW;
+}
+
 } // namespace hemlockshelf
--- a/adapters/rpc/control_service.hpp
+++ b/adapters/rpc/control_service.hpp
@@ -27,6 +27,7 @@
     kj::Promise<void> fetchConfig(FetchConfigContext context) override;
     kj::Promise<void> memberDigest(MemberDigestContext context) override;
     kj::Promise<void> probe(ProbeContext context) override;
+    kj::Promise<void> grantTokens(GrantTokensContext context) override;
 
 private:
     void attribute(const message_sender& sender);
--- a/adapters/rpc/message_codec.cpp
+++ b/adapters/rpc/message_codec.cpp
@@ -44,6 +44,16 @@
                       : 0;
 }
 
+/// Returns one more than the age, or 0 for an unknown one.
+std::uint32_t to_wire_age(const std::optional<std::chrono::milliseconds>& age)
+{
+    constexpr std::int64_t longest =
+        std::numeric_limits<std::uint32_t>::max() - 1;
+    return age ? static_cast<std::uint32_t>(
+                     std::clamp<std::int64_t>(age->count(), 0, longest) + 1)
+               : 0;
+}
+
 void write(
     wire::AcknowledgedUpstream::Builder wire,
     const acknowledged_upstream& acknowledged)
@@ -180,6 +190,7 @@
     {
         write(wire.initAcknowledged(), *message.acknowledged_);
     }
+    wire.setConfirmationAgeMs(to_wire_age(message.confirmation_age_));
 }
 
 heartbeat_message read(wire::Heartbeat::Reader wire)
@@ -195,6 +206,10 @@
     {
         message.acknowledged_ = read(wire.getAcknowledged());
     }
+    if (const auto age = wire.getConfirmationAgeMs())
+    {
+        message.confirmation_age_ = std::chrono::milliseconds{age - 1};
+    }
     return message;
 }
 
@@ -272,4 +287,54 @@
     return digest;
 }
 
+void write(
+    capnp::List<wire::TokenRequest>::Builder wire,
+    const std::vector<token_demand>& demands)
+{
+    for (unsigned index = 0; index < demands.size(); ++index)
+    {
+        wire[index].setAccount(demands[index].account_.value().c_str());
+        wire[index].setCount(demands[index].count_);
+    }
+}
+
+std::vector<token_demand> read(capnp::List<wire::TokenRequest>::Reader wire)
+{
+    std::vector<token_demand> demands;
+    demands.reserve(wire.size());
+    for (const auto demand : wire)
+    {
+        demands.push_back(
+            {client_account_id{required_text(demand.getAccount())},
+             demand.getCount()});
+    }
+    return demands;
+}
+
+void write(
+    capnp::List<wire::TokenGrant>::Builder wire,
+    const std::vector<token_grant>& grants)
+{
+    for (unsigned index = 0; index < grants.size(); ++index)
+    {
+        wire[index].setGranted(grants[index].granted_);
+        wire[index].setWaitMs(
+            static_cast<std::uint32_t>(grants[index].wait_.count()));
+        wire[index].setUnknownAccount(grants[index].unknown_account_);
+    }
+}
+
+std::vector<token_grant> read(capnp::List<wire::TokenGrant>::Reader wire)
+{
+    std::vector<token_grant> grants;
+    grants.reserve(wire.size());
+    for (const auto grant : wire)
+    {
+        grants.push_back(
+            {grant.getGranted(), std::chrono::milliseconds{grant.getWaitMs()},
+             grant.getUnknownAccount()});
+    }
+    return grants;
+}
+
 } // namespace hemlockshelf
--- a/adapters/rpc/message_codec.hpp
+++ b/adapters/rpc/message_codec.hpp
@@ -35,6 +35,16 @@
     capnp::List<std::uint64_t>::Builder wire, const member_digest& digest);
 member_digest read(capnp::List<std::uint64_t>::Reader wire);
 
+void write(
+    capnp::List<wire::TokenRequest>::Builder wire,
+    const std::vector<token_demand>& demands);
+std::vector<token_demand> read(capnp::List<wire::TokenRequest>::Reader wire);
+
+void write(
+    capnp::List<wire::TokenGrant>::Builder wire,
+    const std::vector<token_grant>& grants);
+std::vector<token_grant> read(capnp::List<wire::TokenGrant>::Reader wire);
+
 } // namespace hemlockshelf
 
 #endif
--- a/adapters/settings/node_settings.cpp
+++ b/adapters/settings/node_settings.cpp
@@ -160,6 +160,8 @@
     read_routing(root.section("routing"), settings.routing_);
     read_retry(root.section("retry"), settings.retry_);
     read_gate_limits(root.section("gate_limits"), settings.gate_limits_);
+    read_accounts(root.section("accounts"), settings.accounts_);
+    read_quota(root.section("quota"), settings.quota_);
     settings.gate_limits_.link_ = settings.link_;
     // The platform's adapter reads its section by itself.
     root.section("provider");
--- a/adapters/settings/node_settings.hpp
+++ b/adapters/settings/node_settings.hpp
@@ -9,12 +9,14 @@
 #include "adapters/http/endpoint.hpp"
 #include "adapters/settings/settings_section.hpp"
 #include "adapters/telemetry/event_log.hpp"
+#include "hemlockshelf/accounts/credential_lease.hpp"
 #include "hemlockshelf/core/error.hpp"
 #include "hemlockshelf/core/ids.hpp"
 #include "hemlockshelf/dissemination/dissemination_settings.hpp"
 #include "hemlockshelf/editing/editing_settings.hpp"
 #include "hemlockshelf/gate/gate_settings.hpp"
 #include "hemlockshelf/membership/membership_settings.hpp"
+#include "hemlockshelf/quota/quota_settings.hpp"
 #include "hemlockshelf/retry/retry_settings.hpp"
 #include "hemlockshelf/routing/routing_settings.hpp"
 
@@ -56,6 +58,8 @@
     routing_settings routing_;
     retry_settings retry_;
     gate_settings gate_limits_;
+    account_settings accounts_;
+    quota_settings quota_;
 };
 
 /// Reads and checks a settings file. The error is `settings_invalid` and names
--- a/adapters/settings/section_readers.cpp
+++ b/adapters/settings/section_readers.cpp
@@ -1,5 +1,7 @@
 #include "adapters/settings/section_readers.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 
 namespace hemlockshelf {
@@ -374,6 +376,43 @@
     section.reject_unknown_keys();
 }
 
+void read_accounts(settings_section section, account_settings& settings)
+{
+    read_duration(
+        section,
+        {"revocation_limit",
+         "Time after which no node accepts a withdrawn API key, even one that "
+         "is cut off; 0 sets no limit."},
+        settings.revocation_limit_);
+    section.reject_unknown_keys();
+}
+
+void read_quota(settings_section section, quota_settings& settings)
+{
+    read_duration(
+        section,
+        {"window", "Window in which the requests of a client account are "
+                   "counted; 0 turns quotas off."},
+        settings.window_);
+    read_share(
+        section,
+        {"overage", "Part by which an account's requests in a window may "
+                    "exceed its quota."},
+        settings.overage_);
+    const auto domains = section.text_pairs(
+        {"failure_domains",
+         "All failure domains of the deployment, each with its region."});
+    settings.failure_domains_ = std::max<std::size_t>(domains.size(), 1);
+    if (settings.window_.count() > 0 && domains.empty())
+    {
+        // Each of them would grant the whole quota.
+        section.report(
+            {"failure_domains", ""},
+            "expected all failure domains of the deployment, given none");
+    }
+    section.reject_unknown_keys();
+}
+
 void read_gate_limits(settings_section section, gate_settings& settings)
 {
     read_share(
--- a/adapters/telemetry/log_event_table.hpp
+++ b/adapters/telemetry/log_event_table.hpp
@@ -61,6 +61,8 @@
     platform_lost,
     platform_regained,
     member_changed,
+    accounts_confirmed,
+    accounts_unconfirmed,
     lines_left_out,
 };
 
@@ -127,6 +129,8 @@
     log_event_info{log_event_id::platform_lost, spdlog::level::warn, "platform_lost", {log_field_id::revision_number}, "The platform does not answer; the revision named stays in force."},
     log_event_info{log_event_id::platform_regained, spdlog::level::info, "platform_regained", {log_field_id::revision_number}, "The platform answers again."},
     log_event_info{log_event_id::member_changed, spdlog::level::info, "member_changed", {log_field_id::peer, log_field_id::state, log_field_id::incarnation_number}, "The node's belief about the upstream beside another node has changed."},
+    log_event_info{log_event_id::accounts_confirmed, spdlog::level::info, "accounts_confirmed", {log_field_id::revision_number}, "The accounts of the revision named are confirmed to be current; callers are authenticated by them."},
+    log_event_info{log_event_id::accounts_unconfirmed, spdlog::level::warn, "accounts_unconfirmed", {log_field_id::revision_number}, "The accounts could not be confirmed for too long: neither the platform nor a node that reaches it answers. Requests that need an API key are refused as not run."},
     log_event_info{log_event_id::lines_left_out, spdlog::level::warn, "lines_left_out", {log_field_id::lines}, "Lines that were not written since the last such line, because there were too many or the reader of standard output was too slow."},
 };
 // clang-format on
--- a/experiment/settings_files.cpp
+++ b/experiment/settings_files.cpp
@@ -9,7 +9,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "node/operator_tokens.hpp"
+#include "hemlockshelf/accounts/key_hash.hpp"
 
 namespace hemlockshelf {
 
--- a/include/hemlockshelf/config/config_snapshot.hpp
+++ b/include/hemlockshelf/config/config_snapshot.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "hemlockshelf/config/account_index.hpp"
 #include "hemlockshelf/config/config_delta.hpp"
 #include "hemlockshelf/config/config_tables.hpp"
 #include "hemlockshelf/config/route_index.hpp"
@@ -19,7 +20,7 @@
 {
 public:
     /// Validates the tables and builds the index. The error is `invalid_row` if
-    /// a route references a missing pool.
+    /// a route references a missing pool or two accounts hold the same API key.
     static result<std::shared_ptr<const config_snapshot>>
     build(revision number, config_tables tables);
 
@@ -51,15 +52,27 @@
         std::string_view host,
         std::string_view path) const;
 
-    /// Returns whether the account owns at least one row.
+    /// Returns the client accounts of the accounts table.
+    [[nodiscard]] const account_index& accounts() const noexcept
+    {
+        return *accounts_;
+    }
+
+    /// Returns whether the account owns at least one route or pool.
     [[nodiscard]] bool has_account(const client_account_id& account) const;
 
 private:
-    config_snapshot(revision number, config_tables tables, route_index index);
+    config_snapshot(
+        revision number,
+        config_tables tables,
+        route_index index,
+        std::shared_ptr<const account_index> accounts);
 
     revision number_;
     config_tables tables_;
     route_index index_;
+    /// Shared with earlier snapshots while the accounts table is the same.
+    std::shared_ptr<const account_index> accounts_;
 };
 
 /// Checks that `next` is the revision directly after `current`. The errors are
