--- a/include/hemlockshelf/config/config_tables.hpp
+++ b/include/hemlockshelf/config/config_tables.hpp
@@ -14,12 +14,13 @@
 
 namespace hemlockshelf {
 
-/// The rows of both tables and their content hash. Copies share the rows, so
+/// The rows of all tables and their content hash. Copies share the rows, so
 /// that a copy duplicates pointers only.
 struct config_tables
 {
     std::map<row_key, std::shared_ptr<const route_row>> routes_;
     std::map<row_key, std::shared_ptr<const pool_row>> pools_;
+    std::map<row_key, std::shared_ptr<const account_row>> accounts_;
     content_hash hash_;
 };
 
--- a/include/hemlockshelf/config/route_row.hpp
+++ b/include/hemlockshelf/config/route_row.hpp
@@ -49,6 +49,8 @@
     /// Pools among which the requests are split by weight; the first one equals
     /// `pool_`. Empty if `pool_` receives all requests.
     std::vector<pool_share> split_;
+    /// Whether callers need no API key, in a deployment with client accounts.
+    bool public_ = false;
 
     /// Priority of a route whose row sets none.
     static constexpr std::uint32_t default_priority = 1;
--- a/include/hemlockshelf/config/row_change.hpp
+++ b/include/hemlockshelf/config/row_change.hpp
@@ -3,6 +3,7 @@
 
 #include <variant>
 
+#include "hemlockshelf/config/account_row.hpp"
 #include "hemlockshelf/config/pool_row.hpp"
 #include "hemlockshelf/config/route_row.hpp"
 #include "hemlockshelf/config/table_id.hpp"
@@ -19,7 +20,7 @@
     table_id table_ = table_id::routes;
     row_key key_;
     /// The new row, of the row type of `table_`, or its deletion.
-    std::variant<row_deletion, route_row, pool_row> row_;
+    std::variant<row_deletion, route_row, pool_row, account_row> row_;
 
     friend bool operator==(const row_change&, const row_change&) = default;
 };
--- a/include/hemlockshelf/config/row_codec.hpp
+++ b/include/hemlockshelf/config/row_codec.hpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "hemlockshelf/config/account_row.hpp"
 #include "hemlockshelf/config/pool_row.hpp"
 #include "hemlockshelf/config/route_row.hpp"
 #include "hemlockshelf/config/table_id.hpp"
@@ -15,11 +16,13 @@
 
 nlohmann::json to_json(const route_row& row);
 nlohmann::json to_json(const pool_row& row);
+nlohmann::json to_json(const account_row& row);
 
 /// Parses a row that a node may hold. The error is `invalid_row` for unknown
 /// fields, wrong types and values beyond `held_row_limits`.
 result<route_row> route_from_json(const nlohmann::json& json);
 result<pool_row> pool_from_json(const nlohmann::json& json);
+result<account_row> account_from_json(const nlohmann::json& json);
 
 /// Returns the text over which the content hash of a row is computed: table,
 /// key and row.
--- a/include/hemlockshelf/config/row_limits.hpp
+++ b/include/hemlockshelf/config/row_limits.hpp
@@ -24,6 +24,10 @@
     std::uint32_t max_attempts_;
     std::uint32_t weight_;
     std::uint32_t max_concurrent_calls_;
+    /// API keys of one account.
+    std::size_t api_keys_;
+    /// Of the rate and the burst of an account.
+    double requests_per_second_;
     /// Whether the names in a key consist of letters, digits, `-`, `_` and `.`
     /// only. Otherwise they may have any character but control characters, and
     /// no blank at an end: they are sent in header fields.
@@ -49,6 +53,7 @@
 /// Checks the values of a row. The error is `invalid_row` and names the field.
 result<void> check_row(const route_row& row, const row_limits& limits);
 result<void> check_row(const pool_row& row, const row_limits& limits);
+result<void> check_row(const account_row& row, const row_limits& limits);
 
 /// Adds the table and the key of a row to the message of an error in it.
 error in_row(const row_change& change, error failure);
--- a/include/hemlockshelf/config/table_builder.hpp
+++ b/include/hemlockshelf/config/table_builder.hpp
@@ -18,6 +18,7 @@
     /// Adds a row, which replaces an earlier one with the same key.
     void put(const row_key& key, const route_row& row);
     void put(const row_key& key, const pool_row& row);
+    void put(const row_key& key, const account_row& row);
 
     /// Returns tables with exactly the rows that were added.
     [[nodiscard]] config_tables finish() &&;
@@ -26,6 +27,7 @@
     config_tables tables_;
     std::set<row_key> routes_;
     std::set<row_key> pools_;
+    std::set<row_key> accounts_;
 };
 
 } // namespace hemlockshelf
--- a/include/hemlockshelf/config/table_id.hpp
+++ b/include/hemlockshelf/config/table_id.hpp
@@ -6,11 +6,13 @@
 
 namespace hemlockshelf {
 
-/// The configuration tables that operators edit.
+/// The configuration tables.
 enum class table_id
 {
     routes,
     pools,
+    /// Client accounts and their API keys. Not edited through nodes.
+    accounts,
 };
 
 /// Returns the name of the table in the table service.
--- a/include/hemlockshelf/core/error_kind.hpp
+++ b/include/hemlockshelf/core/error_kind.hpp
@@ -16,6 +16,10 @@
     invalid_row,
     quota_exceeded,
     rate_limited,
+    /// The node may not rely on the API keys that it holds.
+    credentials_unconfirmed,
+    /// No node that grants the account's quota answered.
+    quota_unavailable,
     header_too_large,
     body_too_large,
     no_route,
--- a/include/hemlockshelf/core/metric_id.hpp
+++ b/include/hemlockshelf/core/metric_id.hpp
@@ -31,6 +31,7 @@
     members,
     edits,
     platform_requests,
+    credential_age,
 };
 
 enum class metric_type
--- a/include/hemlockshelf/core/real_clock.hpp
+++ b/include/hemlockshelf/core/real_clock.hpp
@@ -11,6 +11,7 @@
 public:
     [[nodiscard]] steady_time now() const override;
     [[nodiscard]] wall_time wall_now() const override;
+    [[nodiscard]] boot_time boot_now() const override;
 };
 
 } // namespace hemlockshelf
--- a/include/hemlockshelf/retry/retry_after_delay.hpp
+++ b/include/hemlockshelf/retry/retry_after_delay.hpp
@@ -16,6 +16,10 @@
     std::optional<std::chrono::milliseconds> expected_wait,
     random_source& random);
 
+/// Returns a delay of at least `shortest`, with a jitter of up to a quarter.
+std::chrono::milliseconds
+spread_delay(std::chrono::milliseconds shortest, random_source& random);
+
 } // namespace hemlockshelf
 
 #endif
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -12,6 +12,7 @@
 
 #include "adapters/telemetry/event_log.hpp"
 #include "node/config_manager.hpp"
+#include "node/confirmation_agent.hpp"
 #include "node/contact_tracker.hpp"
 #include "node/control_context.hpp"
 #include "node/directory_agent.hpp"
@@ -24,6 +25,7 @@
 #include "node/publication_readers.hpp"
 #include "node/push_agent.hpp"
 #include "node/push_coordinator.hpp"
+#include "node/quota_agent.hpp"
 #include "node/reader_watch.hpp"
 #include "node/repair_agent.hpp"
 
@@ -98,6 +100,7 @@
               services,
               config_,
               settings.dissemination_.poll_interval_,
+              time,
               [this](poll_report report)
               {
                   network_.post(
@@ -115,6 +118,15 @@
               }),
           readers_(context_),
           reader_watch_(context_, readers_, pushes_, repairs_),
+          lease_(settings.accounts_), confirmations_(
+                                          context_,
+                                          readers_,
+                                          lease_,
+                                          [this]
+                                          {
+                                              poller_.poll_now();
+                                          }),
+          quotas_(context_),
           uses_published_config_(services.configurations_ != nullptr)
     {}
 
@@ -241,6 +253,16 @@
                              settings_.membership_.pause_threshold_;
     }
 
+    [[nodiscard]] bool accounts_confirmed() const
+    {
+        return lease_.is_valid(time_.boot_now());
+    }
+
+    [[nodiscard]] request_quota& account_quota()
+    {
+        return quotas_;
+    }
+
     [[nodiscard]] revision highest_known_revision() const
     {
         return std::max(revision{highest_known_}, config_.current_revision());
@@ -255,7 +277,9 @@
 private:
     heartbeat_message on_heartbeat(const heartbeat_message& request) override
     {
-        return heartbeats_.on_heartbeat(request);
+        auto answer = heartbeats_.on_heartbeat(request);
+        answer.confirmation_age_ = confirmations_.age();
+        return answer;
     }
 
     revision on_push(push_message request) override
@@ -293,6 +317,11 @@
             });
     }
 
+    grant_answer on_grant(const grant_request& request) override
+    {
+        return quotas_.on_grant(request);
+    }
+
     config_answer on_fetch(const fetch_request& request) override
     {
         contacts_.record_contact(request.sender_, true);
@@ -344,6 +373,8 @@
         else if (uses_published_config_)
         {
             reader_watch_.find_configuration();
+            confirmations_.tick();
+            quotas_.tick();
         }
         update_poll_mode();
         highest_known_ = repairs_.highest_seen().value();
@@ -359,6 +390,7 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(pause)));
         heartbeats_.reset();
         contacts_.reset();
+        quotas_.reset();
         lifecycle_.on_paused();
         if (lifecycle_.state() == node_state::joining)
         {
@@ -442,6 +474,10 @@
         {
             return;
         }
+        if (report.confirmed_at_)
+        {
+            confirmations_.record(report.head_, *report.confirmed_at_);
+        }
         const bool is_newest = report.head_ > repairs_.highest_seen();
         repairs_.record_revision(report.head_);
         if (lifecycle_.state() == node_state::joining)
@@ -602,6 +638,9 @@
     directory_agent directory_;
     publication_readers readers_;
     reader_watch reader_watch_;
+    credential_lease lease_;
+    confirmation_agent confirmations_;
+    quota_agent quotas_;
     node_lifecycle lifecycle_;
     std::atomic<node_state> state_ = node_state::starting;
     std::atomic<std::uint64_t> highest_known_ = 0;
@@ -681,6 +720,16 @@
     return impl_->state();
 }
 
+bool control_plane::accounts_confirmed() const
+{
+    return impl_->accounts_confirmed();
+}
+
+request_quota& control_plane::account_quota()
+{
+    return impl_->account_quota();
+}
+
 revision control_plane::highest_known_revision() const
 {
     return impl_->highest_known_revision();
--- a/node/control_plane.hpp
+++ b/node/control_plane.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "adapters/http/request_quota.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/core/clock.hpp"
@@ -66,6 +67,13 @@
     /// the pause threshold. Thread-safe and cheap enough to run for each call.
     [[nodiscard]] bool may_route() const;
 
+    /// Returns whether the node may rely on the client accounts that it holds.
+    /// Cheap enough to run for each call.
+    [[nodiscard]] bool accounts_confirmed() const;
+
+    /// The quotas of client accounts; used by the entry.
+    [[nodiscard]] request_quota& account_quota();
+
     /// Returns the highest revision that the platform or a peer has reported.
     [[nodiscard]] revision highest_known_revision() const;
 
--- a/node/data_plane.cpp
+++ b/node/data_plane.cpp
@@ -49,7 +49,9 @@
         const member_table& members,
         const local_upstream& upstream,
         metric_sink& metrics,
-        std::function<bool()> ready)
+        std::function<bool()> ready,
+        std::function<bool()> accounts_confirmed,
+        request_quota& account_quota)
         : time_(time), snapshots_(snapshots),
           router_(
               members,
@@ -79,7 +81,9 @@
               caller_sessions_,
               settings.vm_,
               settings.source_address_,
-              std::move(ready)},
+              std::move(ready),
+              std::move(accounts_confirmed),
+              &account_quota},
           gate_{
               settings.call_path_,
               time,
@@ -246,7 +250,9 @@
     const member_table& members,
     const local_upstream& upstream,
     metric_sink& metrics,
-    std::function<bool()> ready)
+    std::function<bool()> ready,
+    std::function<bool()> accounts_confirmed,
+    request_quota& account_quota)
     : impl_(std::make_unique<impl>(
           settings,
           time,
@@ -254,7 +260,9 @@
           members,
           upstream,
           metrics,
-          std::move(ready)))
+          std::move(ready),
+          std::move(accounts_confirmed),
+          account_quota))
 {}
 
 data_plane::~data_plane() = default;
--- a/node/data_plane.hpp
+++ b/node/data_plane.hpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "adapters/http/request_quota.hpp"
 #include "adapters/settings/node_settings.hpp"
 #include "hemlockshelf/config/snapshot_store.hpp"
 #include "hemlockshelf/core/clock.hpp"
@@ -24,8 +25,9 @@
 {
 public:
     /// Binds both listeners. `ready` is called for each call and returns
-    /// whether the entry may route it. Throws `boost::system::system_error` if
-    /// an address cannot be bound.
+    /// whether the entry may route it; `accounts_confirmed` returns whether it
+    /// may rely on the client accounts in force. Throws
+    /// `boost::system::system_error` if an address cannot be bound.
     data_plane(
         const node_settings& settings,
         const clock& time,
@@ -33,7 +35,9 @@
         const member_table& members,
         const local_upstream& upstream,
         metric_sink& metrics,
-        std::function<bool()> ready);
+        std::function<bool()> ready,
+        std::function<bool()> accounts_confirmed,
+        request_quota& account_quota);
     ~data_plane();
 
     data_plane(const data_plane&) = delete;
--- a/node/edit_handlers.cpp
+++ b/node/edit_handlers.cpp
@@ -64,7 +64,8 @@
         return make_error(
             error_kind::bad_request,
             fmt::format(
-                "parameter \"table\": expected routes or pools, given \"{}\"",
+                "parameter \"table\": expected routes, pools or accounts, "
+                "given \"{}\"",
                 name));
     }
     return *table;
@@ -126,6 +127,20 @@
     return json;
 }
 
+nlohmann::json rows_of_table(const config_tables& tables, table_id table)
+{
+    switch (table)
+    {
+    case table_id::routes:
+        return rows_to_json(tables.routes_);
+    case table_id::pools:
+        return rows_to_json(tables.pools_);
+    case table_id::accounts:
+        return rows_to_json(tables.accounts_);
+    }
+    return {};
+}
+
 http_response
 show_rows(const admin_context& context, const http_request& request)
 {
@@ -135,9 +150,7 @@
         return error_response(table.error());
     }
     const auto snapshot = context.snapshots_->current();
-    const auto& tables = snapshot->tables();
-    auto rows = *table == table_id::routes ? rows_to_json(tables.routes_)
-                                           : rows_to_json(tables.pools_);
+    auto rows = rows_of_table(snapshot->tables(), *table);
     return json_response(
         200,
         {{"revision", snapshot->number().value()}, {"rows", std::move(rows)}});
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -62,7 +62,12 @@
                          has_configuration(
                              platform_.configurations_ != nullptr,
                              snapshots_.current()->number());
-              }),
+              },
+              [this]
+              {
+                  return control_plane_.accounts_confirmed();
+              },
+              control_plane_.account_quota()),
           editor_(make_editor_ports(), settings_.vm_, settings_.editing_),
           admin_{
               &settings_,
--- a/node/operator_tokens.cpp
+++ b/node/operator_tokens.cpp
@@ -1,11 +1,10 @@
 #include "node/operator_tokens.hpp"
 
-#include <array>
 #include <optional>
 
-#include <fmt/format.h>
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
+
+#include "hemlockshelf/accounts/key_hash.hpp"
 
 namespace hemlockshelf {
 
@@ -21,20 +20,6 @@
 
 } // namespace
 
-std::string sha256_hex(std::string_view text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned size = 0;
-    EVP_Digest(
-        text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
-    std::string hex;
-    for (unsigned at = 0; at < size; ++at)
-    {
-        hex += fmt::format("{:02x}", digest.at(at));
-    }
-    return hex;
-}
-
 result<client_account_id> authenticate(
     const std::map<client_account_id, std::string>& token_hashes,
     std::string_view authorization)
--- a/node/operator_tokens.hpp
+++ b/node/operator_tokens.hpp
@@ -10,9 +10,6 @@
 
 namespace hemlockshelf {
 
-/// Returns the SHA-256 hash of a text in hexadecimal.
-std::string sha256_hex(std::string_view text);
-
 /// Returns the account whose token an `Authorization` header carries. Fails
 /// with `unauthorized`, without revealing which part was wrong.
 result<client_account_id> authenticate(
--- a/node/platform_poller.cpp
+++ b/node/platform_poller.cpp
@@ -22,8 +22,9 @@
     polled_services services,
     config_manager& config,
     std::chrono::milliseconds interval,
+    const clock& time,
     report_handler on_report)
-    : services_(services), config_(config), interval_(interval),
+    : services_(services), config_(config), interval_(interval), time_(time),
       on_report_(std::move(on_report))
 {}
 
@@ -193,7 +194,8 @@
         const auto wait = mode == poll_mode::head_only
                               ? std::chrono::milliseconds{0}
                               : published_wait;
-        report = follow_published(*services_.configurations_, config_, wait);
+        report =
+            follow_published(*services_.configurations_, config_, wait, time_);
     }
     else if (const auto head = read_head(services_.tables_))
     {
--- a/node/platform_poller.hpp
+++ b/node/platform_poller.hpp
@@ -42,6 +42,7 @@
         polled_services services,
         config_manager& config,
         std::chrono::milliseconds interval,
+        const clock& time,
         report_handler on_report);
     ~platform_poller();
 
@@ -71,6 +72,7 @@
     polled_services services_;
     config_manager& config_;
     std::chrono::milliseconds interval_;
+    const clock& time_;
     report_handler on_report_;
     std::mutex mutex_;
     std::condition_variable wake_;
--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -37,9 +37,12 @@
 poll_report follow_published(
     configuration_source& source,
     config_manager& config,
-    std::chrono::milliseconds wait)
+    std::chrono::milliseconds wait,
+    const clock& time)
 {
     poll_report report;
+    // The answer may describe any moment since the question.
+    const auto asked_at = time.boot_now();
     auto read = source.wait_for_newer(*config.current(), wait);
     if (!read)
     {
@@ -58,6 +61,7 @@
         }
     }
     report.head_ = config.current_revision();
+    report.confirmed_at_ = asked_at;
     return report;
 }
 
--- a/node/published_config.hpp
+++ b/node/published_config.hpp
@@ -12,7 +12,8 @@
 poll_report follow_published(
     configuration_source& source,
     config_manager& config,
-    std::chrono::milliseconds wait);
+    std::chrono::milliseconds wait,
+    const clock& time);
 
 } // namespace hemlockshelf
 
--- /dev/null
+++ b/src/accounts/credential_lease.cpp
@@ -0,0 +1,42 @@
+#include "hemlockshelf/accounts/credential_lease.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+// The rest of the limit covers the time between the check of a request and its
+// dispatch, and clocks that run at different rates.
+constexpr double share_of_limit = 0.8;
+
+} // namespace
+
+credential_lease::credential_lease(const account_settings& settings)
+    : duration_(std::chrono::duration_cast<std::chrono::nanoseconds>(
+          share_of_limit * settings.revocation_limit_))
+{}
+
+void credential_lease::confirm(boot_time at)
+{
+    auto last = confirmed_at_.load();
+    while (last < at && !confirmed_at_.compare_exchange_weak(last, at))
+    {}
+}
+
+bool credential_lease::is_valid(boot_time now) const
+{
+    if (!is_limited())
+    {
+        return true;
+    }
+    const auto elapsed = age(now);
+    return elapsed && *elapsed < duration_;
+}
+
+std::optional<std::chrono::nanoseconds>
+credential_lease::age(boot_time now) const
+{
+    const auto last = confirmed_at_.load();
+    return last == boot_time::min() ? std::nullopt : std::optional(now - last);
+}
+
+} // namespace hemlockshelf
--- a/src/config/config_delta.cpp
+++ b/src/config/config_delta.cpp
@@ -34,7 +34,8 @@
         return make_error(
             error_kind::invalid_row,
             fmt::format(
-                "change: expected the table \"routes\" or \"pools\", given {}",
+                "change: expected the table \"routes\", \"pools\" or "
+                "\"accounts\", given {}",
                 json.at("table").dump()));
     }
     row_change change;
@@ -71,6 +72,17 @@
                 })
             .map_error(name_row);
     }
+    if (change->table_ == table_id::accounts)
+    {
+        return account_from_json(row)
+            .map(
+                [&change](account_row&& account)
+                {
+                    change->row_ = std::move(account);
+                    return *change;
+                })
+            .map_error(name_row);
+    }
     return pool_from_json(row)
         .map(
             [&change](pool_row&& pool)
@@ -87,6 +99,10 @@
     {
         return to_json(*route);
     }
+    if (const auto* account = std::get_if<account_row>(&change.row_))
+    {
+        return to_json(*account);
+    }
     return to_json(std::get<pool_row>(change.row_));
 }
 
--- a/src/config/config_snapshot.cpp
+++ b/src/config/config_snapshot.cpp
@@ -1,5 +1,6 @@
 #include "hemlockshelf/config/config_snapshot.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -8,9 +9,27 @@
 
 namespace hemlockshelf {
 
+namespace {
+
+bool changes_accounts(const std::vector<row_change>& changes)
+{
+    return std::ranges::any_of(
+        changes,
+        [](const row_change& change)
+        {
+            return change.table_ == table_id::accounts;
+        });
+}
+
+} // namespace
+
 config_snapshot::config_snapshot(
-    revision number, config_tables tables, route_index index)
-    : number_(number), tables_(std::move(tables)), index_(std::move(index))
+    revision number,
+    config_tables tables,
+    route_index index,
+    std::shared_ptr<const account_index> accounts)
+    : number_(number), tables_(std::move(tables)), index_(std::move(index)),
+      accounts_(std::move(accounts))
 {}
 
 result<std::shared_ptr<const config_snapshot>>
@@ -21,9 +40,14 @@
     {
         return tl::unexpected<error>(checked.error());
     }
+    auto accounts = account_index::build(tables);
+    if (!accounts)
+    {
+        return tl::unexpected<error>(accounts.error());
+    }
     auto index = route_index::build(tables);
-    return std::shared_ptr<const config_snapshot>(
-        new config_snapshot(number, std::move(tables), std::move(index)));
+    return std::shared_ptr<const config_snapshot>(new config_snapshot(
+        number, std::move(tables), std::move(index), std::move(*accounts)));
 }
 
 result<std::shared_ptr<const config_snapshot>> config_snapshot::build_next(
@@ -32,21 +56,29 @@
     config_tables tables,
     const std::vector<row_change>& changes)
 {
-    const auto accounts = affected_accounts(base.tables_, tables, changes);
-    const auto checked = check_references(tables, accounts);
+    const auto owners = affected_accounts(base.tables_, tables, changes);
+    const auto checked = check_references(tables, owners);
     if (!checked)
     {
         return tl::unexpected<error>(checked.error());
     }
-    auto index = base.index_.with_accounts(tables, accounts);
-    return std::shared_ptr<const config_snapshot>(
-        new config_snapshot(number, std::move(tables), std::move(index)));
+    auto accounts =
+        changes_accounts(changes)
+            ? account_index::build(tables)
+            : result<std::shared_ptr<const account_index>>(base.accounts_);
+    if (!accounts)
+    {
+        return tl::unexpected<error>(accounts.error());
+    }
+    auto index = base.index_.with_accounts(tables, owners);
+    return std::shared_ptr<const config_snapshot>(new config_snapshot(
+        number, std::move(tables), std::move(index), std::move(*accounts)));
 }
 
 std::shared_ptr<const config_snapshot> config_snapshot::empty()
 {
-    return std::shared_ptr<const config_snapshot>(
-        new config_snapshot(revision{0}, {}, {}));
+    return std::shared_ptr<const config_snapshot>(new config_snapshot(
+        revision{0}, {}, {}, std::make_shared<const account_index>()));
 }
 
 const resolved_route* config_snapshot::find_route(
--- a/src/config/config_tables.cpp
+++ b/src/config/config_tables.cpp
@@ -78,12 +78,18 @@
 
 void apply_change(config_tables& tables, const row_change& change)
 {
-    if (change.table_ == table_id::routes)
+    switch (change.table_)
     {
+    case table_id::routes:
         replace_row(tables.routes_, tables.hash_, change);
-        return;
+        break;
+    case table_id::pools:
+        replace_row(tables.pools_, tables.hash_, change);
+        break;
+    case table_id::accounts:
+        replace_row(tables.accounts_, tables.hash_, change);
+        break;
     }
-    replace_row(tables.pools_, tables.hash_, change);
 }
 
 result<void> check_references(const config_tables& tables)
@@ -134,7 +140,8 @@
 std::vector<row_change> all_rows(const config_tables& tables)
 {
     std::vector<row_change> rows;
-    rows.reserve(tables.routes_.size() + tables.pools_.size());
+    rows.reserve(
+        tables.routes_.size() + tables.pools_.size() + tables.accounts_.size());
     for (const auto& [key, pool] : tables.pools_)
     {
         rows.push_back({table_id::pools, key, *pool});
@@ -143,6 +150,10 @@
     {
         rows.push_back({table_id::routes, key, *route});
     }
+    for (const auto& [key, account] : tables.accounts_)
+    {
+        rows.push_back({table_id::accounts, key, *account});
+    }
     return rows;
 }
 
--- a/src/config/route_index.cpp
+++ b/src/config/route_index.cpp
@@ -154,6 +154,10 @@
     std::set<client_account_id> accounts;
     for (const auto& change : changes)
     {
+        if (change.table_ == table_id::accounts)
+        {
+            continue;
+        }
         accounts.insert(account_of(change.key_));
         if (change.table_ == table_id::pools)
         {
--- a/src/config/row_codec.cpp
+++ b/src/config/row_codec.cpp
@@ -169,6 +169,51 @@
     return accounts;
 }
 
+result<std::set<std::string>>
+read_key_hashes(const nlohmann::json& json, const char* field)
+{
+    std::set<std::string> hashes;
+    const auto found = json.find(field);
+    if (found == json.end())
+    {
+        return hashes;
+    }
+    const auto is_text = [](const nlohmann::json& item)
+    {
+        return item.is_string();
+    };
+    if (!found->is_array() || !std::ranges::all_of(*found, is_text))
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"{}\": expected a list of SHA-256 values", field));
+    }
+    for (const auto& item : *found)
+    {
+        hashes.insert(item.get<std::string>());
+    }
+    return hashes;
+}
+
+result<double> read_quantity(const nlohmann::json& json, const char* field)
+{
+    const auto found = json.find(field);
+    if (found == json.end())
+    {
+        return 0.0;
+    }
+    if (!found->is_number())
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"{}\": expected a number, given {}", field,
+                found->dump()));
+    }
+    return found->get<double>();
+}
+
 // Fields with their default value are omitted, so that the content hash of rows
 // that were stored without these fields does not change.
 void add_optional_fields(nlohmann::json& json, const route_row& row)
@@ -189,6 +234,10 @@
     {
         json["max_attempts"] = row.max_attempts_;
     }
+    if (row.public_)
+    {
+        json["public"] = true;
+    }
     for (const auto& share : row.split_)
     {
         json["split"].push_back(
@@ -223,6 +272,12 @@
         return tl::unexpected<error>(attempts.error());
     }
     row.max_attempts_ = *attempts;
+    const auto is_public = read_flag(json, "public", false);
+    if (!is_public)
+    {
+        return tl::unexpected<error>(is_public.error());
+    }
+    row.public_ = *is_public;
     auto split = read_split(json, "split");
     if (!split)
     {
@@ -268,7 +323,7 @@
     const auto fields = check_fields(
         json, {"host", "path_prefix", "pool", "class", "timeout_ms",
                "idempotent", "ignore_method", "target_latency_ms", "priority",
-               "max_attempts", "split"});
+               "max_attempts", "split", "public"});
     const auto host =
         fields ? read_text(json, "host", nullptr)
                : result<std::string>(tl::unexpected<error>(fields.error()));
@@ -366,6 +421,68 @@
     return row;
 }
 
+nlohmann::json to_json(const account_row& row)
+{
+    nlohmann::json json{{"key_hashes", row.key_hashes_}};
+    if (row.priority_)
+    {
+        json["priority"] = *row.priority_;
+    }
+    if (row.requests_per_second_ > 0)
+    {
+        json["requests_per_second"] = row.requests_per_second_;
+    }
+    if (row.burst_ > 0)
+    {
+        json["burst"] = row.burst_;
+    }
+    return json;
+}
+
+result<account_row> account_from_json(const nlohmann::json& json)
+{
+    const auto fields = check_fields(
+        json, {"key_hashes", "priority", "requests_per_second", "burst"});
+    if (!fields)
+    {
+        return tl::unexpected<error>(fields.error());
+    }
+    auto hashes = read_key_hashes(json, "key_hashes");
+    if (!hashes)
+    {
+        return tl::unexpected<error>(hashes.error());
+    }
+    const auto priority = read_number(json, "priority", 0);
+    if (!priority)
+    {
+        return tl::unexpected<error>(priority.error());
+    }
+    const auto rate = read_quantity(json, "requests_per_second");
+    if (!rate)
+    {
+        return tl::unexpected<error>(rate.error());
+    }
+    const auto burst = read_quantity(json, "burst");
+    if (!burst)
+    {
+        return tl::unexpected<error>(burst.error());
+    }
+    account_row row;
+    row.key_hashes_ = std::move(*hashes);
+    if (json.contains("priority"))
+    {
+        row.priority_ = *priority;
+    }
+    row.requests_per_second_ = *rate;
+    row.burst_ = *burst;
+    const auto checked = check_row(row, held_row_limits());
+    if (!checked)
+    {
+        return tl::unexpected<error>(checked.error());
+    }
+    return row;
+}
+
 std::string
 row_hash_input(table_id table, const row_key& key, const nlohmann::json& row)
 {
--- a/src/config/row_limits.cpp
+++ b/src/config/row_limits.cpp
@@ -113,9 +113,39 @@
     return checked;
 }
 
+bool is_key_hash(std::string_view text)
+{
+    constexpr std::size_t sha256_digits = 64;
+    return text.size() == sha256_digits &&
+           text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+result<void> check_quantity(const char* field, double value, double limit)
+{
+    // Written so that NaN fails.
+    if (value >= 0 && value <= limit)
+    {
+        return {};
+    }
+    return make_error(
+        error_kind::invalid_row,
+        fmt::format(
+            "field \"{}\": expected a number from 0 to {}, given {}", field,
+            limit, value));
+}
+
 std::string_view table_of(const row_change& change)
 {
-    return change.table_ == table_id::routes ? "route" : "pool";
+    switch (change.table_)
+    {
+    case table_id::routes:
+        return "route";
+    case table_id::pools:
+        return "pool";
+    case table_id::accounts:
+        return "account";
+    }
+    return "";
 }
 
 } // namespace
@@ -132,6 +162,8 @@
         .max_attempts_ = 1'000'000,
         .weight_ = 1'000'000,
         .max_concurrent_calls_ = 1'000'000,
+        .api_keys_ = 10'000,
+        .requests_per_second_ = 1e9,
         .plain_names_ = false};
 }
 
@@ -145,6 +177,8 @@
         .max_attempts_ = 10,
         .weight_ = 1'000'000,
         .max_concurrent_calls_ = 1'000'000,
+        .api_keys_ = 10'000,
+        .requests_per_second_ = 1e9,
         .plain_names_ = true};
 }
 
@@ -231,6 +265,34 @@
     return checked;
 }
 
+result<void> check_row(const account_row& row, const row_limits& limits)
+{
+    if (row.key_hashes_.size() > limits.api_keys_ ||
+        !std::ranges::all_of(row.key_hashes_, is_key_hash))
+    {
+        return make_error(
+            error_kind::invalid_row,
+            fmt::format(
+                "field \"key_hashes\": expected at most {} values of 64 "
+                "hexadecimal digits",
+                limits.api_keys_));
+    }
+    auto checked = check_number(
+        "priority", row.priority_.value_or(0), {0, limits.priority_});
+    if (checked)
+    {
+        checked = check_quantity(
+            "requests_per_second", row.requests_per_second_,
+            limits.requests_per_second_);
+    }
+    if (checked)
+    {
+        checked =
+            check_quantity("burst", row.burst_, limits.requests_per_second_);
+    }
+    return checked;
+}
+
 error in_row(const row_change& change, error failure)
 {
     failure.message_ = fmt::format(
@@ -254,6 +316,10 @@
     {
         checked = check_row(*pool, limits);
     }
+    else if (const auto* account = std::get_if<account_row>(&change.row_))
+    {
+        checked = check_row(*account, limits);
+    }
     return checked.map_error(
         [&change](const error& failure)
         {
--- a/src/config/table_builder.cpp
+++ b/src/config/table_builder.cpp
@@ -53,11 +53,21 @@
     }
 }
 
+void table_builder::put(const row_key& key, const account_row& row)
+{
+    accounts_.insert(key);
+    if (!has_equal_row(tables_.accounts_, key, row))
+    {
+        apply_change(tables_, {table_id::accounts, key, row});
+    }
+}
+
 config_tables table_builder::finish() &&
 {
     std::vector<row_change> deletions;
     add_deletions(table_id::routes, tables_.routes_, routes_, deletions);
     add_deletions(table_id::pools, tables_.pools_, pools_, deletions);
+    add_deletions(table_id::accounts, tables_.accounts_, accounts_, deletions);
     for (const auto& deletion : deletions)
     {
         apply_change(tables_, deletion);
--- a/src/config/table_changes.cpp
+++ b/src/config/table_changes.cpp
@@ -49,6 +49,7 @@
     std::vector<row_change> changes;
     add_changes(table_id::pools, before.pools_, after.pools_, changes);
     add_changes(table_id::routes, before.routes_, after.routes_, changes);
+    add_changes(table_id::accounts, before.accounts_, after.accounts_, changes);
     return changes;
 }
 
--- a/src/core/error_table.cpp
+++ b/src/core/error_table.cpp
@@ -27,6 +27,8 @@
     error_properties{invalid_row, "invalid_row", 422, not_run, never, refused},
     error_properties{quota_exceeded, "quota_exceeded", 429, not_run, after_delay, refused},
     error_properties{rate_limited, "rate_limited", 429, not_run, after_delay, refused},
+    error_properties{credentials_unconfirmed, "credentials_unconfirmed", 503, not_run, after_delay, refused},
+    error_properties{quota_unavailable, "quota_unavailable", 503, not_run, after_delay, refused},
     error_properties{header_too_large, "header_too_large", 431, not_run, never, refused},
     error_properties{body_too_large, "body_too_large", 413, not_run, never, refused},
     error_properties{no_route, "no_route", 404, not_run, never, refused},
--- a/src/core/metric_id.cpp
+++ b/src/core/metric_id.cpp
@@ -36,6 +36,7 @@
     metric_info{members, gauge, "hemlockshelf_members", "liveness", "Members known, by liveness."},
     metric_info{edits, counter, "hemlockshelf_edits_total", "result", "Edits submitted to this node, by error kind or accepted."},
     metric_info{platform_requests, counter, "hemlockshelf_platform_requests_total", "result", "Requests to the platform, by ok or error kind."},
+    metric_info{credential_age, gauge, "hemlockshelf_credential_age_seconds", "", "Time since the accounts in force were confirmed to be current."},
 };
 // clang-format on
 
@@ -48,7 +49,7 @@
             return false;
         }
     }
-    return metrics.size() == static_cast<std::size_t>(platform_requests) + 1;
+    return metrics.size() == static_cast<std::size_t>(credential_age) + 1;
 }
 
 static_assert(in_enum_order(), "sinks index the table by id");
--- a/src/editing/change_record.cpp
+++ b/src/editing/change_record.cpp
@@ -19,7 +19,9 @@
 {
     // For an unknown table `at` throws the exception of a missing field.
     static const nlohmann::json tables{
-        {"routes", table_id::routes}, {"pools", table_id::pools}};
+        {"routes", table_id::routes},
+        {"pools", table_id::pools},
+        {"accounts", table_id::accounts}};
     return {
         tables.at(json.at("table").get<std::string>()).get<table_id>(),
         row_key{json.at("key").get<std::string>()}, json.at("before"),
--- a/src/editing/edit_checks.cpp
+++ b/src/editing/edit_checks.cpp
@@ -35,9 +35,16 @@
 
 bool has_row(const config_tables& tables, const row_change& change)
 {
-    return change.table_ == table_id::routes
-               ? tables.routes_.contains(change.key_)
-               : tables.pools_.contains(change.key_);
+    switch (change.table_)
+    {
+    case table_id::routes:
+        return tables.routes_.contains(change.key_);
+    case table_id::pools:
+        return tables.pools_.contains(change.key_);
+    case table_id::accounts:
+        return tables.accounts_.contains(change.key_);
+    }
+    return false;
 }
 
 } // namespace
@@ -48,6 +55,14 @@
     for (const auto& edit : request.edits_)
     {
         const auto& key = edit.change_.key_;
+        if (edit.change_.table_ == table_id::accounts)
+        {
+            return make_error(
+                error_kind::forbidden,
+                fmt::format(
+                    "row \"{}\" of \"accounts\": not edited through nodes",
+                    key.value()));
+        }
         if (account_of(key) != request.account_)
         {
             return make_error(
--- a/src/editing/edit_plan.cpp
+++ b/src/editing/edit_plan.cpp
@@ -20,9 +20,16 @@
 
 nlohmann::json row_json(const config_tables& tables, const row_change& change)
 {
-    return change.table_ == table_id::routes
-               ? find_row(tables.routes_, change.key_)
-               : find_row(tables.pools_, change.key_);
+    switch (change.table_)
+    {
+    case table_id::routes:
+        return find_row(tables.routes_, change.key_);
+    case table_id::pools:
+        return find_row(tables.pools_, change.key_);
+    case table_id::accounts:
+        return find_row(tables.accounts_, change.key_);
+    }
+    return {};
 }
 
 void add_row_edit(edit_plan& plan, config_tables& tables, const row_edit& edit)
--- a/src/retry/retry_after_delay.cpp
+++ b/src/retry/retry_after_delay.cpp
@@ -26,4 +26,12 @@
         base_delay * factor);
 }
 
+std::chrono::milliseconds
+spread_delay(std::chrono::milliseconds shortest, random_source& random)
+{
+    const double factor = 1 + jitter * random_fraction(random);
+    return std::chrono::ceil<std::chrono::milliseconds>(
+        std::chrono::duration<double, std::milli>(shortest) * factor);
+}
+
 } // namespace hemlockshelf
--- a/test/config/row_generators.cpp
+++ b/test/config/row_generators.cpp
@@ -1,8 +1,12 @@
 #include "test/config/row_generators.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
+
+#include "hemlockshelf/accounts/key_hash.hpp"
 
 namespace hemlockshelf {
 
@@ -75,26 +79,65 @@
             rc::gen::inRange<std::uint32_t>(1, 1'000'001)));
 }
 
-rc::Gen<row_change> any_change()
+rc::Gen<account_row> any_account_row()
+{
+    return rc::gen::build<account_row>(
+        rc::gen::set(
+            &account_row::priority_,
+            rc::gen::element<std::optional<std::uint32_t>>(
+                std::nullopt, std::uint32_t{0}, std::uint32_t{3})),
+        rc::gen::set(
+            &account_row::requests_per_second_,
+            rc::gen::element(0.0, 0.1, 572.0)),
+        rc::gen::set(&account_row::burst_, rc::gen::element(0.0, 12.5)));
+}
+
+namespace {
+
+rc::Gen<row_change> any_change_of(const std::vector<table_id>& tables)
 {
-    using row_variant = std::variant<row_deletion, route_row, pool_row>;
     return rc::gen::exec(
-        []
+        [tables]
         {
             row_change change;
             change.key_ = *any_key();
-            const bool is_route = *rc::gen::arbitrary<bool>();
-            change.table_ = is_route ? table_id::routes : table_id::pools;
+            change.table_ = *rc::gen::elementOf(tables);
             if (*rc::gen::inRange(0, 4) == 0)
             {
                 return change;
             }
-            change.row_ =
-                is_route ? row_variant(*any_route()) : row_variant(*any_pool());
+            switch (change.table_)
+            {
+            case table_id::routes:
+                change.row_ = *any_route();
+                break;
+            case table_id::pools:
+                change.row_ = *any_pool();
+                break;
+            case table_id::accounts:
+                change.row_ = *any_account_row();
+                // A key belongs to one account only.
+                std::get<account_row>(change.row_)
+                    .key_hashes_.insert(sha256_hex(change.key_.value()));
+                break;
+            }
             return change;
         });
 }
 
+} // namespace
+
+rc::Gen<row_change> any_change()
+{
+    return any_change_of(
+        {table_id::routes, table_id::pools, table_id::accounts});
+}
+
+rc::Gen<row_change> any_edited_change()
+{
+    return any_change_of({table_id::routes, table_id::pools});
+}
+
 revision_chain make_chain(const std::vector<row_change>& changes)
 {
     revision_chain chain;
--- a/test/config/row_generators.hpp
+++ b/test/config/row_generators.hpp
@@ -14,8 +14,12 @@
 /// overwrite each other.
 rc::Gen<route_row> any_route();
 rc::Gen<pool_row> any_pool();
+rc::Gen<account_row> any_account_row();
 rc::Gen<row_change> any_change();
 
+/// Like `any_change`, for the tables that are edited through nodes.
+rc::Gen<row_change> any_edited_change();
+
 /// Consecutive snapshots from revision 0 and the deltas between them.
 struct revision_chain
 {
--- a/test/config/test_table_changes.cpp
+++ b/test/config/test_table_changes.cpp
@@ -65,6 +65,10 @@
             {
                 update.put(key, *row);
             }
+            for (const auto& [key, row] : wanted.accounts_)
+            {
+                update.put(key, *row);
+            }
             RC_ASSERT(same_rows(std::move(update).finish(), wanted));
         }));
 }
--- a/test/editing/test_edit_plan.cpp
+++ b/test/editing/test_edit_plan.cpp
@@ -56,7 +56,8 @@
 {
     return rc::gen::map(
         rc::gen::resize(
-            4, rc::gen::container<std::vector<row_change>>(any_change())),
+            4,
+            rc::gen::container<std::vector<row_change>>(any_edited_change())),
         [](std::vector<row_change> changes)
         {
             std::set<std::pair<table_id, row_key>> seen;
@@ -84,7 +85,7 @@
 edit_base any_base()
 {
     const auto changes =
-        *rc::gen::container<std::vector<row_change>>(any_change());
+        *rc::gen::container<std::vector<row_change>>(any_edited_change());
     edit_base base{make_chain(changes).snapshots_.back(), {}};
     const auto accepted = *rc::gen::inRange(0, 3);
     for (int count = 0; count < accepted; ++count)
--- a/test/node/scripted_peer.hpp
+++ b/test/node/scripted_peer.hpp
@@ -1,8 +1,10 @@
 #ifndef HEMLOCKSHELF_TEST_NODE_SCRIPTED_PEER_HPP
 #define HEMLOCKSHELF_TEST_NODE_SCRIPTED_PEER_HPP
 
+#include <chrono>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,6 +54,14 @@
         revision_ = number;
     }
 
+    /// Sets the age of the confirmation that later answers to heartbeats
+    /// report.
+    void set_confirmation_age(std::chrono::milliseconds age)
+    {
+        const std::lock_guard lock(mutex_);
+        confirmation_age_ = age;
+    }
+
     std::vector<push_message> pushes()
     {
         const std::lock_guard lock(mutex_);
@@ -114,6 +124,7 @@
         answer.incarnation_ = record_.incarnation_;
         const std::lock_guard lock(mutex_);
         answer.revision_ = revision_;
+        answer.confirmation_age_ = confirmation_age_;
         return answer;
     }
 
@@ -145,6 +156,7 @@
     std::mutex mutex_;
     config_answer fetch_answer_;
     revision revision_;
+    std::optional<std::chrono::milliseconds> confirmation_age_;
     std::vector<push_message> pushes_;
     std::vector<fetch_request> fetches_;
     std::vector<revision> answers_;
--- a/test/node/test_published_config.cpp
+++ b/test/node/test_published_config.cpp
@@ -39,7 +39,7 @@
     snapshot_store snapshots;
     config_manager config(snapshots, time, metrics, 16);
     rejecting_source source;
-    cr_assert(follow_published(source, config, 0ms).answered_);
+    cr_assert(follow_published(source, config, 0ms, time).answered_);
     const auto text = metrics.to_text();
     cr_assert(
         text.find("hemlockshelf_config_rejections_total{kind=\"invalid_row\"} "
@@ -86,7 +86,7 @@
     config_manager receiver(receiver_snapshots, time, metrics, 16);
     dated_source source(time.wall_now());
     time.advance(250ms);
-    const auto report = follow_published(source, reader, 0ms);
+    const auto report = follow_published(source, reader, 0ms, time);
     cr_assert(report.deltas_.size() == 1);
     time.advance(500ms);
     cr_assert(receiver.apply(report.deltas_, apply_source::push));
--- a/test/platform/test_configuration_document.cpp
+++ b/test/platform/test_configuration_document.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "adapters/rpc/config_payload.hpp"
+#include "hemlockshelf/accounts/key_hash.hpp"
 #include "hemlockshelf/config/table_changes.hpp"
 #include "platform_fixture.hpp"
 
@@ -296,3 +297,68 @@
     cr_assert(
         tables.hash_ == (*read_without_current(document))->tables().hash_);
 }
+
+namespace {
+
+nlohmann::json with_account(const nlohmann::json& spec)
+{
+    auto document = configuration("r12");
+    document["resources"].push_back(
+        {{"resource_type", "tenants"},
+         {"metadata", {{"name", "bozi300"}}},
+         {"spec", spec}});
+    return document;
+}
+
+} // namespace
+
+// Guards against accounts that are read in part, and against keys that reach
+// other nodes or dumps in another form than their hash.
+Test(configuration_document, reads_client_accounts)
+{
+    const auto snapshot = read_without_current(with_account(
+        {{"api_keys", {"key-1", "key-2"}},
+         {"priority", 0},
+         {"rate_per_s", 572},
+         {"burst", 1.5}}));
+    cr_assert(snapshot.has_value());
+    const auto* account =
+        (*snapshot)->accounts().find(platform_account(), sha256_hex("key-2"));
+    cr_assert(account != nullptr && account->name_.value() == "bozi300");
+    cr_assert(account->row_->priority_ == 0U);
+    cr_assert(account->row_->requests_per_second_ == 572);
+    cr_assert(account->row_->burst_ == 1.5);
+    cr_assert(can_be_passed_on(**snapshot));
+    cr_assert(encode_snapshot(**snapshot).find("key-2") == std::string::npos);
+}
+
+// Guards against routes whose callers need a key although the operator has
+// opened them.
+Test(configuration_document, reads_public_routes)
+{
+    const auto open = read_without_current(with_field("public", true));
+    cr_assert(find_order_route(**open)->route_->public_);
+    const auto closed = read_without_current(with_field("public", false));
+    cr_assert(!find_order_route(**closed)->route_->public_);
+    cr_assert(!read_without_current(with_field("public", "yes")));
+}
+
+// Guards against a version of which a part comes into force, and against keys
+// in the messages of errors, which are logged.
+Test(configuration_document, refuses_malformed_accounts)
+{
+    const std::string long_key(4097, 'k');
+    for (const nlohmann::json& spec :
+         {nlohmann::json{{"api_keys", "key-1"}},
+          nlohmann::json{{"api_keys", {"key-1", 7}}},
+          nlohmann::json{{"api_keys", {"key-1", ""}}},
+          nlohmann::json{{"api_keys", {"key-1", long_key}}},
+          nlohmann::json{{"api_keys", {"key-1"}}, {"rate_per_s", -1}},
+          nlohmann::json{{"api_keys", {"key-1"}}, {"burst", "many"}},
+          nlohmann::json{{"api_keys", {"key-1"}}, {"priority", 0.5}}})
+    {
+        const auto snapshot = read_without_current(with_account(spec));
+        cr_assert(!snapshot, "%s", spec.dump().c_str());
+        cr_assert(snapshot.error().message_.find("key-1") == std::string::npos);
+    }
+}
--- a/test/rpc/test_message_codec.cpp
+++ b/test/rpc/test_message_codec.cpp
@@ -94,6 +94,7 @@
     cr_assert(arrived.membership_root_ == heartbeat.membership_root_);
     cr_assert(arrived.joining_);
     cr_assert(arrived.acknowledged_ == heartbeat.acknowledged_);
+    cr_assert(arrived.confirmation_age_ == heartbeat.confirmation_age_);
 }
 
 // Guards against the name of a service that a node may hold and that its peers
