http_connection: report a reset that a write has met to later reads

Cause: the kernel reports a reset to one operation only. If an upstream answers an upload without a length and resets the connection while the upload is written, the write takes the error, the next read sees an ordinary end, and the body that ends with the connection passes for a complete one. A reset after the whole request was written is reported to the read and was no fault.

http_connection keeps the error with which a write or a probe failed and returns it from reads in place of `eof`, so that every reader of a body gets it. Answers with a length or in chunks that have arrived as a whole stay complete. `EPIPE` is not kept: the kernel gives it if the peer's FIN arrived before the reset, and the answer is complete then. Ruled out: refusing such a body after any failed write, which would fail for upstreams that answer, end their direction and then refuse the rest of an upload. http_client needs no change: it reads only after the whole request was written.

--- a/adapters/http/http_connection.cpp
+++ b/adapters/http/http_connection.cpp
@@ -107,7 +107,7 @@
         failure);
     buffer_.commit(asio::buffer_copy(
         buffer_.prepare(count), asio::buffer(space.data(), count)));
-    return failure;
+    return failure == asio::error::eof && failure_ ? failure_ : failure;
 }
 
 asio::awaitable<error_code> http_connection::write(
@@ -128,6 +128,7 @@
     const std::array<asio::const_buffer, 4> buffers{
         first, second, third, fourth};
     const auto written = write_without_waiting(buffers, failure);
+    record_failure(failure);
     if (failure || written == asio::buffer_size(buffers))
     {
         co_return failure;
@@ -138,9 +139,23 @@
     operations_without_wait_ = 0;
     written_ += co_await asio::async_write(
         socket_, rest, asio::redirect_error(asio::use_awaitable, failure));
+    record_failure(failure);
     co_return failure;
 }
 
+// The kernel reports the failure of a connection only once, and later reads see
+// an ordinary end. A body that ends with the connection would then pass for a
+// complete one. A write fails with `broken_pipe` if the end of the peer's
+// direction arrived before the reset: nothing that the peer sent is missing.
+void http_connection::record_failure(const error_code& failure) noexcept
+{
+    if (failure && failure != asio::error::broken_pipe &&
+        failure != asio::error::operation_aborted)
+    {
+        failure_ = failure;
+    }
+}
+
 // Tries a synchronous write first: an asynchronous write that completes at once
 // passes through the queue of the event loop, which polls for other events (one
 // system call) before the coroutine resumes.
@@ -235,10 +250,17 @@
     {
         return connection_readiness::readable;
     }
-    const bool would_block =
-        count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    return would_block ? connection_readiness::idle
-                       : connection_readiness::closed;
+    if (count == 0)
+    {
+        return connection_readiness::closed;
+    }
+    const error_code failure(errno, boost::system::system_category());
+    if (failure == asio::error::would_block)
+    {
+        return connection_readiness::idle;
+    }
+    record_failure(failure);
+    return connection_readiness::closed;
 }
 
 bool http_connection::peer_has_closed()
--- a/adapters/http/http_connection.hpp
+++ b/adapters/http/http_connection.hpp
@@ -60,11 +60,13 @@
         left_by_parser_ = count;
     }
 
-    /// Reads at least one byte into the buffer.
+    /// Reads at least one byte into the buffer. The error at the end of a
+    /// connection that has failed is that failure instead of `eof`, also if it
+    /// was reported to a write or a probe.
     boost::asio::awaitable<boost::system::error_code> fill();
 
     /// Reads available bytes into the buffer without waiting. The error is
-    /// `would_block` if there are none, `eof` at the end of the connection.
+    /// `would_block` if there are none, otherwise as for `fill`.
     boost::system::error_code try_fill();
 
     /// Writes up to four buffers completely.
@@ -129,6 +131,10 @@
     /// to run first.
     [[nodiscard]] bool should_yield() noexcept;
 
+    /// Records an error with which the connection failed, unless the peer had
+    /// ended its direction before.
+    void record_failure(const boost::system::error_code& failure) noexcept;
+
     /// Writes as much as the kernel accepts without waiting and returns the
     /// number of bytes, possibly 0.
     std::size_t write_without_waiting(
@@ -139,6 +145,7 @@
     boost::beast::flat_buffer buffer_;
     std::size_t left_by_parser_ = 0;
     std::uint64_t written_ = 0;
+    boost::system::error_code failure_;
     std::vector<std::string> refused_requests_;
     /// Consecutive reads and writes that completed without waiting.
     unsigned operations_without_wait_ = 0;
--- a/test/http/test_http_connection.cpp
+++ b/test/http/test_http_connection.cpp
@@ -3,12 +3,14 @@
 #include <chrono>
 #include <exception>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "scripted_server.hpp"
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -85,6 +87,47 @@
     cr_expect_leq(done_before_other_work, max_operations_without_yield);
 }
 
+error_code run(asio::io_context& context, asio::awaitable<error_code> task)
+{
+    error_code outcome;
+    asio::co_spawn(
+        context, std::move(task),
+        [&outcome](const std::exception_ptr& thrown, error_code failure)
+        {
+            cr_expect(!thrown);
+            outcome = failure;
+        });
+    context.restart();
+    context.run();
+    return outcome;
+}
+
+/// Waits until the end of the connection has arrived, without reading from it.
+void wait_for_end(http_connection& connection)
+{
+    const auto limit =
+        std::chrono::steady_clock::now() + std::chrono::seconds{5};
+    while (!connection.peer_has_closed() &&
+           std::chrono::steady_clock::now() < limit)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    cr_assert(connection.peer_has_closed());
+}
+
+/// Writes until a write fails.
+error_code
+write_until_failure(asio::io_context& context, http_connection& connection)
+{
+    error_code failure;
+    for (int i = 0; i < operations && !failure; ++i)
+    {
+        failure = run(context, write_one_byte(connection));
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    return failure;
+}
+
 } // namespace
 
 // Guards against idle connections that keep a read buffer: a node has hundreds
@@ -160,3 +203,63 @@
     http_connection connection(connect(context, server.address()), 0);
     expect_other_work_to_run(context, connection, write_one_byte);
 }
+
+// Guards against an ordinary end of a connection that was reset: the kernel
+// reports the reset to the write only.
+Test(http_connection, a_reset_that_a_write_has_met_is_no_ordinary_end)
+{
+    scripted_server server(
+        [](raw_connection& client)
+        {
+            client.send("part");
+            client.reset();
+        });
+    asio::io_context context;
+    http_connection connection(connect(context, server.address()), 1024);
+    wait_for_end(connection);
+    cr_assert(
+        write_until_failure(context, connection) ==
+        asio::error::connection_reset);
+    cr_assert(!run(context, connection.fill()));
+    cr_assert_eq(connection.buffer().size(), 4);
+    const auto end = run(context, connection.fill());
+    cr_assert(
+        end == asio::error::connection_reset, "%s", end.message().c_str());
+}
+
+// Guards against the same if the reset is reported to a probe.
+Test(http_connection, a_reset_that_a_probe_has_met_is_no_ordinary_end)
+{
+    scripted_server server(
+        [](raw_connection& client)
+        {
+            client.reset();
+        });
+    asio::io_context context;
+    http_connection connection(connect(context, server.address()), 1024);
+    wait_for_end(connection);
+    cr_assert(connection.probe() == connection_readiness::closed);
+    const auto end = run(context, connection.fill());
+    cr_assert(
+        end == asio::error::connection_reset, "%s", end.message().c_str());
+}
+
+// Guards against an incomplete message where a peer has sent its whole answer
+// and its end before it refused the rest of a request.
+Test(http_connection, an_end_before_a_failed_write_stays_an_ordinary_end)
+{
+    scripted_server server(
+        [](raw_connection& client)
+        {
+            client.send("all");
+        });
+    asio::io_context context;
+    http_connection connection(connect(context, server.address()), 1024);
+    wait_for_end(connection);
+    cr_assert(
+        write_until_failure(context, connection) == asio::error::broken_pipe);
+    cr_assert(!run(context, connection.fill()));
+    cr_assert_eq(connection.buffer().size(), 3);
+    const auto end = run(context, connection.fill());
+    cr_assert(end == asio::error::eof, "%s", end.message().c_str());
+}
