peer_exchange: refuse answers whose status is not between 100 and 599

Cause: Beast accepts any three digits as a status, and read_answer_head did not check the number. An answer with status 000 was passed on, by the gate and by the entry, as `HTTP/1.1 0 OK`; 099, 600 and 999 likewise.

read_answer_head takes the class from the number and fails with `bad_status` if it is not one of the five. The gate then answers 502 upstream_failed, the entry 504 outcome_unknown as for other invalid heads of a gate, neither with Hemlockshelf-Not-Run. http_client fails with outcome_unknown. RFC 9110, section 15, lets a client treat such an answer as a server error. Unregistered statuses within the range, such as 299 and 599, are passed on as before.

The same line took the class from `result`, which is `unknown` for each unregistered status, so that an interim 199 was passed on as the final answer. It is discarded now like other interim answers.

--- a/adapters/http/http_client.cpp
+++ b/adapters/http/http_client.cpp
@@ -13,7 +13,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 
@@ -106,6 +108,11 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_body_bytes);
     failure = co_await read_whole_message(stream, buffer, parser);
+    if (!failure && http::to_status_class(parser.get().result_int()) ==
+                        http::status_class::unknown)
+    {
+        failure = http::error::bad_status;
+    }
     if (failure)
     {
         co_return exchange_error(
--- a/adapters/http/http_client.hpp
+++ b/adapters/http/http_client.hpp
@@ -26,7 +26,7 @@
 
 /// Sends a request on a new connection and reads the whole answer. The errors
 /// are `unreachable` if the request was certainly not sent, and
-/// `outcome_unknown` if the answer is missing.
+/// `outcome_unknown` if the answer is missing or invalid.
 boost::asio::awaitable<result<http_response>>
 async_exchange(http_target target, http_request request);
 
--- a/adapters/http/peer_exchange.cpp
+++ b/adapters/http/peer_exchange.cpp
@@ -192,13 +192,17 @@
             co_return failure;
         }
         const auto status = answer_->get().result();
-        if (status == http::status::switching_protocols ||
+        // The class is taken from the number: `result` is `unknown` for each
+        // status that is not registered.
+        const auto status_class =
+            http::to_status_class(answer_->get().result_int());
+        if (status_class == http::status_class::unknown ||
+            status == http::status::switching_protocols ||
             !check_transfer_coding(answer_->get()))
         {
             co_return http::error::bad_status;
         }
-        if (http::to_status_class(status) !=
-                http::status_class::informational ||
+        if (status_class != http::status_class::informational ||
             (until_continue && status == http::status::continue_))
         {
             co_return error_code{};
--- a/adapters/http/peer_exchange.hpp
+++ b/adapters/http/peer_exchange.hpp
@@ -85,7 +85,9 @@
 
     /// Reads the head of the next answer. Interim answers are discarded, except
     /// for a 100 if `until_continue` is set; `on_interim` is called for each
-    /// discarded one.
+    /// discarded one. The error is `bad_status` if the status is 101 or not in
+    /// the range from 100 to 599, for too many interim answers, and for an
+    /// unsupported transfer coding.
     boost::asio::awaitable<boost::system::error_code> read_answer_head(
         bool until_continue,
         bool to_head_request,
--- a/test/http/test_http_client.cpp
+++ b/test/http/test_http_client.cpp
@@ -96,3 +96,22 @@
     }
     cr_assert(sent < most_blocks);
 }
+
+// Guards against an answer whose status is not one of HTTP.
+Test(http_client, a_status_out_of_range_fails_the_call)
+{
+    for (const std::string status : {"000", "099", "600", "999"})
+    {
+        const scripted_server server(
+            [&status](raw_connection& client)
+            {
+                client.read_until("\r\n\r\n");
+                client.send(
+                    "HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n");
+                client.read_all();
+            });
+        const auto answer = call(server);
+        cr_assert(!answer, "%s", status.c_str());
+        cr_assert(answer.error().kind_ == error_kind::outcome_unknown);
+    }
+}
--- a/test/http/test_unusable_answer.cpp
+++ b/test/http/test_unusable_answer.cpp
@@ -111,6 +111,20 @@
     cr_expect(is_failure(answer), "%s", answer.substr(0, 500).c_str());
 }
 
+/// Expects an error that leaves open whether the request has run.
+void expect_error(const std::string& answer, const std::string& status)
+{
+    cr_expect(
+        answer.starts_with("HTTP/1.1 " + status + " "), "%s", answer.c_str());
+    cr_expect(!contains(answer, "Hemlockshelf-Not-Run"), "%s", answer.c_str());
+}
+
+/// Replaces the status 200 of an answer.
+std::string with_status(const std::string& status, std::string answer)
+{
+    return answer.replace(answer.find("200"), status.size(), status);
+}
+
 } // namespace
 
 // Guards against passing on part of an answer as a complete one: the write of
@@ -174,3 +188,66 @@
     gate.time().set_delay(clock_delay);
     expect_failure(answer_to_request(gate.where(), gate_request_text("GET")));
 }
+
+// Guards against passing on an answer whose status is not one of HTTP, from an
+// upstream or from a gate.
+Test(unusable_answer, a_status_out_of_range_is_no_answer)
+{
+    for (const std::string status : {"000", "099", "600", "999"})
+    {
+        const auto run = [status](raw_connection& peer)
+        {
+            const auto head = peer.read_until("\r\n\r\n");
+            peer.send(with_status(status, answer_to(head, "no answer")));
+            peer.read_all();
+        };
+        scripted_server upstream(run);
+        const gate_under_test gate(upstream.address());
+        expect_error(
+            answer_to_request(gate.where(), gate_request_text("GET")), "502");
+        scripted_server faulty_gate(run);
+        const entry_under_test entry({faulty_gate.address()});
+        expect_error(
+            answer_to_request(entry.where(), caller_request("GET")), "504");
+    }
+}
+
+// Guards against taking an interim answer with an unregistered status for the
+// final answer.
+Test(unusable_answer, an_unregistered_interim_status_is_no_final_answer)
+{
+    scripted_server upstream(
+        [](raw_connection& gate)
+        {
+            const auto head = gate.read_until("\r\n\r\n");
+            gate.send("HTTP/1.1 199 Interim\r\n\r\n");
+            gate.send(answer_to(head, "final"));
+            gate.read_all();
+        });
+    const gate_under_test gate(upstream.address());
+    const auto answer =
+        answer_to_request(gate.where(), gate_request_text("GET"));
+    cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+    cr_assert(answer.ends_with("final"), "%s", answer.c_str());
+}
+
+// Guards against refusing an answer whose status is in the range but not
+// registered.
+Test(unusable_answer, an_unregistered_final_status_is_passed_on)
+{
+    for (const std::string status : {"299", "599"})
+    {
+        scripted_server upstream(
+            [status](raw_connection& gate)
+            {
+                const auto head = gate.read_until("\r\n\r\n");
+                gate.send(with_status(status, answer_to(head, "served")));
+                gate.read_all();
+            });
+        const gate_under_test gate(upstream.address());
+        const auto answer =
+            answer_to_request(gate.where(), gate_request_text("GET"));
+        cr_assert(
+            answer.starts_with("HTTP/1.1 " + status), "%s", answer.c_str());
+    }
+}
