gate_session: check the signature of every success

Cause: the class of an answer was taken from the registered status, which is `unknown` for the others, so that a 299 without the upstream's signature was passed on as a success. The entry's retry of server errors had the same fault.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -697,7 +697,7 @@
     }
     else if (
         state.call_.idempotent_ && state.body_.received() &&
-        http::to_status_class(head.result()) ==
+        http::to_status_class(head.result_int()) ==
             http::status_class::server_error)
     {
         attempt.failure_ = {
--- a/adapters/http/gate_session.cpp
+++ b/adapters/http/gate_session.cpp
@@ -420,7 +420,7 @@
             fmt::format("upstream: status {}", answer.get().result_int()),
             true);
     }
-    const bool success = http::to_status_class(answer.get().result()) ==
+    const bool success = http::to_status_class(answer.get().result_int()) ==
                          http::status_class::successful;
     if (success && !protocol.signature_.empty() &&
         answer.get().count(protocol.signature_) == 0)
--- a/test/http/test_unusable_answer.cpp
+++ b/test/http/test_unusable_answer.cpp
@@ -251,3 +251,24 @@
             answer.starts_with("HTTP/1.1 " + status), "%s", answer.c_str());
     }
 }
+
+// Guards against a success that is passed on without the upstream's signature
+// because its status is not registered.
+Test(unusable_answer, an_unregistered_success_needs_a_signature)
+{
+    auto settings = test_settings();
+    settings.protocol_.signature_ = "X-Signature";
+    scripted_server upstream(
+        [](raw_connection& gate)
+        {
+            auto answer = answer_to(gate.read_until("\r\n\r\n"), "forged");
+            answer.replace(answer.find("200"), 3, "299");
+            gate.send(answer);
+            gate.read_all();
+        });
+    const gate_under_test gate(upstream.address(), 4, 8, settings);
+    raw_connection entry(gate.where());
+    entry.send(gate_request_text("GET"));
+    const auto answer = entry.read_message();
+    cr_assert_eq(answer.substr(0, 12), "HTTP/1.1 502", "%s", answer.c_str());
+}
