entry: do not end a request for a gate's silence while the node drains

Cause: an entry gives up a request 1 s after its gate was last heard. A gate that is short of processor time is silent as well, and its upstream is at work.

While the node drains, a request that was sent to a gate ends at its deadline. Otherwise the limit of 1 s stays, because another gate can be asked.

--- a/adapters/http/entry_session.cpp
+++ b/adapters/http/entry_session.cpp
@@ -629,7 +629,7 @@
 {
     const bool chunked =
         !state.call_.idempotent_ || state.call_.framing_.chunked_;
-    set_silence_limit(state, settings().silence_timeout_);
+    limit_silence_after_dispatch(state);
     attempt.not_run_ = false;
     attempt.may_have_arrived_ = true;
     unsent_ = false;
@@ -660,7 +660,7 @@
         false, state.call_.to_head_request_,
         [&]
         {
-            set_silence_limit(state, settings().silence_timeout_);
+            limit_silence_after_dispatch(state);
             if (state.body_.received())
             {
                 watch_client();
@@ -821,6 +821,16 @@
     set_time_limit(std::min(state.call_.deadline_, now() + longest));
 }
 
+// The upstream may be at work on the request. A node that drains does not end
+// it for the gate's silence: its callers can't tell such an end from a lost
+// request, and a gate that is short of processor time is silent as well.
+void entry_session::limit_silence_after_dispatch(const call_state& state)
+{
+    const auto deadline = state.call_.deadline_;
+    set_time_limit(
+        std::min(deadline, now() + settings().silence_timeout_), deadline);
+}
+
 void entry_session::count_call(
     const call_state& state, std::string_view outcome)
 {
--- a/adapters/http/entry_session.hpp
+++ b/adapters/http/entry_session.hpp
@@ -146,6 +146,9 @@
     bool allow_queueing(call_state& state) const;
     void set_silence_limit(
         const call_state& state, std::chrono::milliseconds longest);
+    /// Like `set_silence_limit` with the setting `silence_timeout`, for a
+    /// request that has been sent to a gate.
+    void limit_silence_after_dispatch(const call_state& state);
     void count_call(const call_state& state, std::string_view outcome);
     /// Counts and logs a call whose caller has closed its connection.
     void record_caller_gone(const call_state& state);
--- a/adapters/http/relay_session.cpp
+++ b/adapters/http/relay_session.cpp
@@ -289,8 +289,14 @@
 }
 
 void relay_session::set_time_limit(steady_time when)
+{
+    set_time_limit(when, when);
+}
+
+void relay_session::set_time_limit(steady_time when, steady_time while_draining)
 {
     limit_extended_ = false;
+    draining_limit_ = while_draining;
     move_time_limit(when);
 }
 
@@ -438,6 +444,12 @@
         arm_timer(limit_);
         return;
     }
+    if (group_.draining() && now() < draining_limit_)
+    {
+        limit_ = draining_limit_;
+        arm_timer(limit_);
+        return;
+    }
     if (!limit_extended_ && exchange_ != nullptr &&
         exchange_->has_unread_answer())
     {
--- a/adapters/http/relay_session.hpp
+++ b/adapters/http/relay_session.hpp
@@ -121,6 +121,10 @@
     /// Replaces the earlier limit.
     void set_time_limit(steady_time when);
 
+    /// Like `set_time_limit`, with a later limit that holds instead while the
+    /// node drains.
+    void set_time_limit(steady_time when, steady_time while_draining);
+
     /// Sets the time limit for relaying an answer that has arrived: `deadline`,
     /// extended by the time spent on waiting for the client, but by no more
     /// than the setting `answer_timeout`.
@@ -208,6 +212,8 @@
     bool timer_armed_ = false;
     /// Whether the current limit has been extended for an unread answer.
     bool limit_extended_ = false;
+    /// Replaces `limit_` while the node drains, if it is later.
+    steady_time draining_limit_;
     steady_time timer_expiry_;
     steady_time limit_;
     /// When the relay of the answer ends, extended by the time spent on waiting
--- a/test/http/test_late_answer.cpp
+++ b/test/http/test_late_answer.cpp
@@ -212,3 +212,36 @@
         (steady_clock::now() - begin).count(),
         std::chrono::nanoseconds(timeout + milliseconds{1'500}).count());
 }
+
+// A node is asked to stop while a gate that is short of processor time has a
+// request and sends nothing for longer than the silence limit. Guards against
+// an end of the request at which its upstream is at work.
+Test(late_answer, a_node_that_drains_waits_for_a_silent_gate)
+{
+    std::atomic<bool> dispatched = false;
+    const auto settings = test_settings();
+    scripted_server gate(
+        [&](raw_connection& connection)
+        {
+            const auto head = connection.read_until("\r\n\r\n");
+            dispatched = true;
+            std::this_thread::sleep_for(
+                settings.silence_timeout_ + std::chrono::milliseconds{500});
+            connection.send(answer_to(head, "served"));
+            connection.read_all();
+        });
+    entry_under_test entry(
+        {gate.address()}, std::chrono::seconds{10}, 200, settings);
+    std::thread stop(
+        [&]
+        {
+            while (!dispatched)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            }
+            entry.group().drain();
+        });
+    const auto answer = entry.call(caller_request("GET"));
+    stop.join();
+    cr_assert(contains(answer, "\r\n\r\nserved"), "%s", answer.c_str());
+}
