experiment: remove optional sections of several lines from the template

Cause: the mesh of the publication storms removes the optional sections of deploy/node.yaml line by line.

--- a/adapters/http/request_quota.hpp
+++ b/adapters/http/request_quota.hpp
@@ -24,8 +24,9 @@
     try_admit(const client_account_id& account, const account_quota& quota) = 0;
 
     /// Decides once other nodes have been asked, after a short time at most.
-    /// Only after `try_admit` did not decide. `done` is called once, from any
-    /// thread. The errors are `quota_exceeded` and `quota_unavailable`.
+    /// Only after `try_admit` did not decide. `done` is called at most once,
+    /// from any thread; not at all if the decision comes too late to be used.
+    /// The errors are `quota_exceeded` and `quota_unavailable`.
     virtual void admit_later(
         const client_account_id& account,
         const account_quota& quota,
--- a/experiment/published_mesh.cpp
+++ b/experiment/published_mesh.cpp
@@ -215,7 +215,8 @@
     const auto& address = place.source_address_;
     auto text = read_file(options.settings_template_);
     const std::vector<std::pair<std::string, std::string>> values{
-        {R"(\{\{#[^\n]*\}\}\n)", ""},
+        // Optional sections, which may have several lines.
+        {R"(\{\{#([^}]*)\}\}[\s\S]*?\{\{/\1\}\}\n)", ""},
         {R"(\{\{node\}\})", place.vm_},
         {R"(\{\{zone\}\})", place.domain_},
         {R"(\{\{region\}\})", place.region_},
