quota: define the time of requests in advance once

Cause: the grantor's smallest bucket and the holder's request in advance each had a constant of 250 ms; one that is changed alone would keep a rate from being used.

The other tests were not run again.

--- a/src/quota/token_grantor.cpp
+++ b/src/quota/token_grantor.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "hemlockshelf/quota/token_horizon.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -11,9 +13,6 @@
 
 constexpr seconds longest_wait{60};
 
-// Time for which a node requests tokens in advance.
-constexpr seconds batch{0.25};
-
 } // namespace
 
 token_grantor::token_grantor(const quota_settings& settings, boot_time now)
@@ -31,8 +30,8 @@
     const double rate = quota.rate_ / parts_;
     // A part of less than one token could never be granted, and a burst of less
     // than one batch would keep the rate from being used.
-    const double capacity =
-        std::max({1.0, quota.burst_ / parts_, rate * batch.count()});
+    const double capacity = std::max(
+        {1.0, quota.burst_ / parts_, rate * seconds{token_horizon}.count()});
     auto& state = buckets_.try_emplace(account, token_bucket_state{0, since_})
                       .first->second;
     const seconds passed = std::max(now - state.refilled_at_, {});
--- a/src/quota/token_holder.cpp
+++ b/src/quota/token_holder.cpp
@@ -3,15 +3,14 @@
 #include <algorithm>
 #include <cmath>
 
+#include "hemlockshelf/quota/token_horizon.hpp"
+
 namespace hemlockshelf {
 
 namespace {
 
 using seconds = std::chrono::duration<double>;
 
-// Time for which tokens are requested in advance. Half of the lifetime of a
-// token, so that few expire unused.
-constexpr seconds horizon{0.25};
 // Time constant of the average of the demand.
 constexpr seconds demand_memory{1};
 // Refusals without a question to a grantor last no longer than this, since
@@ -160,7 +159,7 @@
 double token_holder::expected_demand(boot_time now) const
 {
     const seconds idle = now - counted_at_;
-    return demand_ * horizon.count() *
+    return demand_ * seconds{token_horizon}.count() *
            std::exp(-idle.count() / demand_memory.count());
 }
 
