--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,12 +2,11 @@
 
 import os
 import sys
-import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "../support-2"))
-import mesh_case as mesh_case  # noqa: E402
+import mesh_case  # noqa: E402
 from mesh_case import Instance, Mesh, TROUBLE, call, now  # noqa: E402
 
 # Bounds of the site regie-valbelair.
@@ -72,7 +71,7 @@
 
         before = set(leaving.runs)
         end_at = acknowledged + LINGER_S
-        threading.Timer(end_at - now(), leaving.end).start()
+        mesh_case.later(end_at - now(), leaving.end)
         answers = mesh_case.load(
             record, front, HOST, "/orders/2", end_at + 0.5)
         reached = [request for request, answer in answers.items()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,7 +2,6 @@
 
 import os
 import sys
-import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -52,9 +51,7 @@
         if TROUBLE:
             record.write(
                 f"i-desk-0 sends its first check-in, which arrives {LATE_S} s late")
-            late = threading.Timer(
-                LATE_S, lambda: leaving.send(*first))
-            late.start()
+            mesh_case.later(LATE_S, lambda: leaving.send(*first))
         else:
             leaving.send(*first)
         wait_until(started + 1.0)
@@ -73,7 +70,7 @@
         wait_until(acknowledged + DRAIN_S)
         before = set(leaving.runs)
         end_at = acknowledged + LINGER_S
-        threading.Timer(end_at - now(), leaving.end).start()
+        mesh_case.later(end_at - now(), leaving.end)
         answers = mesh_case.load(
             record, front, HOST, "/orders/2", end_at + 0.5)
         reached = [request for request, answer in answers.items()
--- a/review/support-2/mesh_case.py
+++ b/review/support-2/mesh_case.py
@@ -563,7 +563,7 @@
             if answer.status != 200:
                 time.sleep(0.1)
 
-    threads = [threading.Thread(target=run, args=(index,))
+    threads = [threading.Thread(target=run, args=(index,), daemon=True)
                for index in range(clients)]
     for thread in threads:
         thread.start()
@@ -572,9 +572,23 @@
     return answers
 
 
+def later(delay_s, function):
+    """Calls the function after a delay, unless the script ends before."""
+    timer = threading.Timer(delay_s, function)
+    timer.daemon = True
+    timer.start()
+
+
+def end_on_sigterm(*_):
+    # `timeout` may send the signal twice; the second one must not interrupt
+    # the end of the nodes.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(2)
+
+
 def main(case):
     """Runs a case and exits with its result: 1 broken, 0 held, 2 not run."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, end_on_sigterm)
     try:
         broken = case()
     except Exception:  # A failure of the script says nothing about the rule.
