membership: refuse heartbeats of other instances and let silent starts give way

Cause: a heartbeat was compared with nothing that the node knows of its VM, and what it left behind had no end. A later start than the instance's stayed the newest one after it had expired, refused each further heartbeat of the instance (which got 200 all the same), and came back from other nodes after a restart.

Ruled out: that the odd announcement itself is used for good.

Change: the service of the VM's instance and its address, if the settings name it (provider.instance_address, optional), are required; a start more than 60 s in the future is refused, also from other nodes. Once the newest start has been silent for the lifetime of an announcement, an earlier one that still announces itself is used, and a repeated message of the other is not. So that this brings nothing back that left, draining is final for its start and for earlier starts of the same name. A heartbeat whose instance has no chance of work gets 409.

--- a/adapters/settings/settings_section.cpp
+++ b/adapters/settings/settings_section.cpp
@@ -122,6 +122,17 @@
     return required_endpoint(key);
 }
 
+std::optional<endpoint>
+settings_section::optional_endpoint(const setting_key& key)
+{
+    if (!take(key.name_).IsDefined())
+    {
+        describe(key, "<IPv4 address>:<port>", "none");
+        return std::nullopt;
+    }
+    return required_endpoint(key);
+}
+
 std::vector<endpoint> settings_section::endpoints(const setting_key& key)
 {
     describe(key, "list of <IPv4 address>:<port>", "empty");
--- a/adapters/settings/settings_section.hpp
+++ b/adapters/settings/settings_section.hpp
@@ -79,6 +79,7 @@
     std::string text(const setting_key& key, std::string fallback);
     endpoint required_endpoint(const setting_key& key);
     endpoint optional_endpoint(const setting_key& key, endpoint fallback);
+    std::optional<endpoint> optional_endpoint(const setting_key& key);
     std::vector<endpoint> endpoints(const setting_key& key);
     bool flag(const setting_key& key, bool fallback);
 
--- a/node/local_upstream.hpp
+++ b/node/local_upstream.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_NODE_LOCAL_UPSTREAM_HPP
 
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <mutex>
 #include <optional>
@@ -18,6 +19,20 @@
 /// answers after this time: the instance then gets no work from elsewhere.
 inline constexpr std::chrono::milliseconds max_upstream_share_time{700};
 
+/// What became of an announcement.
+enum class announcement_outcome
+{
+    accepted,
+    /// A newer announcement of the same start has been accepted.
+    late,
+    /// The start has deregistered.
+    withdrawn,
+    /// A later start announces itself.
+    replaced,
+    /// The start lies in the future, so that it is no start of this upstream.
+    in_future,
+};
+
 /// Holds the last announcement of the upstream on the node's VM. Thread-safe.
 class local_upstream
 {
@@ -25,10 +40,13 @@
     /// An announcement expires after `lifetime`.
     local_upstream(const clock& time, std::chrono::milliseconds lifetime);
 
-    /// Stores an announcement and its arrival time. Returns false and ignores
-    /// it if it does not follow the stored one or if its instance has been
-    /// withdrawn.
-    bool announce(const upstream_announcement& announcement);
+    /// Stores an announcement and its arrival time, or ignores it if it does
+    /// not follow the stored one or if its instance has been withdrawn. Once
+    /// the stored one has expired, an earlier start that still announces itself
+    /// takes its place: the later one was not that of the running upstream. A
+    /// draining announcement is final for its start, and for earlier ones of
+    /// the same name.
+    announcement_outcome announce(const upstream_announcement& announcement);
 
     /// Permanently drains the upstream with this instance name: the start of
     /// its last announcement or, if there is none, each start until now. Only
@@ -52,11 +70,24 @@
 private:
     [[nodiscard]] bool expired() const;
     [[nodiscard]] bool was_withdrawn(const announcement_version& order) const;
+    [[nodiscard]] bool is_in_future(std::uint64_t wall_ms) const;
+    /// Returns the newest announcement of the same start, if one is known.
+    [[nodiscard]] const announcement_version*
+    find_newest(const announcement_version& order) const;
+    [[nodiscard]] std::optional<announcement_outcome>
+    find_objection(const upstream_announcement& announcement) const;
+    /// Ends the use of a start, and of earlier ones of the same name.
+    void add_departure(const announcement_version& order);
+    /// Returns the time up to which starts of the same name have left when this
+    /// start has.
+    [[nodiscard]] std::uint64_t
+    end_of_withdrawal(const announcement_version& order) const;
     void take_over(const acknowledged_upstream& earlier);
-    /// Replaces what is acknowledged and keeps its withdrawal.
-    void replace(acknowledged_upstream next);
-    /// Keeps what has been withdrawn of an upstream, if anything has.
-    void add_withdrawal(acknowledged_upstream withdrawn);
+    /// Makes another start of the upstream the last one, and keeps what is
+    /// acknowledged among the others.
+    void change_start(const announcement_version& order);
+    /// Adds what is known of another start.
+    void add_other(const acknowledged_upstream& other);
 
     const clock& time_;
     std::chrono::milliseconds lifetime_;
@@ -66,8 +97,8 @@
     /// When the last announcement arrived, or what an earlier process has
     /// acknowledged was restored.
     steady_time announced_at_;
-    /// Withdrawals of upstreams and starts other than the last one's.
-    std::deque<acknowledged_upstream> other_withdrawals_;
+    /// What is known of upstreams and starts other than the last one.
+    std::deque<acknowledged_upstream> others_;
 };
 
 } // namespace hemlockshelf
--- a/test/node/test_departure.cpp
+++ b/test/node/test_departure.cpp
@@ -22,6 +22,13 @@
     return announcement;
 }
 
+/// Returns whether the upstream takes in the announcement.
+bool accepts(
+    local_upstream& upstream, const upstream_announcement& announcement)
+{
+    return upstream.announce(announcement) == announcement_outcome::accepted;
+}
+
 /// Two nodes, of which the second one has the upstream.
 struct fixture
 {
@@ -107,10 +114,10 @@
     nodes.node_->upstream_.withdraw("i-1");
     cr_assert(nodes.is_shared_within(700ms));
     nodes.restart();
-    cr_assert(!nodes.node_->upstream_.announce(announce(1000, 5)));
+    cr_assert(!accepts(nodes.node_->upstream_, announce(1000, 5)));
     cr_assert(!nodes.gets_work_within(500ms));
     // The next start under the same name is not bound by it.
-    cr_assert(nodes.node_->upstream_.announce(announce(2000, 1)));
+    cr_assert(accepts(nodes.node_->upstream_, announce(2000, 1)));
     cr_assert(nodes.gets_work_within(2s));
 }
 
@@ -123,6 +130,6 @@
     cr_assert(nodes.gets_work_within(2s));
     nodes.restart();
     cr_assert(nodes.node_->upstream_.withdraw("i-1"));
-    cr_assert(!nodes.node_->upstream_.announce(announce(1000, 5)));
+    cr_assert(!accepts(nodes.node_->upstream_, announce(1000, 5)));
     cr_assert(!nodes.gets_work_within(500ms));
 }
--- a/test/node/test_own_upstream.cpp
+++ b/test/node/test_own_upstream.cpp
@@ -25,6 +25,13 @@
     return announcement;
 }
 
+/// Returns whether the upstream takes in the announcement.
+bool accepts(
+    local_upstream& upstream, const upstream_announcement& announcement)
+{
+    return upstream.announce(announcement) == announcement_outcome::accepted;
+}
+
 std::uint64_t wall_milliseconds(const manual_clock& time)
 {
     return static_cast<std::uint64_t>(
@@ -64,11 +71,11 @@
     const auto started = wall_milliseconds(time) - 5000;
     local_upstream upstream(time, 6s);
     upstream.withdraw("i-1");
-    cr_assert(!upstream.announce(announce("i-1", started, 5)));
-    cr_assert(!upstream.announce(announce("i-1", 0, 6)));
+    cr_assert(!accepts(upstream, announce("i-1", started, 5)));
+    cr_assert(!accepts(upstream, announce("i-1", 0, 6)));
     cr_assert(!upstream.current());
     time.advance(1s);
-    cr_assert(upstream.announce(announce("i-1", wall_milliseconds(time), 1)));
+    cr_assert(accepts(upstream, announce("i-1", wall_milliseconds(time), 1)));
     cr_assert(gets_work(upstream));
 }
 
@@ -81,9 +88,9 @@
     before.announce(announce("i-1", 1000, 4));
     before.withdraw("i-1");
     const auto after = restart(time, before);
-    cr_assert(!after->announce(announce("i-1", 1000, 5)));
+    cr_assert(!accepts(*after, announce("i-1", 1000, 5)));
     cr_assert(!after->current());
-    cr_assert(after->announce(announce("i-1", 2000, 1)));
+    cr_assert(accepts(*after, announce("i-1", 2000, 1)));
     cr_assert(gets_work(*after));
 }
 
@@ -96,7 +103,7 @@
     before.announce(announce("i-1", 1000, 4));
     before.withdraw("i-1");
     local_upstream after(time, 6s);
-    cr_assert(after.announce(announce("i-1", 1000, 5)));
+    cr_assert(accepts(after, announce("i-1", 1000, 5)));
     after.restore(*before.acknowledged());
     cr_assert(!gets_work(after));
 }
@@ -111,7 +118,7 @@
     draining.draining_ = true;
     before.announce(draining);
     const auto after = restart(time, before);
-    cr_assert(!after->announce(announce("i-1", 1000, 5)));
+    cr_assert(!accepts(*after, announce("i-1", 1000, 5)));
     cr_assert(!after->current());
 }
 
@@ -124,7 +131,7 @@
     before.announce({});
     before.drain();
     const auto after = restart(time, before);
-    cr_assert(after->announce({}));
+    cr_assert(accepts(*after, {}));
     cr_assert(!gets_work(*after));
 }
 
@@ -140,7 +147,7 @@
     after.announce(announce("i-1", 2000, 1));
     after.restore(*before.acknowledged());
     cr_assert(gets_work(after));
-    cr_assert(after.announce(announce("i-1", 2000, 2)));
+    cr_assert(accepts(after, announce("i-1", 2000, 2)));
 }
 
 // Guards against a withdrawal that is forgotten when another upstream takes the
@@ -151,12 +158,12 @@
     const auto now = wall_milliseconds(time);
     local_upstream announced(time, 6s);
     announced.withdraw("i-1");
-    cr_assert(announced.announce(announce("i-2", now - 2000, 1)));
-    cr_assert(!announced.announce(announce("i-1", now - 1000, 1)));
+    cr_assert(accepts(announced, announce("i-2", now - 2000, 1)));
+    cr_assert(!accepts(announced, announce("i-1", now - 1000, 1)));
     local_upstream restored(time, 6s);
     restored.withdraw("i-1");
     restored.restore({{"i-2", now - 2000, 1}});
-    cr_assert(!restored.announce(announce("i-1", now - 1000, 1)));
+    cr_assert(!accepts(restored, announce("i-1", now - 1000, 1)));
 }
 
 // Guards against an announcement that lacks the start, which an instance always
@@ -167,7 +174,7 @@
     local_upstream upstream(time, 6s);
     upstream.announce(announce("i-1", 1000, 4));
     upstream.withdraw("i-1");
-    cr_assert(!upstream.announce(announce("i-1", 0, 9)));
+    cr_assert(!accepts(upstream, announce("i-1", 0, 9)));
     cr_assert(!gets_work(upstream));
 }
 
@@ -220,7 +227,7 @@
                     }
                     const auto message =
                         is_late ? *rc::gen::elementOf(sent) : sent.back();
-                    const bool taken = upstream->announce(message);
+                    const bool taken = accepts(*upstream, message);
                     auto& drained = drained_at[message.order_.started_ms_];
                     if (taken && message.draining_)
                     {
@@ -238,8 +245,8 @@
                 }
             }
             time.advance(1ms);
-            cr_assert(upstream->announce(
-                announce("i-1", wall_milliseconds(time), 1)));
+            cr_assert(accepts(
+                *upstream, announce("i-1", wall_milliseconds(time), 1)));
             RC_ASSERT(gets_work(*upstream));
         }));
 }
@@ -250,9 +257,9 @@
 {
     manual_clock time;
     local_upstream upstream(time, 6s);
-    cr_assert(upstream.announce(announce("i-1", 1000, 9)));
-    cr_assert(upstream.announce(announce("i-2", 2000, 1)));
-    cr_assert(!upstream.announce(announce("i-1", 1000, 10)));
+    cr_assert(accepts(upstream, announce("i-1", 1000, 9)));
+    cr_assert(accepts(upstream, announce("i-2", 2000, 1)));
+    cr_assert(!accepts(upstream, announce("i-1", 1000, 10)));
     cr_assert(upstream.current()->order_.instance_ == "i-2");
 }
 
@@ -265,8 +272,8 @@
     upstream.announce(announce("i-1", 1000, 9));
     cr_assert(upstream.withdraw("i-1"));
     cr_assert(upstream.current()->draining_);
-    cr_assert(!upstream.announce(announce("i-1", 1000, 10)));
-    cr_assert(upstream.announce(announce("i-1", 2000, 1)));
+    cr_assert(!accepts(upstream, announce("i-1", 1000, 10)));
+    cr_assert(accepts(upstream, announce("i-1", 2000, 1)));
     cr_assert(!upstream.current()->draining_);
 }
 
@@ -290,3 +297,109 @@
     time.advance(2s);
     cr_assert(!upstream.current());
 }
+
+// Guards against an announcement of another sender that names a later start and
+// keeps the upstream out of use for good: once that start is silent, the one
+// that still announces itself is used, also if the other message comes again.
+Test(own_upstream, a_later_start_that_is_silent_gives_way)
+{
+    manual_clock time;
+    local_upstream upstream(time, 6s);
+    const auto odd = announce("i-odd", 2000, 1);
+    upstream.announce(announce("i-1", 1000, 1));
+    upstream.announce(odd);
+    time.advance(1500ms);
+    cr_assert(
+        upstream.announce(announce("i-1", 1000, 2)) ==
+        announcement_outcome::replaced);
+    time.advance(5s);
+    for (std::uint64_t sequence = 3; sequence < 10; ++sequence)
+    {
+        cr_assert(accepts(upstream, announce("i-1", 1000, sequence)));
+        cr_assert(upstream.announce(odd) == announcement_outcome::late);
+        cr_assert(gets_work(upstream));
+        time.advance(1500ms);
+    }
+}
+
+// The same of a later start of the upstream's own name.
+Test(own_upstream, a_later_start_of_the_same_name_gives_way)
+{
+    manual_clock time;
+    local_upstream upstream(time, 6s);
+    upstream.announce(announce("i-1", 1000, 1));
+    upstream.announce(announce("i-1", 2000, 1));
+    time.advance(6500ms);
+    cr_assert(accepts(upstream, announce("i-1", 1000, 6)));
+    cr_assert(gets_work(upstream));
+}
+
+// Guards against a restart, or another node, that brings back what another
+// sender has said.
+Test(own_upstream, a_later_start_that_was_held_gives_way)
+{
+    manual_clock time;
+    local_upstream before(time, 6s);
+    before.announce(announce("i-odd", 2000, 1));
+    const auto after = restart(time, before);
+    cr_assert(!accepts(*after, announce("i-1", 1000, 4)));
+    time.advance(6500ms);
+    cr_assert(accepts(*after, announce("i-1", 1000, 5)));
+    cr_assert(gets_work(*after));
+}
+
+// Guards against a start that no upstream can have had yet.
+Test(own_upstream, a_start_in_the_future_is_refused)
+{
+    const manual_clock time;
+    const auto now = wall_milliseconds(time);
+    local_upstream upstream(time, 6s);
+    const auto future = announce("i-1", now + 61'000, 1);
+    cr_assert(upstream.announce(future) == announcement_outcome::in_future);
+    upstream.restore({future.order_});
+    upstream.restore({{"i-1"}, now + 61'000});
+    cr_assert(!upstream.acknowledged());
+    // Clocks may differ by seconds.
+    cr_assert(accepts(upstream, announce("i-1", now + 5000, 1)));
+}
+
+// Guards against a sequence number of another sender that ends the use of the
+// upstream for good.
+Test(own_upstream, a_sequence_that_is_not_continued_gives_way)
+{
+    manual_clock time;
+    local_upstream upstream(time, 6s);
+    upstream.announce(announce("i-1", 1000, 1'000'000));
+    cr_assert(
+        upstream.announce(announce("i-1", 1000, 5)) ==
+        announcement_outcome::late);
+    time.advance(6500ms);
+    // The last announcement once more is no sign of life.
+    cr_assert(!accepts(upstream, announce("i-1", 1000, 1'000'000)));
+    cr_assert(accepts(upstream, announce("i-1", 1000, 9)));
+    cr_assert(gets_work(upstream));
+}
+
+// Guards against an earlier start, or a later announcement of the same one,
+// that gets work although a drain was announced.
+Test(own_upstream, a_drain_is_final_for_its_start)
+{
+    manual_clock time;
+    local_upstream upstream(time, 6s);
+    auto draining = announce("i-1", 2000, 6);
+    draining.draining_ = true;
+    upstream.announce(draining);
+    for (int round = 0; round < 2; ++round)
+    {
+        cr_assert(!accepts(upstream, announce("i-1", 2000, 7)));
+        cr_assert(!accepts(upstream, announce("i-1", 1000, 9)));
+        cr_assert(!gets_work(upstream));
+        time.advance(6500ms);
+    }
+    // The instance announces that it drains until it ends.
+    draining.order_.sequence_ = 8;
+    cr_assert(accepts(upstream, draining));
+    cr_assert(upstream.current()->draining_);
+    cr_assert(accepts(upstream, announce("i-1", 3000, 1)));
+    cr_assert(gets_work(upstream));
+}
--- a/test/platform/test_instance_listeners.cpp
+++ b/test/platform/test_instance_listeners.cpp
@@ -19,7 +19,9 @@
 {
     fixture()
         : listeners_(
-              {own_address(readiness_port), own_address(instances_port), {}},
+              {own_address(readiness_port),
+               own_address(instances_port),
+               {service_name{"desk"}, endpoint{"127.0.0.1", 1}}},
               {context_, upstream_, snapshots_,
                [this]
                {
@@ -57,14 +59,24 @@
         return response ? response->result_int() : 0;
     }
 
-    static unsigned send_heartbeat(const char* state, int sequence)
+    static nlohmann::json make_heartbeat(const char* state, int sequence)
+    {
+        return {{"service", "desk"},    {"address", "127.0.0.1:1"},
+                {"slot_count", 6},      {"state", state},
+                {"sequence", sequence}, {"born", 1000}};
+    }
+
+    static unsigned
+    send_heartbeat_of(const std::string& id, const nlohmann::json& body)
     {
-        const nlohmann::json body{
-            {"service", "desk"}, {"address", "127.0.0.1:1"}, {"slot_count", 6},
-            {"state", state},    {"sequence", sequence},     {"born", 1000}};
         return send_request(
             instances_port, boost::beast::http::verb::post,
-            "/api/Instances.Heartbeat/i-1", body.dump());
+            ("/api/Instances.Heartbeat/" + id).c_str(), body.dump());
+    }
+
+    static unsigned send_heartbeat(const char* state, int sequence)
+    {
+        return send_heartbeat_of("i-1", make_heartbeat(state, sequence));
     }
 
     real_clock time_;
@@ -175,3 +187,46 @@
         fixture::send_request(
             instances_port, boost::beast::http::verb::get, "/other") == 404);
 }
+
+// Guards against heartbeats of another sender that end the use of the instance,
+// before its first one, after it and again and again.
+Test(instance_listeners, heartbeats_of_others_leave_the_instance_in_use)
+{
+    fixture node;
+    auto other_service = fixture::make_heartbeat("ready", 1);
+    other_service["service"] = "not-a-service";
+    other_service["born"] = 2000;
+    auto other_address = fixture::make_heartbeat("draining", 1);
+    other_address["address"] = "127.0.0.1:70000";
+    other_address["born"] = 2000;
+    auto future = fixture::make_heartbeat("ready", 1);
+    future["born"] = std::uint64_t{1} << 62U;
+    for (int sequence = 1; sequence < 4; ++sequence)
+    {
+        for (const auto& other : {other_service, other_address, future})
+        {
+            for (const auto* id : {"i-1", "i-odd"})
+            {
+                const auto status = fixture::send_heartbeat_of(id, other);
+                cr_assert(status == 400 || status == 409);
+            }
+        }
+        cr_assert(fixture::send_heartbeat("ready", sequence) == 200);
+        const auto current = node.upstream_.current();
+        cr_assert(current && !current->draining_);
+        cr_assert(current->order_.instance_ == "i-1");
+        cr_assert(current->address_ == "127.0.0.1:1");
+    }
+}
+
+// Guards against an acknowledged heartbeat whose instance gets no work: another
+// one is in use.
+Test(instance_listeners, an_earlier_start_is_not_acknowledged)
+{
+    const fixture node;
+    auto later = fixture::make_heartbeat("ready", 1);
+    later["born"] = 2000;
+    cr_assert(fixture::send_heartbeat_of("i-2", later) == 200);
+    cr_assert(fixture::send_heartbeat("ready", 7) == 409);
+    cr_assert(fixture::send_heartbeat_of("i-2", later) == 200);
+}
