membership: store departures before they are acknowledged

Cause: an acknowledgement is a promise without an end, and rested on the memory of the node and of two others. Ruled out: that no other node held the departure. With one of two nodes replaced the same messages are refused.

Change: the platform has a row for each VM with the starts that have left, and has it before the acknowledgement; without an answer within 900 ms the node answers 503 and goes on writing. Each write checks the row's version, so that a call that is performed late undoes nothing. Its first write to the directory has the condition that there is none, so that a start costs no further call; if the platform does not answer, what another node hands over is enough, or 10 s without either.

Also: the value of a row that is not JSON is read as null, so that it can be overwritten.

--- a/include/hemlockshelf/editing/platform_tables.hpp
+++ b/include/hemlockshelf/editing/platform_tables.hpp
@@ -14,6 +14,7 @@
 inline constexpr auto changes = "changes";
 inline constexpr auto change_ids = "change_ids";
 inline constexpr auto directory = "directory";
+inline constexpr auto departures = "departures";
 
 /// Returns the key of a revision's change row. It is zero-padded to 20 digits,
 /// so that keys sort in the order of the revisions.
--- a/include/hemlockshelf/editing/table_service.hpp
+++ b/include/hemlockshelf/editing/table_service.hpp
@@ -66,8 +66,8 @@
 public:
     virtual ~table_service() = default;
 
-    /// Returns the row, or nothing if it does not exist. The error is
-    /// `platform_unavailable`.
+    /// Returns the row, or nothing if it does not exist. The value of a row
+    /// that is not JSON is null. The error is `platform_unavailable`.
     virtual result<std::optional<stored_row>>
     read(const std::string& table, const std::string& key) = 0;
 
--- a/node/admin_handler.cpp
+++ b/node/admin_handler.cpp
@@ -1,5 +1,7 @@
 #include "node/admin_handler.hpp"
 
+#include <chrono>
+#include <functional>
 #include <future>
 #include <memory>
 #include <utility>
@@ -144,17 +146,38 @@
     return json_response(200, *explanation);
 }
 
-/// Waits until other nodes hold what this one has acknowledged to its upstream,
-/// but not for nodes that do not answer.
-void share_upstream(control_plane& plane)
+/// Completion of an operation that may outlast the wait for it.
+struct completion
 {
-    const auto shared = std::make_shared<std::promise<void>>();
-    plane.share_upstream(
-        [shared]
+    std::shared_ptr<std::promise<void>> promise_ =
+        std::make_shared<std::promise<void>>();
+
+    [[nodiscard]] std::function<void()> handler() const
+    {
+        return [promise = promise_]
         {
-            shared->set_value();
-        });
-    shared->get_future().wait_for(max_upstream_share_time);
+            promise->set_value();
+        };
+    }
+
+    bool comes_within(std::chrono::milliseconds time) const
+    {
+        return promise_->get_future().wait_for(time) ==
+               std::future_status::ready;
+    }
+};
+
+/// Waits until the platform and other nodes hold what this one has acknowledged
+/// to its upstream, but not for nodes that do not answer. Returns whether the
+/// platform does.
+bool hold_upstream(control_plane& plane)
+{
+    const completion stored;
+    const completion shared;
+    plane.store_upstream(stored.handler());
+    plane.share_upstream(shared.handler());
+    shared.comes_within(max_upstream_share_time);
+    return stored.comes_within(max_upstream_store_time);
 }
 
 http_response drain(const admin_context& context, const http_request& request)
@@ -177,8 +200,8 @@
              "drain: the upstream belongs to another account"});
     }
     context.upstream_->drain();
-    share_upstream(*context.control_plane_);
-    return json_response(200, {{"draining", true}});
+    const bool stored = hold_upstream(*context.control_plane_);
+    return json_response(200, {{"draining", true}, {"stored", stored}});
 }
 
 } // namespace
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -15,6 +15,7 @@
 #include "node/confirmation_agent.hpp"
 #include "node/contact_tracker.hpp"
 #include "node/control_context.hpp"
+#include "node/departure_agent.hpp"
 #include "node/directory_agent.hpp"
 #include "node/heartbeat_agent.hpp"
 #include "node/join_agent.hpp"
@@ -38,6 +39,9 @@
 // How long a joining node waits for peers to send missing revisions before it
 // reads them from the platform.
 constexpr std::chrono::milliseconds join_grace{1000};
+// Longest delay of an announcement on its way to the node. One that arrives
+// later after the start of the process was sent after it.
+constexpr std::chrono::seconds max_announcement_delay{10};
 // Time for the last record to reach the first nodes of its push tree.
 constexpr std::chrono::milliseconds leave_notice_time{250};
 
@@ -92,9 +96,9 @@
                           joins_.add_contacts(contacts_of(rows));
                       });
               },
-              [&upstream](const acknowledged_upstream& acknowledged)
+              [this](const acknowledged_upstream& acknowledged)
               {
-                  upstream.restore(acknowledged);
+                  on_acknowledged(acknowledged);
               }),
           poller_(
               services,
@@ -109,12 +113,28 @@
                           on_polled(polled);
                       });
               }),
+          upstream_(upstream), departures_(
+                                   services.tables_,
+                                   settings.vm_,
+                                   upstream,
+                                   [this](bool loaded)
+                                   {
+                                       network_.post(
+                                           [this, loaded]
+                                           {
+                                               on_departures_read(loaded);
+                                           });
+                                   }),
           directory_(
               context_,
               poller_,
               [this](std::chrono::microseconds elapsed)
               {
                   records_.record_platform_round_trip(elapsed);
+              },
+              [this](const result<void>& none)
+              {
+                  on_registered(none);
               }),
           readers_(context_),
           reader_watch_(context_, readers_, pushes_, repairs_),
@@ -128,11 +148,15 @@
                                           }),
           quotas_(context_),
           uses_published_config_(services.configurations_ != nullptr)
-    {}
+    {
+        upstream_.wait_for_earlier_state();
+    }
 
     void start()
     {
         running_ = true;
+        started_at_ = time_.now();
+        incarnation_ = records_.own_incarnation();
         network_.start();
         poller_.start();
         network_.post(
@@ -195,6 +219,11 @@
             });
     }
 
+    void store_upstream(std::function<void()> done)
+    {
+        departures_.save(std::move(done));
+    }
+
     void stop()
     {
         if (!std::exchange(running_, false))
@@ -218,6 +247,8 @@
                     });
             });
         sent->get_future().wait_for(2 * leave_notice_time);
+        // Waits for a call in progress, which must not delay the notice.
+        departures_.stop();
         network_.stop();
     }
 
@@ -360,7 +391,17 @@
         {
             on_paused(pause);
         }
+        if (now - started_at_ >= max_announcement_delay)
+        {
+            use_upstream();
+        }
         records_.refresh();
+        if (incarnation_ != records_.own_incarnation())
+        {
+            // Members that held this one to be gone may have removed its row.
+            incarnation_ = records_.own_incarnation();
+            departures_.reload();
+        }
         repairs_.tick();
         if (lifecycle_.state() == node_state::joining)
         {
@@ -376,6 +417,12 @@
             confirmations_.tick();
             quotas_.tick();
         }
+        if (!directory_.asks_for_departures() &&
+            !std::exchange(loads_departures_, true))
+        {
+            // The node has contacts and does not need the directory.
+            departures_.load();
+        }
         update_poll_mode();
         highest_known_ = repairs_.highest_seen().value();
         // This comes last, so that no calls are routed until a pause has been
@@ -524,6 +571,61 @@
             log_fields::revision(config_.current_revision()));
     }
 
+    void on_acknowledged(const acknowledged_upstream& acknowledged)
+    {
+        upstream_.restore(acknowledged);
+        peers_know_upstream_ =
+            peers_know_upstream_ || !acknowledged.order_.instance_.empty();
+        trust_peers_without_platform();
+    }
+
+    /// Handles the first call to the directory, which succeeds if no upstream
+    /// has left this VM.
+    void on_registered(const result<void>& none)
+    {
+        if (none)
+        {
+            departures_.assume_absent();
+            use_upstream();
+            return;
+        }
+        departures_.load();
+        if (none.error().kind_ != error_kind::conflict)
+        {
+            on_departures_read(false);
+        }
+    }
+
+    void on_departures_read(bool loaded)
+    {
+        if (loaded)
+        {
+            use_upstream();
+            return;
+        }
+        departures_unavailable_ = true;
+        trust_peers_without_platform();
+    }
+
+    /// Uses the upstream by what peers have told of it if the platform does not
+    /// answer.
+    void trust_peers_without_platform()
+    {
+        if (departures_unavailable_ && peers_know_upstream_)
+        {
+            use_upstream();
+        }
+    }
+
+    void use_upstream()
+    {
+        if (!std::exchange(uses_upstream_, true))
+        {
+            upstream_.end_wait_for_earlier_state();
+            records_.refresh();
+        }
+    }
+
     void run_housekeeping()
     {
         context_.members_.remove_expired(time_.now(), settings_.membership_);
@@ -635,6 +737,8 @@
     heartbeat_agent heartbeats_;
     join_agent joins_;
     platform_poller poller_;
+    local_upstream& upstream_;
+    departure_agent departures_;
     directory_agent directory_;
     publication_readers readers_;
     reader_watch reader_watch_;
@@ -647,7 +751,18 @@
     /// Written by the control thread and also read by the threads that handle
     /// calls.
     std::atomic<steady_time> last_tick_;
+    steady_time started_at_;
     steady_time join_grace_until_;
+    incarnation incarnation_;
+    /// Whether this process knows enough of what earlier ones have acknowledged
+    /// to the upstream.
+    bool uses_upstream_ = false;
+    /// Whether departures are read from their own row.
+    bool loads_departures_ = false;
+    /// Whether the platform did not say what upstreams have left.
+    bool departures_unavailable_ = false;
+    /// Whether another node has told what an earlier process acknowledged.
+    bool peers_know_upstream_ = false;
     /// Whether the node polls the platform before it has joined.
     bool polls_while_joining_ = false;
     /// What the node has read from the platform before it has joined, if no
@@ -700,6 +815,11 @@
     impl_->share_upstream(std::move(done));
 }
 
+void control_plane::store_upstream(std::function<void()> done)
+{
+    impl_->store_upstream(std::move(done));
+}
+
 void control_plane::stop()
 {
     impl_->stop();
--- a/node/control_plane.hpp
+++ b/node/control_plane.hpp
@@ -54,6 +54,10 @@
     /// not joined or reaches no other may never call it.
     void share_upstream(std::function<void()> done);
 
+    /// Makes the platform hold what has been acknowledged to the upstream, and
+    /// calls `done` on another thread once it does.
+    void store_upstream(std::function<void()> done);
+
     /// Notifies the other nodes that this one leaves, then stops.
     void stop();
 
--- /dev/null
+++ b/node/departure_row.cpp
@@ -0,0 +1,170 @@
+#include "node/departure_row.hpp"
+
+#include <cstdint>
+
+#include <fmt/format.h>
+
+#include "hemlockshelf/editing/platform_tables.hpp"
+
+namespace hemlockshelf {
+
+namespace {
+
+// Attempts of one save: a lost answer or a write of an earlier process that
+// comes late costs one each.
+constexpr int max_attempts = 3;
+
+nlohmann::json to_json(const std::vector<acknowledged_upstream>& departures)
+{
+    auto entries = nlohmann::json::array();
+    for (const auto& departure : departures)
+    {
+        entries.push_back(
+            {{"instance", departure.order_.instance_},
+             {"started_ms", departure.order_.started_ms_},
+             {"withdrawn_until_ms", departure.withdrawn_until_ms_},
+             {"drained", departure.drained_}});
+    }
+    return {{"departures", std::move(entries)}};
+}
+
+bool has_number(const nlohmann::json& entry, const char* field)
+{
+    return entry.contains(field) && entry.at(field).is_number_unsigned();
+}
+
+/// Returns `std::nullopt` for an entry of another writer.
+std::optional<acknowledged_upstream> read_entry(const nlohmann::json& entry)
+{
+    if (!entry.is_object() || !entry.contains("instance") ||
+        !entry.at("instance").is_string() || !has_number(entry, "started_ms") ||
+        !has_number(entry, "withdrawn_until_ms") ||
+        !entry.contains("drained") || !entry.at("drained").is_boolean())
+    {
+        return std::nullopt;
+    }
+    return acknowledged_upstream{
+        {entry.at("instance").get<std::string>(),
+         entry.at("started_ms").get<std::uint64_t>()},
+        entry.at("withdrawn_until_ms").get<std::uint64_t>(),
+        entry.at("drained").get<bool>()};
+}
+
+std::vector<acknowledged_upstream> read_entries(const nlohmann::json& value)
+{
+    std::vector<acknowledged_upstream> departures;
+    if (!value.is_object() || !value.contains("departures") ||
+        !value.at("departures").is_array())
+    {
+        return departures;
+    }
+    for (const auto& entry : value.at("departures"))
+    {
+        if (auto departure = read_entry(entry))
+        {
+            departures.push_back(std::move(*departure));
+        }
+    }
+    return departures;
+}
+
+} // namespace
+
+departure_row::departure_row(
+    table_service& tables, const vm_id& vm, local_upstream& upstream)
+    : tables_(tables), key_(vm.value()), upstream_(upstream)
+{}
+
+result<void> departure_row::load()
+{
+    const auto row = tables_.read(platform_tables::departures, key_);
+    if (!row)
+    {
+        return tl::unexpected<error>(row.error());
+    }
+    stored_.emplace();
+    version_ = row_version{0};
+    if (*row)
+    {
+        version_ = (*row)->version_;
+        stored_ = read_entries((*row)->value_);
+    }
+    for (const auto& departure : *stored_)
+    {
+        upstream_.restore(departure);
+    }
+    return {};
+}
+
+result<void> departure_row::save()
+{
+    result<void> outcome;
+    for (int attempt = 0; attempt < max_attempts; ++attempt)
+    {
+        if (!stored_ || (!version_ && *stored_ != upstream_.departures()))
+        {
+            if (outcome = load(); !outcome)
+            {
+                return outcome;
+            }
+        }
+        const auto departures = upstream_.departures();
+        if (*stored_ == departures)
+        {
+            return {};
+        }
+        if (outcome = write(departures); outcome)
+        {
+            return outcome;
+        }
+        // The next attempt reads whether the row was written.
+        forget();
+        const auto kind = outcome.error().kind_;
+        if (kind != error_kind::conflict && kind != error_kind::outcome_unknown)
+        {
+            return outcome;
+        }
+    }
+    return outcome;
+}
+
+result<void>
+departure_row::write(const std::vector<acknowledged_upstream>& departures)
+{
+    // The check keeps a call that is performed late, of this process or an
+    // earlier one, from undoing a newer write.
+    auto written = tables_.commit(
+        {{{platform_tables::departures, key_, *version_}},
+         {{platform_tables::departures, key_, to_json(departures)}}});
+    if (written)
+    {
+        stored_ = departures;
+        version_.reset();
+    }
+    return written;
+}
+
+void departure_row::forget()
+{
+    stored_.reset();
+    version_.reset();
+}
+
+void departure_row::assume_absent()
+{
+    stored_.emplace();
+    version_ = row_version{0};
+}
+
+row_check no_departures(const vm_id& vm)
+{
+    return {platform_tables::departures, vm.value(), {}};
+}
+
+result<void> remove_departure_row(table_service& tables, const vm_id& vm)
+{
+    return tables.commit(
+        {{}, {{platform_tables::departures, vm.value(), nullptr}}});
+}
+
+} // namespace hemlockshelf
--- a/node/directory.cpp
+++ b/node/directory.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "hemlockshelf/editing/platform_tables.hpp"
+#include "node/departure_row.hpp"
 
 namespace hemlockshelf {
 
@@ -42,15 +43,26 @@
         vm_id{row.value_.at("vm").get<std::string>()}, *control};
 }
 
+row_write make_write(const directory_row& row)
+{
+    return {
+        platform_tables::directory,
+        key_of(row),
+        {{"vm", row.vm_.value()}, {"control", to_string(row.control_)}}};
+}
+
 } // namespace
 
 result<void>
 write_directory_row(table_service& tables, const directory_row& row)
 {
-    const nlohmann::json value{
-        {"vm", row.vm_.value()}, {"control", to_string(row.control_)}};
-    return tables.commit(
-        {{}, {{platform_tables::directory, key_of(row), value}}});
+    return tables.commit({{}, {make_write(row)}});
+}
+
+result<void>
+register_without_departures(table_service& tables, const directory_row& row)
+{
+    return tables.commit({{no_departures(row.vm_)}, {make_write(row)}});
 }
 
 result<void>
--- a/node/directory.hpp
+++ b/node/directory.hpp
@@ -25,6 +25,11 @@
 result<void>
 write_directory_row(table_service& tables, const directory_row& row);
 
+/// Does the same if the platform holds no departures of the VM's upstreams, so
+/// that one call tells that as well. Fails with `conflict` if it does.
+result<void>
+register_without_departures(table_service& tables, const directory_row& row);
+
 /// Removes the row of a node that no longer answers. Fails with the errors of
 /// `commit`.
 result<void>
--- a/node/directory_agent.cpp
+++ b/node/directory_agent.cpp
@@ -6,6 +6,7 @@
 
 #include "adapters/telemetry/event_log.hpp"
 #include "hemlockshelf/core/error_table.hpp"
+#include "node/departure_row.hpp"
 
 namespace hemlockshelf {
 
@@ -23,14 +24,22 @@
 directory_agent::directory_agent(
     control_context& context,
     platform_poller& poller,
-    round_trip_handler on_round_trip)
+    round_trip_handler on_round_trip,
+    departures_handler on_departures)
     : context_(context), poller_(poller),
-      on_round_trip_(std::move(on_round_trip))
+      on_round_trip_(std::move(on_round_trip)),
+      on_departures_(std::move(on_departures))
 {}
 
 void directory_agent::register_and_read(rows_handler found)
 {
-    read(true, std::move(found));
+    const bool asks = !std::exchange(asks_for_departures_, true);
+    read(
+        [this, asks, row = own_row()](table_service& tables)
+        {
+            asks ? write_first_row(tables, row) : write_row(tables, row);
+        },
+        std::move(found));
 }
 
 void directory_agent::maintain(rows_handler found)
@@ -52,7 +61,7 @@
         return;
     }
     read(
-        false,
+        [](table_service&) {},
         [this, found = std::move(found)](const std::vector<directory_row>& rows)
         {
             restore_own_row(rows);
@@ -61,20 +70,44 @@
         });
 }
 
-void directory_agent::read(bool write_first, rows_handler found)
+void directory_agent::write_first_row(
+    table_service& tables, const directory_row& row) const
+{
+    const auto written = register_without_departures(tables, row);
+    context_.network_.post(
+        [this, written]
+        {
+            on_departures_(written);
+        });
+    if (written)
+    {
+        return;
+    }
+    if (written.error().kind_ == error_kind::conflict)
+    {
+        write_row(tables, row);
+        return;
+    }
+    log_failure(written.error());
+}
+
+void directory_agent::write_row(
+    table_service& tables, const directory_row& row) const
+{
+    if (const auto written = write_directory_row(tables, row); !written)
+    {
+        log_failure(written.error());
+    }
+}
+
+void directory_agent::read(
+    std::function<void(table_service&)> write_first, rows_handler found)
 {
     poller_.run_task(
-        [this, row = own_row(), write_first,
+        [this, write_first = std::move(write_first),
          found = std::move(found)](table_service& tables)
         {
-            if (write_first)
-            {
-                if (const auto written = write_directory_row(tables, row);
-                    !written)
-                {
-                    log_failure(written.error());
-                }
-            }
+            write_first(tables);
             // Measured without the write, which may open the connection.
             const auto started = context_.time_.now();
             auto rows = read_directory(tables);
@@ -110,12 +143,9 @@
         return;
     }
     poller_.run_task(
-        [row](table_service& tables)
+        [this, row](table_service& tables)
         {
-            if (const auto written = write_directory_row(tables, row); !written)
-            {
-                log_failure(written.error());
-            }
+            write_row(tables, row);
         });
 }
 
@@ -143,8 +173,12 @@
         poller_.run_task(
             [row](table_service& tables)
             {
-                if (const auto removed = remove_directory_row(tables, row);
-                    !removed)
+                auto removed = remove_directory_row(tables, row);
+                if (removed)
+                {
+                    removed = remove_departure_row(tables, row.vm_);
+                }
+                if (!removed)
                 {
                     log_failure(removed.error());
                 }
--- a/node/directory_agent.hpp
+++ b/node/directory_agent.hpp
@@ -27,16 +27,30 @@
     /// control loop.
     using round_trip_handler = std::function<void(std::chrono::microseconds)>;
 
+    /// Receives, on the control loop, whether the platform holds no departures
+    /// of upstreams on this VM: `conflict` if it does, another error if it has
+    /// not answered.
+    using departures_handler = std::function<void(const result<void>&)>;
+
     directory_agent(
         control_context& context,
         platform_poller& poller,
-        round_trip_handler on_round_trip);
+        round_trip_handler on_round_trip,
+        departures_handler on_departures);
 
     /// Writes this node's row, then reads the directory. In this order, of two
     /// nodes that start together, the one that writes later finds the other's
-    /// row. `found` is not called if the platform does not answer.
+    /// row. `found` is not called if the platform does not answer. The first
+    /// call also asks for departures.
     void register_and_read(rows_handler found);
 
+    /// Returns whether `register_and_read` has been called, which tells of
+    /// departures as well.
+    [[nodiscard]] bool asks_for_departures() const noexcept
+    {
+        return asks_for_departures_;
+    }
+
     /// Maintains the directory, at most once per
     /// `membership.directory_interval`. The first `membership.directory_rows`
     /// nodes of each failure domain in rendezvous order restore their rows if
@@ -45,7 +59,10 @@
     void maintain(rows_handler found);
 
 private:
-    void read(bool write_first, rows_handler found);
+    void
+    read(std::function<void(table_service&)> write_first, rows_handler found);
+    void write_row(table_service& tables, const directory_row& row) const;
+    void write_first_row(table_service& tables, const directory_row& row) const;
     [[nodiscard]] directory_row own_row() const;
     void restore_own_row(const std::vector<directory_row>& rows);
     void remove_stale_rows(const std::vector<directory_row>& rows);
@@ -53,6 +70,8 @@
     control_context& context_;
     platform_poller& poller_;
     round_trip_handler on_round_trip_;
+    departures_handler on_departures_;
+    bool asks_for_departures_ = false;
     steady_time next_check_;
     /// Nodes with a row but no live member at the last check. A row is removed
     /// only if this is still so at the next check, because a node that has just
--- a/node/local_upstream.cpp
+++ b/node/local_upstream.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <tuple>
 #include <utility>
 
 namespace hemlockshelf {
@@ -67,6 +68,18 @@
     : time_(time), lifetime_(lifetime)
 {}
 
+void local_upstream::wait_for_earlier_state()
+{
+    const std::lock_guard lock(mutex_);
+    waits_for_earlier_state_ = true;
+}
+
+void local_upstream::end_wait_for_earlier_state()
+{
+    const std::lock_guard lock(mutex_);
+    waits_for_earlier_state_ = false;
+}
+
 announcement_outcome
 local_upstream::announce(const upstream_announcement& announcement)
 {
@@ -281,7 +294,7 @@
 std::optional<upstream_announcement> local_upstream::current() const
 {
     const std::lock_guard lock(mutex_);
-    if (!last_ || expired())
+    if (!last_ || expired() || waits_for_earlier_state_)
     {
         return std::nullopt;
     }
@@ -298,6 +311,34 @@
     return acknowledged_;
 }
 
+std::vector<acknowledged_upstream> local_upstream::departures() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<acknowledged_upstream> found;
+    const auto add = [&found](acknowledged_upstream start)
+    {
+        if (has_left(start) || start.drained_)
+        {
+            start.order_.sequence_ = 0;
+            found.push_back(std::move(start));
+        }
+    };
+    if (acknowledged_)
+    {
+        add(*acknowledged_);
+    }
+    std::ranges::for_each(others_, add);
+    std::ranges::sort(
+        found,
+        [](const acknowledged_upstream& left,
+           const acknowledged_upstream& right)
+        {
+            return std::tie(left.order_.instance_, left.order_.started_ms_) <
+                   std::tie(right.order_.instance_, right.order_.started_ms_);
+        });
+    return found;
+}
+
 bool local_upstream::expired() const
 {
     return time_.now() - announced_at_ > lifetime_;
--- a/node/local_upstream.hpp
+++ b/node/local_upstream.hpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "hemlockshelf/core/clock.hpp"
 #include "hemlockshelf/membership/acknowledged_upstream.hpp"
@@ -19,6 +20,10 @@
 /// answers after this time: the instance then gets no work from elsewhere.
 inline constexpr std::chrono::milliseconds max_upstream_share_time{700};
 
+/// Longest wait for the platform to hold what a node acknowledges to its
+/// upstream. Without an answer, the upstream repeats its message.
+inline constexpr std::chrono::milliseconds max_upstream_store_time{900};
+
 /// What became of an announcement.
 enum class announcement_outcome
 {
@@ -40,6 +45,11 @@
     /// An announcement expires after `lifetime`.
     local_upstream(const clock& time, std::chrono::milliseconds lifetime);
 
+    /// Makes `current` return nothing until `end_wait_for_earlier_state`: until
+    /// then an announcement may be one that a departure follows.
+    void wait_for_earlier_state();
+    void end_wait_for_earlier_state();
+
     /// Stores an announcement and its arrival time, or ignores it if it does
     /// not follow the stored one or if its instance has been withdrawn. Once
     /// the stored one has expired, an earlier start that still announces itself
@@ -67,6 +77,10 @@
     /// Returns what has been acknowledged, including what was restored.
     [[nodiscard]] std::optional<acknowledged_upstream> acknowledged() const;
 
+    /// Returns the starts that get no work any more, in the order of their
+    /// names and times, without sequence numbers.
+    [[nodiscard]] std::vector<acknowledged_upstream> departures() const;
+
 private:
     [[nodiscard]] bool expired() const;
     [[nodiscard]] bool was_withdrawn(const announcement_version& order) const;
@@ -99,6 +113,7 @@
     steady_time announced_at_;
     /// What is known of upstreams and starts other than the last one.
     std::deque<acknowledged_upstream> others_;
+    bool waits_for_earlier_state_ = false;
 };
 
 } // namespace hemlockshelf
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -102,6 +102,10 @@
                  [this](std::function<void()> done)
                  {
                      control_plane_.share_upstream(std::move(done));
+                 },
+                 [this](std::function<void()> done)
+                 {
+                     control_plane_.store_upstream(std::move(done));
                  }});
         }
     }
--- a/node/platform_services.hpp
+++ b/node/platform_services.hpp
@@ -27,6 +27,9 @@
     /// Makes other nodes hold what the node acknowledges to its upstream, and
     /// calls back, from any thread, once they do.
     std::function<void(std::function<void()>)> share_upstream_;
+    /// Makes the platform hold what the node acknowledges to its upstream, and
+    /// calls back, from any thread, once it does.
+    std::function<void(std::function<void()>)> store_upstream_;
 };
 
 /// Listener of a platform adapter; closed on destruction.
--- a/test/node/test_departure.cpp
+++ b/test/node/test_departure.cpp
@@ -34,14 +34,14 @@
 {
     fixture()
     {
-        cr_assert(is_serving_within(5s, other_));
+        start_other();
         start();
     }
 
     void start()
     {
         auto settings = settings_of(2, "salle-bourg");
-        settings.peers_ = {other_.settings_.control_};
+        settings.peers_ = {other_->settings_.control_};
         node_ = std::make_unique<control_node>(settings, tables_);
         cr_assert(is_serving_within(5s, *node_));
     }
@@ -52,9 +52,24 @@
         start();
     }
 
+    void restart_all()
+    {
+        node_.reset();
+        other_.reset();
+        start_other();
+        start();
+    }
+
+    void start_other()
+    {
+        other_ = std::make_unique<control_node>(
+            settings_of(1, "salle-belair"), tables_);
+        cr_assert(is_serving_within(5s, *other_));
+    }
+
     std::optional<member_record> known_record()
     {
-        const auto entry = other_.members_.find(vm_id{"vm-2"});
+        const auto entry = other_->members_.find(vm_id{"vm-2"});
         return entry ? std::optional(entry->record_) : std::nullopt;
     }
 
@@ -82,8 +97,19 @@
         return shared->get_future().wait_for(time) == std::future_status::ready;
     }
 
+    bool is_stored_within(std::chrono::milliseconds time)
+    {
+        const auto stored = std::make_shared<std::promise<void>>();
+        node_->plane_.store_upstream(
+            [stored]
+            {
+                stored->set_value();
+            });
+        return stored->get_future().wait_for(time) == std::future_status::ready;
+    }
+
     memory_tables tables_;
-    control_node other_{settings_of(1, "salle-belair"), tables_};
+    std::unique_ptr<control_node> other_;
     std::unique_ptr<control_node> node_;
 };
 
@@ -133,3 +159,19 @@
     cr_assert(!accepts(nodes.node_->upstream_, announce(1000, 5)));
     cr_assert(!nodes.gets_work_within(500ms));
 }
+
+// Guards against an upstream that has left and gets work again: all nodes have
+// restarted, and an announcement that was sent before arrives late.
+Test(departure, all_restarted_nodes_know_which_start_has_left)
+{
+    fixture nodes;
+    nodes.node_->upstream_.announce(announce(1000, 4));
+    cr_assert(nodes.gets_work_within(2s));
+    nodes.node_->upstream_.withdraw("i-1");
+    cr_assert(nodes.is_stored_within(900ms));
+    nodes.restart_all();
+    nodes.node_->upstream_.announce(announce(1000, 5));
+    cr_assert(!nodes.gets_work_within(500ms));
+    nodes.node_->upstream_.announce(announce(2000, 1));
+    cr_assert(nodes.gets_work_within(2s));
+}
--- a/test/node/test_directory.cpp
+++ b/test/node/test_directory.cpp
@@ -31,6 +31,19 @@
     cr_assert(read_directory(tables)->size() == 1);
 }
 
+// Guards against a call of its own, at each start, for departures that most VMs
+// do not have.
+Test(directory, registering_tells_whether_an_upstream_has_left)
+{
+    memory_tables tables;
+    cr_assert(register_without_departures(tables, row_of("vm-1", 1)));
+    cr_assert(read_directory(tables)->size() == 1);
+    tables.commit({{}, {{platform_tables::departures, "vm-2", {1}}}});
+    const auto written = register_without_departures(tables, row_of("vm-2", 1));
+    cr_assert(!written && written.error().kind_ == error_kind::conflict);
+    cr_assert(read_directory(tables)->size() == 1);
+}
+
 Test(directory, rows_of_other_writers_are_passed_over)
 {
     memory_tables tables;
--- a/test/platform/test_instance_listeners.cpp
+++ b/test/platform/test_instance_listeners.cpp
@@ -34,6 +34,14 @@
                    {
                        done();
                    }
+               },
+               [this](const std::function<void()>& done)
+               {
+                   ++stores_;
+                   if (platform_answers_)
+                   {
+                       done();
+                   }
                }}),
           thread_(
               [this]
@@ -85,6 +93,8 @@
     std::atomic<bool> ready_ = false;
     std::atomic<bool> others_answer_ = true;
     std::atomic<int> shares_ = 0;
+    std::atomic<bool> platform_answers_ = true;
+    std::atomic<int> stores_ = 0;
     boost::asio::io_context context_;
     instance_listeners listeners_;
     std::thread thread_;
@@ -230,3 +240,32 @@
     cr_assert(fixture::send_heartbeat("ready", 7) == 409);
     cr_assert(fixture::send_heartbeat_of("i-2", later) == 200);
 }
+
+// Guards against an acknowledged departure that ends with the processes of all
+// nodes: without an answer of the platform there is no acknowledgement, also of
+// a message that is sent again.
+Test(instance_listeners, what_leaves_is_stored_before_the_acknowledgement)
+{
+    fixture node;
+    node.platform_answers_ = false;
+    fixture::send_heartbeat("ready", 4);
+    cr_assert(node.stores_ == 0);
+    const auto started = node.time_.now();
+    cr_assert(fixture::send_heartbeat("draining", 5) == 503);
+    cr_assert(node.time_.now() - started < 1s);
+    cr_assert(fixture::send_heartbeat("draining", 5) == 503);
+    // The instance gets no work meanwhile.
+    cr_assert(node.upstream_.current()->draining_);
+    const auto deregister = []
+    {
+        return fixture::send_request(
+            instances_port, boost::beast::http::verb::post,
+            "/api/Instances.Deregister/i-1");
+    };
+    cr_assert(deregister() == 503);
+    node.platform_answers_ = true;
+    cr_assert(fixture::send_heartbeat("draining", 5) == 200);
+    cr_assert(fixture::send_heartbeat("draining", 6) == 200);
+    cr_assert(deregister() == 200);
+    cr_assert(node.stores_ == 6);
+}
--- a/test/platform/test_store_client.cpp
+++ b/test/platform/test_store_client.cpp
@@ -44,6 +44,19 @@
     cr_assert(rows->front().key_ == "a/2" && rows->back().key_ == "a/3");
 }
 
+// Guards against a row of another writer that cannot be overwritten, because it
+// counts as absent.
+Test(store_client, a_row_that_is_not_json_has_a_version)
+{
+    store_fixture store;
+    store_client client(store.target(), store.metrics_);
+    store.service_.publish("t", "k", "not JSON");
+    const auto row = client.read("t", "k");
+    cr_assert(row && row->has_value() && (*row)->value_.is_null());
+    cr_assert(client.commit({{{"t", "k", (*row)->version_}}, {{"t", "k", 1}}}));
+    cr_assert((*client.read("t", "k"))->value_ == 1);
+}
+
 // Guards against reporting a write as failed although the store may have
 // committed it before its response was lost.
 Test(store_client, tells_refusals_from_lost_answers)
