membership: tell the number 0 of an announcement from none

Cause: 0 stood for "no number" in the product's own interface and is a number on the users' platform. So did a start of 0 and the time up to which starts have left. Ruled out: that the heartbeat counted as one of a new start; the start was given and equal.

Change: the three are optional in the types, in the row of departures and in the messages between nodes, which say whether a number is known. Within a start the order is total; announcements without a number, and starts with equal times, count in the order of their arrival. A node of an earlier version does not send the new fields, and its numbers count as known unless they are 0.

Since draining is final for its start, the drain itself would hold without this change as well; what a late first heartbeat says of slots and warm-up would not.

--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -13,11 +13,16 @@
 struct AcknowledgedUpstream {
   instance @0 :Text;
   startedMs @1 :UInt64;
-  # Wall-clock time; 0 if it is not known.
+  # Wall-clock time.
   sequence @2 :UInt64;
   withdrawnUntilMs @3 :UInt64;
-  # Wall-clock time up to which its starts have deregistered; 0 if none has.
+  # Wall-clock time up to which its starts have deregistered.
   drained @4 :Bool;
+  hasStart @5 :Bool;
+  hasSequence @6 :Bool;
+  isWithdrawn @7 :Bool;
+  # Whether the number is known. Nodes before this field do not set it; their
+  # numbers are known unless they are 0.
 }
 
 struct MemberRecord {
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -592,6 +592,12 @@
 
   inline bool getDrained() const;
 
+  inline bool getHasStart() const;
+
+  inline bool getHasSequence() const;
+
+  inline bool getIsWithdrawn() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -639,6 +645,15 @@
   inline bool getDrained();
   inline void setDrained(bool value);
 
+  inline bool getHasStart();
+  inline void setHasStart(bool value);
+
+  inline bool getHasSequence();
+  inline void setHasSequence(bool value);
+
+  inline bool getIsWithdrawn();
+  inline void setIsWithdrawn(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3124,6 +3139,48 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AcknowledgedUpstream::Reader::getHasStart() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool AcknowledgedUpstream::Builder::getHasStart() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setHasStart(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AcknowledgedUpstream::Reader::getHasSequence() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+
+inline bool AcknowledgedUpstream::Builder::getHasSequence() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setHasSequence(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AcknowledgedUpstream::Reader::getIsWithdrawn() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+
+inline bool AcknowledgedUpstream::Builder::getIsWithdrawn() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+inline void AcknowledgedUpstream::Builder::setIsWithdrawn(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MemberRecord::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/adapters/rpc/message_codec.cpp
+++ b/adapters/rpc/message_codec.cpp
@@ -58,18 +58,31 @@
     wire::AcknowledgedUpstream::Builder wire,
     const acknowledged_upstream& acknowledged)
 {
-    wire.setInstance(acknowledged.order_.instance_.c_str());
-    wire.setStartedMs(acknowledged.order_.started_ms_);
-    wire.setSequence(acknowledged.order_.sequence_);
-    wire.setWithdrawnUntilMs(acknowledged.withdrawn_until_ms_);
+    const auto& [instance, started, sequence] = acknowledged.order_;
+    wire.setInstance(instance.c_str());
+    wire.setStartedMs(started.value_or(0));
+    wire.setHasStart(started.has_value());
+    wire.setSequence(sequence.value_or(0));
+    wire.setHasSequence(sequence.has_value());
+    wire.setWithdrawnUntilMs(acknowledged.withdrawn_until_ms_.value_or(0));
+    wire.setIsWithdrawn(acknowledged.withdrawn_until_ms_.has_value());
     wire.setDrained(acknowledged.drained_);
 }
 
+/// Reads a number and the field that says whether it is known. Nodes of earlier
+/// versions leave that one out and send 0 for a number that is not.
+std::optional<std::uint64_t> read_number(bool is_known, std::uint64_t number)
+{
+    return is_known || number != 0 ? std::optional(number) : std::nullopt;
+}
+
 acknowledged_upstream read(wire::AcknowledgedUpstream::Reader wire)
 {
     return {
-        {text_of(wire.getInstance()), wire.getStartedMs(), wire.getSequence()},
-        wire.getWithdrawnUntilMs(),
+        {text_of(wire.getInstance()),
+         read_number(wire.getHasStart(), wire.getStartedMs()),
+         read_number(wire.getHasSequence(), wire.getSequence())},
+        read_number(wire.getIsWithdrawn(), wire.getWithdrawnUntilMs()),
         wire.getDrained()};
 }
 
--- a/include/hemlockshelf/membership/acknowledged_upstream.hpp
+++ b/include/hemlockshelf/membership/acknowledged_upstream.hpp
@@ -16,8 +16,8 @@
     /// The newest announcement.
     announcement_version order_{};
     /// The upstream of this name has deregistered: its starts up to this
-    /// wall-clock time, in milliseconds, get no work. 0 if it has not.
-    std::uint64_t withdrawn_until_ms_ = 0;
+    /// wall-clock time, in milliseconds, get no work.
+    std::optional<std::uint64_t> withdrawn_until_ms_{};
     /// Whether an operator has drained this start of the upstream.
     bool drained_ = false;
 
--- a/include/hemlockshelf/membership/upstream_announcement.hpp
+++ b/include/hemlockshelf/membership/upstream_announcement.hpp
@@ -18,11 +18,10 @@
 {
     /// Name of this run of the upstream process; empty if not given.
     std::string instance_;
-    /// Start time of the upstream process, in milliseconds of wall-clock time;
-    /// 0 if not given.
-    std::uint64_t started_ms_ = 0;
-    /// Increases with each announcement of one run; 0 if not given.
-    std::uint64_t sequence_ = 0;
+    /// Start time of the upstream process, in milliseconds of wall-clock time.
+    std::optional<std::uint64_t> started_ms_{};
+    /// Increases with each announcement of one run.
+    std::optional<std::uint64_t> sequence_{};
 
     friend bool operator==(
         const announcement_version&, const announcement_version&) = default;
@@ -32,10 +31,15 @@
 bool same_start(
     const announcement_version& left, const announcement_version& right);
 
-/// Returns whether `next` is newer than `last`, the last one accepted.
+/// Returns whether `next` is newer than `last` by what they say of themselves.
+/// What gives no start or no number is older than what does.
 bool is_newer(
     const announcement_version& last, const announcement_version& next);
 
+/// Returns whether only the order of arrival tells which of the two is newer.
+bool is_ordered_by_arrival(
+    const announcement_version& left, const announcement_version& right);
+
 /// An upstream's announcement to the node on its VM.
 struct upstream_announcement
 {
--- a/node/departure_row.cpp
+++ b/node/departure_row.cpp
@@ -19,34 +19,50 @@
     auto entries = nlohmann::json::array();
     for (const auto& departure : departures)
     {
-        entries.push_back(
-            {{"instance", departure.order_.instance_},
-             {"started_ms", departure.order_.started_ms_},
-             {"withdrawn_until_ms", departure.withdrawn_until_ms_},
-             {"drained", departure.drained_}});
+        nlohmann::json entry{
+            {"instance", departure.order_.instance_},
+            {"drained", departure.drained_}};
+        if (departure.order_.started_ms_)
+        {
+            entry["started_ms"] = *departure.order_.started_ms_;
+        }
+        if (departure.withdrawn_until_ms_)
+        {
+            entry["withdrawn_until_ms"] = *departure.withdrawn_until_ms_;
+        }
+        entries.push_back(std::move(entry));
     }
     return {{"departures", std::move(entries)}};
 }
 
-bool has_number(const nlohmann::json& entry, const char* field)
+bool is_number_or_absent(const nlohmann::json& entry, const char* field)
+{
+    return !entry.contains(field) || entry.at(field).is_number_unsigned();
+}
+
+std::optional<std::uint64_t>
+find_number(const nlohmann::json& entry, const char* field)
 {
-    return entry.contains(field) && entry.at(field).is_number_unsigned();
+    return entry.contains(field)
+               ? std::optional(entry.at(field).get<std::uint64_t>())
+               : std::nullopt;
 }
 
 /// Returns `std::nullopt` for an entry of another writer.
 std::optional<acknowledged_upstream> read_entry(const nlohmann::json& entry)
 {
     if (!entry.is_object() || !entry.contains("instance") ||
-        !entry.at("instance").is_string() || !has_number(entry, "started_ms") ||
-        !has_number(entry, "withdrawn_until_ms") ||
-        !entry.contains("drained") || !entry.at("drained").is_boolean())
+        !entry.at("instance").is_string() || !entry.contains("drained") ||
+        !entry.at("drained").is_boolean() ||
+        !is_number_or_absent(entry, "started_ms") ||
+        !is_number_or_absent(entry, "withdrawn_until_ms"))
     {
         return std::nullopt;
     }
     return acknowledged_upstream{
         {entry.at("instance").get<std::string>(),
-         entry.at("started_ms").get<std::uint64_t>()},
-        entry.at("withdrawn_until_ms").get<std::uint64_t>(),
+         find_number(entry, "started_ms")},
+        find_number(entry, "withdrawn_until_ms"),
         entry.at("drained").get<bool>()};
 }
 
--- a/node/local_upstream.cpp
+++ b/node/local_upstream.cpp
@@ -24,6 +24,11 @@
             .count());
 }
 
+bool follows(const announcement_version& last, const announcement_version& next)
+{
+    return is_newer(last, next) || is_ordered_by_arrival(last, next);
+}
+
 /// Adds to an entry what else is known of the same start.
 void merge(acknowledged_upstream& entry, const acknowledged_upstream& other)
 {
@@ -139,12 +144,12 @@
     const auto& last = acknowledged_->order_;
     const bool is_silent = expired();
     const auto* newest = find_newest(order);
-    if (newest != nullptr && !is_newer(*newest, order) &&
+    if (newest != nullptr && !follows(*newest, order) &&
         !(is_last && is_silent && order != last))
     {
         return announcement_outcome::late;
     }
-    if (!is_last && !is_newer(last, order) && !is_silent)
+    if (!is_last && !follows(last, order) && !is_silent)
     {
         return announcement_outcome::replaced;
     }
@@ -218,8 +223,7 @@
 local_upstream::end_of_withdrawal(const announcement_version& order) const
 {
     // A later start may have begun before the withdrawal of this one arrives.
-    return order.started_ms_ > 0 ? order.started_ms_
-                                 : to_milliseconds(time_.wall_now());
+    return order.started_ms_.value_or(to_milliseconds(time_.wall_now()));
 }
 
 void local_upstream::add_departure(const announcement_version& order)
@@ -228,7 +232,7 @@
     if (acknowledged_ && same_start(acknowledged_->order_, order))
     {
         acknowledged_->withdrawn_until_ms_ =
-            std::max(acknowledged_->withdrawn_until_ms_, until);
+            std::max(acknowledged_->withdrawn_until_ms_, std::optional(until));
         return;
     }
     add_other({order, until});
@@ -319,7 +323,7 @@
     {
         if (has_left(start) || start.drained_)
         {
-            start.order_.sequence_ = 0;
+            start.order_.sequence_.reset();
             found.push_back(std::move(start));
         }
     };
@@ -354,7 +358,7 @@
            std::ranges::any_of(others_, withdraws);
 }
 
-bool local_upstream::is_in_future(std::uint64_t wall_ms) const
+bool local_upstream::is_in_future(std::optional<std::uint64_t> wall_ms) const
 {
     return wall_ms > to_milliseconds(time_.wall_now() + max_clock_difference);
 }
--- a/node/local_upstream.hpp
+++ b/node/local_upstream.hpp
@@ -84,7 +84,7 @@
 private:
     [[nodiscard]] bool expired() const;
     [[nodiscard]] bool was_withdrawn(const announcement_version& order) const;
-    [[nodiscard]] bool is_in_future(std::uint64_t wall_ms) const;
+    [[nodiscard]] bool is_in_future(std::optional<std::uint64_t> wall_ms) const;
     /// Returns the newest announcement of the same start, if one is known.
     [[nodiscard]] const announcement_version*
     find_newest(const announcement_version& order) const;
--- a/src/membership/acknowledged_upstream.cpp
+++ b/src/membership/acknowledged_upstream.cpp
@@ -6,7 +6,7 @@
     const acknowledged_upstream& acknowledged,
     const announcement_version& order)
 {
-    return acknowledged.withdrawn_until_ms_ > 0 &&
+    return acknowledged.withdrawn_until_ms_ &&
            acknowledged.order_.instance_ == order.instance_ &&
            order.started_ms_ <= acknowledged.withdrawn_until_ms_;
 }
--- a/src/membership/upstream_announcement.cpp
+++ b/src/membership/upstream_announcement.cpp
@@ -55,16 +55,15 @@
 bool is_newer(
     const announcement_version& last, const announcement_version& next)
 {
-    if (same_start(last, next))
-    {
-        return next.sequence_ == 0 || next.sequence_ > last.sequence_;
-    }
-    if (next.started_ms_ == 0)
-    {
-        // An instance that has given its start gives it each time.
-        return last.started_ms_ == 0 || next.instance_ != last.instance_;
-    }
-    return next.started_ms_ >= last.started_ms_;
+    return same_start(last, next) ? next.sequence_ > last.sequence_
+                                  : next.started_ms_ > last.started_ms_;
+}
+
+bool is_ordered_by_arrival(
+    const announcement_version& left, const announcement_version& right)
+{
+    return same_start(left, right) ? !left.sequence_ && !right.sequence_
+                                   : left.started_ms_ == right.started_ms_;
 }
 
 result<upstream_announcement> announcement_from_json(const nlohmann::json& json)
--- a/test/node/test_departure_row.cpp
+++ b/test/node/test_departure_row.cpp
@@ -305,8 +305,8 @@
         if (message.draining_)
         {
             const auto& order = message.order_;
-            mark_left(order.instance_, order.started_ms_);
-            acknowledge(order.instance_, order.started_ms_);
+            mark_left(order.instance_, *order.started_ms_);
+            acknowledge(order.instance_, *order.started_ms_);
         }
     }
 
@@ -317,9 +317,8 @@
         const auto known = node_->upstream_.acknowledged();
         const bool is_current = known->order_.instance_ == name_;
         acknowledge(
-            name_, is_current && known->order_.started_ms_ > 0
-                       ? known->order_.started_ms_
-                       : started_);
+            name_, is_current ? known->order_.started_ms_.value_or(started_)
+                              : started_);
     }
 
     void mark_left(const std::string& name, std::uint64_t until)
@@ -329,7 +328,7 @@
             const auto& order = message.order_;
             if (order.instance_ == name && order.started_ms_ <= until)
             {
-                left_.insert({name, order.started_ms_});
+                left_.insert({name, *order.started_ms_});
             }
         }
     }
--- a/test/node/test_own_upstream.cpp
+++ b/test/node/test_own_upstream.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,8 +18,10 @@
 
 namespace {
 
-upstream_announcement
-announce(const char* instance, std::uint64_t started, std::uint64_t sequence)
+upstream_announcement announce(
+    const char* instance,
+    std::optional<std::uint64_t> started,
+    std::uint64_t sequence)
 {
     upstream_announcement announcement;
     announcement.order_ = {instance, started, sequence};
@@ -72,7 +75,7 @@
     local_upstream upstream(time, 6s);
     upstream.withdraw("i-1");
     cr_assert(!accepts(upstream, announce("i-1", started, 5)));
-    cr_assert(!accepts(upstream, announce("i-1", 0, 6)));
+    cr_assert(!accepts(upstream, announce("i-1", std::nullopt, 6)));
     cr_assert(!upstream.current());
     time.advance(1s);
     cr_assert(accepts(upstream, announce("i-1", wall_milliseconds(time), 1)));
@@ -174,7 +177,7 @@
     local_upstream upstream(time, 6s);
     upstream.announce(announce("i-1", 1000, 4));
     upstream.withdraw("i-1");
-    cr_assert(!accepts(upstream, announce("i-1", 0, 9)));
+    cr_assert(!accepts(upstream, announce("i-1", std::nullopt, 9)));
     cr_assert(!gets_work(upstream));
 }
 
@@ -208,8 +211,9 @@
                 case 1:
                 {
                     const auto known = upstream->acknowledged();
-                    const auto start = known ? known->order_.started_ms_ : 0;
-                    left = std::max(left, start > 0 ? start : newest);
+                    const auto start =
+                        known ? known->order_.started_ms_ : std::nullopt;
+                    left = std::max(left, start.value_or(newest));
                     upstream->withdraw("i-1");
                     break;
                 }
@@ -228,10 +232,10 @@
                     const auto message =
                         is_late ? *rc::gen::elementOf(sent) : sent.back();
                     const bool taken = accepts(*upstream, message);
-                    auto& drained = drained_at[message.order_.started_ms_];
+                    auto& drained = drained_at[*message.order_.started_ms_];
                     if (taken && message.draining_)
                     {
-                        drained = message.order_.sequence_;
+                        drained = *message.order_.sequence_;
                     }
                     break;
                 }
@@ -241,7 +245,7 @@
                 {
                     const auto& order = current->order_;
                     RC_ASSERT(order.started_ms_ > left);
-                    RC_ASSERT(order.sequence_ > drained_at[order.started_ms_]);
+                    RC_ASSERT(order.sequence_ > drained_at[*order.started_ms_]);
                 }
             }
             time.advance(1ms);
@@ -380,6 +384,32 @@
     cr_assert(gets_work(upstream));
 }
 
+// Guards against a late first announcement, with the number 0, that passes for
+// the newest one and ends a drain.
+Test(own_upstream, a_late_first_announcement_is_not_the_newest)
+{
+    const manual_clock time;
+    local_upstream upstream(time, 6s);
+    auto first = announce("i-1", 1000, 0);
+    first.slots_ = slot_count{1};
+    auto second = announce("i-1", 1000, 1);
+    second.slots_ = slot_count{2};
+    upstream.announce(second);
+    cr_assert(upstream.announce(first) == announcement_outcome::late);
+    cr_assert(upstream.current()->slots_ == slot_count{2});
+    auto draining = announce("i-1", 1000, 2);
+    draining.draining_ = true;
+    upstream.announce(draining);
+    cr_assert(!accepts(upstream, first));
+    cr_assert(!gets_work(upstream));
+    // A start in the first millisecond of the epoch is a start, too.
+    local_upstream other(time, 6s);
+    other.announce(announce("i-1", 0, 1));
+    other.withdraw("i-1");
+    cr_assert(!accepts(other, announce("i-1", 0, 2)));
+    cr_assert(accepts(other, announce("i-1", 1, 1)));
+}
+
 // Guards against an earlier start, or a later announcement of the same one,
 // that gets work although a drain was announced.
 Test(own_upstream, a_drain_is_final_for_its_start)
--- a/test/platform/test_instance_message.cpp
+++ b/test/platform/test_instance_message.cpp
@@ -92,6 +92,20 @@
     cr_assert(!read("i-1", "text"));
 }
 
+// Guards against a first heartbeat, with the number 0, that counts as one
+// without a number.
+Test(instance_message, a_number_that_is_0_is_given)
+{
+    auto first = make_heartbeat();
+    first["sequence"] = 0;
+    first["born"] = 0;
+    const auto found = read("i-1", first);
+    cr_assert(found->order_.sequence_ == 0);
+    cr_assert(found->order_.started_ms_ == 0);
+    first.erase("born");
+    cr_assert(!read("i-1", first)->order_.started_ms_);
+}
+
 // Guards against a heartbeat of another sender that takes the place of the
 // instance on the VM, which then gets no work for good.
 Test(instance_message, refuses_a_heartbeat_of_another_instance)
--- a/test/rpc/test_message_codec.cpp
+++ b/test/rpc/test_message_codec.cpp
@@ -1,5 +1,7 @@
 #include "adapters/rpc/message_codec.hpp"
 
+#include <optional>
+
 #include <capnp/message.h>
 #include <rapidcheck.h>
 
@@ -97,6 +99,31 @@
     cr_assert(arrived.confirmation_age_ == heartbeat.confirmation_age_);
 }
 
+// Guards against a number that is 0 and arrives as none, or the other way
+// round, and against what nodes of earlier versions send.
+Test(message_codec, a_number_that_is_0_is_not_none)
+{
+    const std::optional<std::uint64_t> none;
+    for (const auto& number :
+         {none, std::optional<std::uint64_t>(0),
+          std::optional<std::uint64_t>(7)})
+    {
+        auto update = make_update();
+        update.record_.acknowledged_ = {{"i-1", number, number}, number, false};
+        cr_assert(sent_and_read(update) == update);
+    }
+    capnp::MallocMessageBuilder message;
+    auto wire = message.initRoot<wire::MemberRecord>();
+    write(wire, make_update());
+    auto earlier = wire.initAcknowledged();
+    earlier.setInstance("i-1");
+    earlier.setStartedMs(1000);
+    const auto arrived = read(wire.asReader()).record_.acknowledged_;
+    cr_assert(arrived->order_.started_ms_ == 1000);
+    cr_assert(!arrived->order_.sequence_);
+    cr_assert(!arrived->withdrawn_until_ms_);
+}
+
 // Guards against the name of a service that a node may hold and that its peers
 // refuse, with all the records that are sent along with it.
 Test(message_codec, the_longest_names_arrive)
