--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,7 +2,7 @@
 # Starts the mesh, the stand-ins and the clients of the case and checks the
 # rule. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-case_program=target/review-3/quota_case
+case_program=target/review-3/drill_case
 if [ ! -x "$case_program" ] || [ ! -x target/bin/hemlockshelfd ]; then
     echo "build the deploy file and review/build-3.sh first" >&2
     exit 2
