--- a/review/support-3/mesh.hpp
+++ b/review/support-3/mesh.hpp
@@ -1166,13 +1166,13 @@
             {
                 ::_exit(127);
             }
-            const char* program = std::getenv("NODE_PROGRAM");
             const int out =
                 ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
-            program = program ? program : "target/bin/hemlockshelfd";
-            ::execl(program, program, "--settings", settings.c_str(), nullptr);
+            ::execl(
+                "target/bin/hemlockshelfd", "target/bin/hemlockshelfd",
+                "--settings", settings.c_str(), nullptr);
             ::_exit(127);
         }
         running_[where.name_] = pid;
