telemetry, node: show how late a node's control loop is

Cause: the logs could not tell whether a push went unanswered because its receivers were silent or because the sender itself had no processor time, nor whether it carried a version or member records, nor how long messages waited on a node that was short of processor time.

Change: each periodic task of the control loop records how late it began (loop_delay, a plain struct with free functions). A delay of more than 250 ms, the deadline of a push within a failure domain, is logged once a second (control_loop_delayed) and all are counted (hemlockshelf_control_loop_delay_seconds). push_unanswered names the revision, the number of records and the recent delay of the loop.

--- a/adapters/telemetry/log_fields.cpp
+++ b/adapters/telemetry/log_fields.cpp
@@ -25,6 +25,8 @@
     log_field_info{changes, "changes", "number", "Number of change rows."},
     log_field_info{age_ms, "age_ms", "number", "Time since the change was accepted or, if operators publish whole configurations, since the first reader received it, in milliseconds by the clocks of the two nodes."},
     log_field_info{pause_ms, "pause_ms", "number", "Length of the pause in milliseconds."},
+    log_field_info{loop_delay_ms, "loop_delay_ms", "number", "Greatest delay of the node's control loop within the last seconds, in milliseconds; a message that arrived meanwhile waited about as long before it was handled."},
+    log_field_info{records, "records", "number", "Number of member records."},
     log_field_info{client_account, "client_account", "string", "Client account of the operator."},
     log_field_info{new_level, "new_level", "string", "Level that is in force from now on."},
     log_field_info{call_id, "request_id", "string", "Id of the caller's request."},
@@ -60,7 +62,7 @@
 }
 
 static_assert(in_enum_order(), "the log indexes the table by id");
-static_assert(fields.size() <= 32, "log_field_set has 32 bits");
+static_assert(fields.size() <= 64, "log_field_set has 64 bits");
 
 } // namespace
 
--- a/adapters/telemetry/log_fields.hpp
+++ b/adapters/telemetry/log_fields.hpp
@@ -33,6 +33,8 @@
     changes,
     age_ms,
     pause_ms,
+    loop_delay_ms,
+    records,
     client_account,
     new_level,
     call_id,
@@ -87,12 +89,12 @@
     operator==(const log_field_set&, const log_field_set&) = default;
 
 private:
-    static constexpr std::uint32_t bit(log_field_id field)
+    static constexpr std::uint64_t bit(log_field_id field)
     {
-        return std::uint32_t{1} << static_cast<unsigned>(field);
+        return std::uint64_t{1} << static_cast<unsigned>(field);
     }
 
-    std::uint32_t bits_ = 0;
+    std::uint64_t bits_ = 0;
 };
 
 /// The value of the field `Id` in one log line.
@@ -156,6 +158,9 @@
     age_ms{};
 inline constexpr maker<log_field_id::pause_ms, std::chrono::milliseconds>
     pause_ms{};
+inline constexpr maker<log_field_id::loop_delay_ms, std::chrono::milliseconds>
+    loop_delay_ms{};
+inline constexpr maker<log_field_id::records, std::size_t> records{};
 inline constexpr maker<log_field_id::client_account, client_account_id>
     client_account{};
 inline constexpr maker<log_field_id::new_level, std::string_view> new_level{};
--- a/include/hemlockshelf/core/metric_id.hpp
+++ b/include/hemlockshelf/core/metric_id.hpp
@@ -28,6 +28,7 @@
     control_sent_bytes,
     control_received_bytes,
     control_messages,
+    control_loop_delay,
     members,
     edits,
     platform_requests,
--- a/node/control_context.cpp
+++ b/node/control_context.cpp
@@ -95,6 +95,12 @@
                      self.failure_domain_, std::move(candidates), count));
 }
 
+std::chrono::milliseconds recent_loop_delay(const control_context& context)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        greatest_delay(context.loop_delay_, context.time_.now()));
+}
+
 heartbeat_message own_heartbeat(const control_context& context)
 {
     const auto own = context.members_.find(context.self_.vm_);
--- a/node/control_context.hpp
+++ b/node/control_context.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_NODE_CONTROL_CONTEXT_HPP
 #define HEMLOCKSHELF_NODE_CONTROL_CONTEXT_HPP
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <random>
@@ -10,6 +11,7 @@
 #include "adapters/settings/node_settings.hpp"
 #include "hemlockshelf/core/clock.hpp"
 #include "hemlockshelf/core/metric_sink.hpp"
+#include "hemlockshelf/dissemination/loop_delay.hpp"
 #include "hemlockshelf/membership/member_table.hpp"
 #include "node/config_manager.hpp"
 
@@ -30,6 +32,7 @@
     /// platform's directory.
     std::vector<endpoint> bootstrap_contacts_;
     std::mt19937_64 random_{std::random_device{}()};
+    loop_delay loop_delay_{};
 };
 
 /// Returns whether a member may answer, that is, it is neither down nor has it
@@ -62,6 +65,9 @@
 std::optional<std::size_t>
 reader_rank(const control_context& context, std::size_t count);
 
+/// Returns the greatest delay of the control loop within the last seconds.
+std::chrono::milliseconds recent_loop_delay(const control_context& context);
+
 /// Returns a heartbeat with this node's incarnation, revision, configuration
 /// hash and membership digest.
 heartbeat_message own_heartbeat(const control_context& context);
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -36,6 +36,10 @@
 
 constexpr std::chrono::milliseconds tick_interval{100};
 constexpr std::chrono::seconds housekeeping_interval{5};
+// Deadline of a push within a failure domain: senders give up on a node whose
+// loop is later than this.
+constexpr std::chrono::milliseconds reported_loop_delay{250};
+constexpr std::chrono::seconds delay_report_interval{1};
 // How long a joining node waits for peers to send missing revisions before it
 // reads them from the platform.
 constexpr std::chrono::milliseconds join_grace{1000};
@@ -376,13 +380,33 @@
     {
         network_.after(
             interval,
-            [this, interval, task = std::move(task)]
+            [this, interval, due = time_.now() + interval,
+             task = std::move(task)]
             {
+                record_delay(due);
                 run_periodically(interval, task);
                 task();
             });
     }
 
+    void record_delay(steady_time due)
+    {
+        const auto now = time_.now();
+        record_task(context_.loop_delay_, due, now);
+        const auto delay = now - due;
+        metrics_.observe(
+            metric_id::control_loop_delay, {},
+            std::chrono::duration<double>(delay).count());
+        if (delay > reported_loop_delay && now >= next_delay_report_)
+        {
+            next_delay_report_ = now + delay_report_interval;
+            log_event<log_event_id::control_loop_delayed>(
+                log_fields::loop_delay_ms(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        delay)));
+        }
+    }
+
     void tick()
     {
         const auto now = time_.now();
@@ -753,6 +777,7 @@
     std::atomic<steady_time> last_tick_;
     steady_time started_at_;
     steady_time join_grace_until_;
+    steady_time next_delay_report_;
     incarnation incarnation_;
     /// Whether this process knows enough of what earlier ones have acknowledged
     /// to the upstream.
--- a/node/push_agent.cpp
+++ b/node/push_agent.cpp
@@ -238,7 +238,10 @@
         task->ended_ = true;
         log_event<log_event_id::push_unanswered>(
             log_fields::peer_region(task->target_.region_),
-            log_fields::peer_failure_domain(task->target_.failure_domain_));
+            log_fields::peer_failure_domain(task->target_.failure_domain_),
+            log_fields::revision(task->message_.revision_),
+            log_fields::records(task->message_.records_.size()),
+            log_fields::loop_delay_ms(recent_loop_delay(context_)));
     }
 }
 
--- a/src/core/metric_id.cpp
+++ b/src/core/metric_id.cpp
@@ -33,6 +33,7 @@
     metric_info{control_sent_bytes, counter, "hemlockshelf_control_sent_bytes_total", "scope", "Control bytes sent: local, domain (other failure domain), region (other region) or platform."},
     metric_info{control_received_bytes, counter, "hemlockshelf_control_received_bytes_total", "scope", "Control bytes received, by scope."},
     metric_info{control_messages, counter, "hemlockshelf_control_messages_total", "message", "Control messages sent, by message."},
+    metric_info{control_loop_delay, histogram, "hemlockshelf_control_loop_delay_seconds", "", "Time by which a periodic task of the control loop began too late."},
     metric_info{members, gauge, "hemlockshelf_members", "liveness", "Members known, by liveness."},
     metric_info{edits, counter, "hemlockshelf_edits_total", "result", "Edits submitted to this node, by error kind or accepted."},
     metric_info{platform_requests, counter, "hemlockshelf_platform_requests_total", "result", "Requests to the platform, by ok or error kind."},
