system tests: show versions that are late on busy nodes

What callers saw: requests handled by a version whose successor had been acknowledged more than 3 s before.

Change: a storm of versions may restart a third of the nodes in turn, restrict all nodes to a number of processors once they have joined, and call routes that versions add. A call is a violation if its route was added more than 3 s before it was sent and the node answers that there is no such route; a node that refuses it as not run keeps the promise.

--- a/experiment/load_generator.cpp
+++ b/experiment/load_generator.cpp
@@ -154,11 +154,12 @@
         request_id{fmt::format("{}-{}", options_.id_prefix_, ++last_number_)};
     const auto& id = record.id_.value();
     const auto filling = large ? options_.large_bytes_ : 0;
+    record.path_ = options_.next_path_ ? options_.next_path_() : "/items/" + id;
     http_request request{
         record.idempotent_ ? http::verb::put : http::verb::post,
         fmt::format(
-            "/items/{}?work_ms={}&answer_bytes={}", id, options_.work_.count(),
-            filling),
+            "{}?work_ms={}&answer_bytes={}", record.path_,
+            options_.work_.count(), filling),
         11};
     request.set(
         http::field::host, options_.hosts_[random_() % options_.hosts_.size()]);
--- a/experiment/load_generator.hpp
+++ b/experiment/load_generator.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -43,6 +44,9 @@
     /// Prefix of each request id, so that ids of several generators in one run
     /// do not collide.
     std::string id_prefix_ = "r";
+    /// Returns the path of the next request; if empty, the path contains the
+    /// request's id. Called on the generator's thread.
+    std::function<std::string()> next_path_ = {};
     std::uint64_t seed_ = 1;
 };
 
--- a/experiment/publication_storm.cpp
+++ b/experiment/publication_storm.cpp
@@ -2,15 +2,20 @@
 
 #include <algorithm>
 #include <iterator>
+#include <memory>
+#include <mutex>
 #include <set>
+#include <string>
 #include <thread>
 #include <utility>
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include "experiment/load_generator.hpp"
 #include "experiment/storm_documents.hpp"
 #include "experiment/wait.hpp"
+#include "hemlockshelf/core/error_table.hpp"
 #include "platform/wire_names.hpp"
 
 namespace hemlockshelf {
@@ -28,6 +33,8 @@
 // changes within 1 s.
 constexpr std::chrono::seconds settle_time{2};
 constexpr std::chrono::milliseconds sample_interval{100};
+/// Every n-th node is restarted by `restart_in_turn`.
+constexpr std::size_t restarted_share = 3;
 /// Every n-th version cannot be parsed.
 constexpr std::size_t broken_version_interval = 4;
 
@@ -57,7 +64,7 @@
 /// Returns how many nodes may read documents after all have joined. A reader
 /// that fails has already read documents and is replaced by another node, so
 /// both are counted.
-std::size_t allowed_readers(storm_disturbance disturbance)
+std::size_t allowed_readers(storm_disturbance disturbance, std::size_t restarts)
 {
     switch (disturbance)
     {
@@ -65,6 +72,8 @@
         return publication_readers + silenced_readers;
     case storm_disturbance::restart_node:
         return publication_readers + 1;
+    case storm_disturbance::restart_in_turn:
+        return publication_readers + restarts;
     default:
         return publication_readers;
     }
@@ -97,10 +106,18 @@
         }
         std::this_thread::sleep_for(settle_time);
         before_ = mesh_.store().traffic();
+        if (is_short_of_processors())
+        {
+            mesh_.limit_node_processors(options_.node_processors_);
+        }
         publish(documents_.next());
         wait_for_last_version();
+        start_calls();
         publish_storm();
         wait_for_last_version();
+        stop_calls();
+        // Without calls, nodes have processor time to catch up.
+        wait_for_last_version();
         check();
         return finish();
     }
@@ -111,10 +128,20 @@
         return mesh_.places().size();
     }
 
+    [[nodiscard]] bool is_short_of_processors() const
+    {
+        return options_.node_processors_ > 0;
+    }
+
     void publish(const storm_document& document)
     {
         history_.versions_.push_back(
             {document.number_, event_now(), document.readable_});
+        if (document.readable_)
+        {
+            const std::lock_guard lock(called_mutex_);
+            called_.push_back(history_.versions_.back());
+        }
         mesh_.store().publish(
             wire::operator_table, wire::configuration_key, document.text_);
     }
@@ -130,6 +157,11 @@
             {
                 disturb();
             }
+            if (number >= count / 4 &&
+                options_.disturbance_ == storm_disturbance::restart_in_turn)
+            {
+                restart_next();
+            }
             if (number == count / 2 &&
                 options_.disturbance_ == storm_disturbance::restart_node)
             {
@@ -138,7 +170,11 @@
             const bool broken =
                 number % broken_version_interval == 1 && number + 1 < count;
             publish(broken ? documents_.next_broken() : documents_.next());
-            take_sample();
+            // Asking slow nodes would delay the next version.
+            if (!is_short_of_processors())
+            {
+                take_sample();
+            }
         }
     }
 
@@ -174,6 +210,64 @@
         }
     }
 
+    void restart_next()
+    {
+        const auto index =
+            (options_.seed_ + restarts_ * restarted_share) % size();
+        mesh_.kill_node(index);
+        mesh_.start_node(index);
+        ++restarts_;
+    }
+
+    void start_calls()
+    {
+        if (options_.calls_per_second_ == 0)
+        {
+            return;
+        }
+        load_options options;
+        options.rate_ = options_.calls_per_second_;
+        for (const auto& place : mesh_.places())
+        {
+            options.targets_.push_back(place.calls_);
+        }
+        options.hosts_ = {storm_host};
+        options.non_idempotent_share_ = 0;
+        options.large_share_ = 0;
+        options.seed_ = options_.seed_;
+        options.next_path_ = [this]
+        {
+            return path_of_version(next_called_version());
+        };
+        calls_ = std::make_unique<load_generator>(std::move(options));
+        calls_->start();
+    }
+
+    /// Returns in turn the newest version and the newest one that must be in
+    /// force.
+    revision next_called_version()
+    {
+        const std::lock_guard lock(called_mutex_);
+        calls_newest_ = !calls_newest_;
+        const auto latest = event_now() - in_force_bound;
+        const auto due = std::ranges::find_if(
+            called_.rbegin(), called_.rend(),
+            [latest](const published_version& version)
+            {
+                return version.at_ < latest;
+            });
+        return calls_newest_ || due == called_.rend() ? called_.back().number_
+                                                      : due->number_;
+    }
+
+    void stop_calls()
+    {
+        if (calls_)
+        {
+            history_.calls_ = calls_->stop();
+        }
+    }
+
     /// Returns the nodes that have read documents since all have joined.
     std::vector<std::size_t> current_readers()
     {
@@ -268,15 +362,22 @@
             reported.revisions_ = source->revisions_;
             add(check_revisions_rise(reported));
         }
-        add(check_in_force_in_time(history_, in_force_bound));
-        add(check_joining_reads(history_));
+        add(check_calls_know_versions(history_, in_force_bound));
         add(check_final_states(states_, history_.versions_.back().number_));
         if (states_.size() != size())
         {
             report_.problems_.push_back(fmt::format(
                 "{} of {} nodes answer at the end", states_.size(), size()));
         }
-        check_store(mesh_.store().traffic());
+        // A node without processor time may get a version late, as long as it
+        // does not handle calls meanwhile. It may also hear of no other node
+        // in time and read the store by itself.
+        if (!is_short_of_processors())
+        {
+            add(check_in_force_in_time(history_, in_force_bound));
+            add(check_joining_reads(history_));
+            check_store(mesh_.store().traffic());
+        }
     }
 
     void check_store(const traffic_by_client& now)
@@ -302,13 +403,19 @@
         report_.reading_nodes_ = reading.size();
         report_.bytes_ = bytes_of(now) - bytes_of(before_);
         add(check_reader_count(
-            reading, allowed_readers(options_.disturbance_)));
+            reading, allowed_readers(options_.disturbance_, restarts_)));
     }
 
     storm_report finish()
     {
         add(mesh_.missing_processes());
         report_.slowest_ = slowest_time(history_);
+        report_.calls_ = history_.calls_.size();
+        report_.calls_without_route_ =
+            static_cast<std::size_t>(std::ranges::count(
+                history_.calls_,
+                error_properties_of(error_kind::no_route).name_,
+                &request_record::error_));
         if (!report_.problems_.empty())
         {
             mesh_.keep_files();
@@ -329,6 +436,13 @@
     /// Traffic of the store up to the moment when all nodes had joined.
     traffic_by_client before_;
     std::size_t restarted_node_ = 0;
+    std::size_t restarts_ = 0;
+    /// Guards what the thread of the calls uses.
+    std::mutex called_mutex_;
+    /// Readable versions, whose routes are called.
+    std::vector<published_version> called_;
+    bool calls_newest_ = false;
+    std::unique_ptr<load_generator> calls_;
     storm_report report_;
 };
 
@@ -343,9 +457,9 @@
 {
     auto text = fmt::format(
         "{} nodes read {} documents after the join; the store sent {} bytes; "
-        "slowest node {} ms\n",
+        "slowest node {} ms; {} calls, {} of them without a route\n",
         report.reading_nodes_, report.documents_, report.bytes_,
-        report.slowest_.count());
+        report.slowest_.count(), report.calls_, report.calls_without_route_);
     for (const auto& problem : report.problems_)
     {
         text += "problem: " + problem + "\n";
--- a/experiment/publication_storm.hpp
+++ b/experiment/publication_storm.hpp
@@ -19,6 +19,8 @@
     silent_readers,
     /// A reader is killed and started again.
     restart_node,
+    /// Every third node is killed and started again, one after the other.
+    restart_in_turn,
 };
 
 struct storm_options
@@ -29,6 +31,11 @@
     std::size_t routes_ = 1100;
     std::size_t versions_ = 20;
     std::chrono::milliseconds interval_{250};
+    /// Processors that all nodes share once they have joined; 0 sets no limit.
+    std::size_t node_processors_ = 0;
+    /// Calls per second to all nodes together while versions are published.
+    /// There are no upstreams, so that none is served.
+    double calls_per_second_ = 0;
 };
 
 /// Results of a publication storm.
@@ -41,6 +48,9 @@
     std::uint64_t documents_ = 0;
     std::uint64_t bytes_ = 0;
     std::chrono::milliseconds slowest_{0};
+    /// Calls sent and those rejected because no route matched.
+    std::size_t calls_ = 0;
+    std::size_t calls_without_route_ = 0;
     /// Settings and logs; kept if there are problems.
     std::string folder_;
 };
--- a/experiment/published_mesh.cpp
+++ b/experiment/published_mesh.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include "experiment/node_log.hpp"
+#include "experiment/processor_limit.hpp"
 #include "experiment/settings_files.hpp"
 #include "experiment/wait.hpp"
 
@@ -141,6 +142,22 @@
     slot.process_.emplace(
         std::vector<std::string>{daemon_, "--settings", settings_path(index)},
         log_path(run));
+    if (node_processors_)
+    {
+        limit_processors(slot.process_->pid(), *node_processors_);
+    }
+}
+
+void published_mesh::limit_node_processors(std::size_t count)
+{
+    node_processors_ = count;
+    for (const auto& slot : slots_)
+    {
+        if (slot.process_)
+        {
+            limit_processors(slot.process_->pid(), count);
+        }
+    }
 }
 
 void published_mesh::kill_node(std::size_t index)
--- a/experiment/published_mesh.hpp
+++ b/experiment/published_mesh.hpp
@@ -50,6 +50,10 @@
     [[nodiscard]] store_service& store();
 
     void start_node(std::size_t index);
+    /// Restricts the nodes that run, and those that are started later, to this
+    /// number of processors. This process, and with it the store, is not
+    /// restricted.
+    void limit_node_processors(std::size_t count);
     void kill_node(std::size_t index);
     [[nodiscard]] bool node_is_up(std::size_t index) const;
 
@@ -93,6 +97,7 @@
     json_server server_;
     std::thread thread_;
     std::vector<node_slot> slots_;
+    std::optional<std::size_t> node_processors_;
 };
 
 } // namespace hemlockshelf
--- a/experiment/storm_checks.cpp
+++ b/experiment/storm_checks.cpp
@@ -5,6 +5,9 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include "experiment/storm_documents.hpp"
+#include "hemlockshelf/core/error_table.hpp"
+
 namespace hemlockshelf {
 
 namespace {
@@ -75,6 +78,37 @@
     return found;
 }
 
+violations check_calls_know_versions(
+    const storm_history& history, std::chrono::milliseconds bound)
+{
+    const auto& no_route = error_properties_of(error_kind::no_route).name_;
+    violations found;
+    for (const auto& version : history.versions_)
+    {
+        const auto path = path_of_version(version.number_);
+        std::size_t rejected = 0;
+        event_time latest{0};
+        for (const auto& call : history.calls_)
+        {
+            const auto sent_after = call.sent_at_ - version.at_;
+            if (version.readable_ && call.path_ == path &&
+                call.error_ == no_route && sent_after > bound)
+            {
+                ++rejected;
+                latest = std::max(latest, sent_after);
+            }
+        }
+        if (rejected > 0)
+        {
+            found.push_back(fmt::format(
+                "r{}: {} calls, sent up to {} ms after its publication, were "
+                "handled by an older version",
+                version.number_.value(), rejected, to_ms(latest)));
+        }
+    }
+    return found;
+}
+
 violations check_published_only(const storm_history& history)
 {
     violations found;
--- a/experiment/storm_checks.hpp
+++ b/experiment/storm_checks.hpp
@@ -43,6 +43,8 @@
     std::vector<node_run> runs_;
     /// Revisions in force, in the order of time for each process.
     std::vector<revision_report> revisions_;
+    /// Calls to paths of versions (`path_of_version`).
+    std::vector<request_record> calls_;
 };
 
 /// State that a node reports after the last publication.
@@ -59,6 +61,13 @@
 violations check_in_force_in_time(
     const storm_history& history, std::chrono::milliseconds bound);
 
+/// Checks that no call that was sent later than `bound` after the publication
+/// of a version is rejected because its route is missing, although that version
+/// has added it: a node that still handles calls by an older version violates
+/// this, one that refuses them as not run does not.
+violations check_calls_know_versions(
+    const storm_history& history, std::chrono::milliseconds bound);
+
 /// Checks that no node runs a version that was not published or that cannot be
 /// read.
 violations check_published_only(const storm_history& history);
--- a/experiment/storm_documents.cpp
+++ b/experiment/storm_documents.cpp
@@ -31,6 +31,11 @@
 
 } // namespace
 
+std::string path_of_version(revision number)
+{
+    return fmt::format("/version-{}/", number.value());
+}
+
 storm_documents::storm_documents(std::size_t routes, std::uint64_t seed)
     : random_(seed), next_route_(routes)
 {
@@ -53,6 +58,7 @@
             route.number_ = next_route_++;
         }
     }
+    versions_.emplace_back(number_);
     return {revision{number_}, text()};
 }
 
@@ -103,12 +109,22 @@
     {
         resources.push_back(resource(
             "routes", fmt::format("route-{}", route.number_),
-            {{"host", "storm.example"},
+            {{"host", storm_host},
              {"prefix", fmt::format("/{}/", route.number_)},
              {"kind", "idempotent"},
              {"timeout", fmt::format("{}ms", route.timeout_ms_)},
              {"service", service_of(route.number_)}}));
     }
+    for (const auto version : versions_)
+    {
+        resources.push_back(resource(
+            "routes", fmt::format("version-{}", version.value()),
+            {{"host", storm_host},
+             {"prefix", path_of_version(version)},
+             {"kind", "idempotent"},
+             {"timeout", fmt::format("{}ms", min_timeout_ms)},
+             {"service", service_of(0)}}));
+    }
     return nlohmann::json{
         {"version", fmt::format("r{}", number_)},
         {"resources", std::move(resources)}}
--- a/experiment/storm_documents.hpp
+++ b/experiment/storm_documents.hpp
@@ -19,6 +19,13 @@
     bool readable_ = true;
 };
 
+/// Host of all routes of the documents.
+inline constexpr const char* storm_host = "storm.example";
+
+/// Returns a path that a route matches since the given version, and none
+/// before.
+std::string path_of_version(revision number);
+
 /// Makes whole configurations with many routes, each of which differs from the
 /// one before in a few of them. Their numbers have gaps.
 class storm_documents
@@ -45,6 +52,8 @@
 
     std::mt19937_64 random_;
     std::vector<stored_route> routes_;
+    /// Readable versions, each of which adds a route for `path_of_version`.
+    std::vector<revision> versions_;
     std::size_t next_route_;
     std::uint64_t number_ = 0;
 };
--- a/include/hemlockshelf/history/records.hpp
+++ b/include/hemlockshelf/history/records.hpp
@@ -88,6 +88,8 @@
 struct request_record
 {
     request_id id_;
+    /// Path without the query.
+    std::string path_ = {};
     bool idempotent_ = true;
     event_time sent_at_{};
     event_time answered_at_{};
--- a/test/experiment/test_storm_checks.cpp
+++ b/test/experiment/test_storm_checks.cpp
@@ -1,5 +1,7 @@
 #include "experiment/storm_checks.hpp"
 
+#include "experiment/storm_documents.hpp"
+
 #include <criterion/criterion.h>
 
 using namespace hemlockshelf;
@@ -13,7 +15,8 @@
     return {
         {{revision{3}, 10s}, {revision{7}, 11s}},
         {{vm_id{"a"}, 1, 0s, std::nullopt}},
-        std::move(revisions)};
+        std::move(revisions),
+        {}};
 }
 
 revision_report report(std::uint64_t number, event_time at)
@@ -55,6 +58,27 @@
     cr_assert(check_in_force_in_time(history, 3s).empty());
 }
 
+// Guards against calls handled by an old version that are not reported, and
+// against reporting refused calls and those sent before the version was due.
+Test(storm_checks, a_call_handled_by_an_old_version_is_found)
+{
+    auto history = make_history({report(7, 12s)});
+    const auto call = [](event_time sent_at, std::string kind)
+    {
+        request_record record;
+        record.path_ = path_of_version(revision{7});
+        record.sent_at_ = sent_at;
+        record.error_ = std::move(kind);
+        return record;
+    };
+    history.calls_ = {
+        call(13999ms, "no_route"), call(14001ms, "not_ready"),
+        call(14001ms, "no_upstream")};
+    cr_assert(check_calls_know_versions(history, 3s).empty());
+    history.calls_.push_back(call(14001ms, "no_route"));
+    cr_assert_eq(check_calls_know_versions(history, 3s).size(), 1);
+}
+
 // Guards against a broken version that nodes are expected to run or may run.
 Test(storm_checks, a_broken_version_is_never_in_force)
 {
--- a/test/system/publication_storm.cpp
+++ b/test/system/publication_storm.cpp
@@ -14,12 +14,19 @@
 
 #include "experiment/publication_storm.hpp"
 
-DEFINE_string(disturbance, "none", "none, silent_readers or restart_node");
+DEFINE_string(
+    disturbance,
+    "none",
+    "none, silent_readers, restart_node or restart_in_turn");
 DEFINE_string(bin, "build/bin", "folder of the binaries");
 DEFINE_string(
     settings, "deploy/node.yaml", "settings of a node, with places for names");
 DEFINE_uint64(seed, 0, "seed of the run; 0 takes a random one");
 DEFINE_uint64(nodes, 16, "nodes of the mesh");
+DEFINE_uint64(versions, 20, "versions of the storm");
+DEFINE_uint64(
+    processors, 0, "processors that the nodes share after the start; 0: all");
+DEFINE_double(calls, 0, "calls per second to all nodes together");
 DEFINE_uint64(publication_readers, 4, "setting of the nodes");
 
 namespace {
@@ -28,11 +35,12 @@
 
 std::optional<storm_disturbance> find_disturbance(std::string_view name)
 {
-    constexpr std::array<std::pair<std::string_view, storm_disturbance>, 3>
+    constexpr std::array<std::pair<std::string_view, storm_disturbance>, 4>
         names{
             {{"none", storm_disturbance::none},
              {"silent_readers", storm_disturbance::silent_readers},
-             {"restart_node", storm_disturbance::restart_node}}};
+             {"restart_node", storm_disturbance::restart_node},
+             {"restart_in_turn", storm_disturbance::restart_in_turn}}};
     for (const auto& [known, disturbance] : names)
     {
         if (known == name)
@@ -55,6 +63,9 @@
     options.mesh_ = {
         FLAGS_bin, FLAGS_settings, FLAGS_nodes, FLAGS_publication_readers};
     options.disturbance_ = *disturbance;
+    options.versions_ = FLAGS_versions;
+    options.node_processors_ = FLAGS_processors;
+    options.calls_per_second_ = FLAGS_calls;
     options.seed_ = FLAGS_seed != 0 ? FLAGS_seed : std::random_device{}();
     std::cout << "disturbance " << FLAGS_disturbance << ", seed "
               << options.seed_ << std::endl;
