dissemination: give records time on a node whose own loop is late

Cause: a push that is not answered within 250 ms is sent to the receiver's part of the tree as well. Ruled out: extending only the deadlines that fire late changed nothing (11,668 and 11,254 unanswered pushes).

Change: pushes of member records wait longer by the recent delay of the sender's own loop. Versions do not.

--- a/node/push_agent.cpp
+++ b/node/push_agent.cpp
@@ -256,9 +256,7 @@
         assignment_for(task->target_, candidate, message.duty_.seed_);
     ++task->outstanding_;
     context_.network_.push(
-        peer.value_or(peer_address{}), message,
-        is_local(task->target_) ? settings.domain_push_deadline_
-                                : settings.cross_domain_push_deadline_,
+        peer.value_or(peer_address{}), message, deadline_for(*task),
         [this, task, candidate, is_offer](const result<revision>& answer)
         {
             on_answer(task, candidate, is_offer, answer);
@@ -277,6 +275,20 @@
     }
 }
 
+// Member records may be late, and a node whose own loop is late has no reason
+// to hold its peers to be silent: sending their part of the tree to others as
+// well would add to the messages that all of them wait for.
+std::chrono::milliseconds push_agent::deadline_for(const push_task& task) const
+{
+    const auto& settings = context_.settings_.dissemination_;
+    const auto deadline = is_local(task.target_)
+                              ? settings.domain_push_deadline_
+                              : settings.cross_domain_push_deadline_;
+    return task.message_.deltas_.empty()
+               ? deadline + recent_loop_delay(context_)
+               : deadline;
+}
+
 void push_agent::on_answer(
     const push_task_pointer& task,
     std::size_t candidate,
--- a/node/push_agent.hpp
+++ b/node/push_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_NODE_PUSH_AGENT_HPP
 #define HEMLOCKSHELF_NODE_PUSH_AGENT_HPP
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -102,6 +103,8 @@
     on_offer_answer(const push_task_pointer& task, const offer_answer& answer);
     void deliver(const push_task_pointer& task, const offer_answer& answer);
     void add_missing_deltas(push_message& message, revision held) const;
+    [[nodiscard]] std::chrono::milliseconds
+    deadline_for(const push_task& task) const;
     [[nodiscard]] std::size_t attempts_for(const push_task& task) const;
     /// Returns whether the next candidate is asked before the one before it has
     /// failed.
