node: apply the revisions that a node has missed as one

Change: queued deltas that follow each other are combined and applied at once. If that fails they are applied one by one, so that those before a damaged one stay in force as before. Each of them is kept for peers.

--- a/include/hemlockshelf/config/config_delta.hpp
+++ b/include/hemlockshelf/config/config_delta.hpp
@@ -31,6 +31,10 @@
 /// Returns the revision that the change applies to.
 revision base_revision(const config_delta& delta);
 
+/// Returns one delta with the effect of all, each of which applies to the
+/// result of the one before. The list must not be empty.
+config_delta combine(const std::vector<config_delta>& deltas);
+
 /// Returns `{"upserts":[{"table","key","row"}],"deletes":[{"table","key"}]}`.
 nlohmann::json changes_to_json(const std::vector<row_change>& changes);
 
--- a/node/config_manager.cpp
+++ b/node/config_manager.cpp
@@ -120,7 +120,7 @@
     return true;
 }
 
-std::optional<accepted_delta> config_manager::take_next_pending()
+std::vector<accepted_delta> config_manager::take_next_pending()
 {
     std::erase_if(
         pending_,
@@ -128,26 +128,59 @@
         {
             return base_revision(entry.second.delta_) < current_revision();
         });
-    const auto next = std::ranges::find_if(
-        pending_,
-        [this](const auto& entry)
+    std::vector<accepted_delta> chain;
+    for (auto base = current_revision();; base = chain.back().delta_.to_)
+    {
+        const auto next = std::ranges::find_if(
+            pending_,
+            [base](const auto& entry)
+            {
+                return base_revision(entry.second.delta_) == base;
+            });
+        if (next == pending_.end())
         {
-            return base_revision(entry.second.delta_) == current_revision();
-        });
-    if (next == pending_.end())
+            return chain;
+        }
+        chain.push_back(std::move(next->second));
+        pending_.erase(next);
+    }
+}
+
+result<void> config_manager::apply_chain(
+    const std::vector<accepted_delta>& chain, apply_source source)
+{
+    std::vector<config_delta> deltas;
+    for (const auto& delta : chain)
     {
-        return std::nullopt;
+        deltas.push_back(delta.delta_);
     }
-    auto delta = std::move(next->second);
-    pending_.erase(next);
-    return delta;
+    if (chain.size() > 1 && applier_.apply(combine(deltas)))
+    {
+        for (const auto& delta : chain)
+        {
+            keep(delta);
+        }
+        report_applied(source, chain.back().accepted_at_);
+        return {};
+    }
+    // One of them is damaged or invalid. Those before it apply.
+    for (const auto& delta : chain)
+    {
+        auto applied = apply_one(delta, source);
+        if (!applied)
+        {
+            return applied;
+        }
+    }
+    return {};
 }
 
 result<void> config_manager::apply_pending(apply_source source)
 {
-    while (const auto delta = take_next_pending())
+    for (auto chain = take_next_pending(); !chain.empty();
+         chain = take_next_pending())
     {
-        auto applied = apply_one(*delta, source);
+        auto applied = apply_chain(chain, source);
         if (!applied)
         {
             return applied;
--- a/node/config_manager.hpp
+++ b/node/config_manager.hpp
@@ -74,9 +74,13 @@
 private:
     bool enqueue(const accepted_delta& delta);
     result<void> apply_pending(apply_source source);
-    /// Removes and returns the queued delta that follows the current revision,
-    /// if any.
-    std::optional<accepted_delta> take_next_pending();
+    /// Removes and returns the queued deltas that follow the current revision
+    /// and each other.
+    std::vector<accepted_delta> take_next_pending();
+    /// Applies the deltas as one, because each application costs time in
+    /// proportion to the accounts that it touches.
+    result<void>
+    apply_chain(const std::vector<accepted_delta>& chain, apply_source source);
     result<void> apply_one(const accepted_delta& delta, apply_source source);
     /// Keeps an applied delta for peers.
     void keep(const accepted_delta& delta);
--- a/src/config/config_delta.cpp
+++ b/src/config/config_delta.cpp
@@ -1,6 +1,8 @@
 #include "hemlockshelf/config/config_delta.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -114,6 +116,31 @@
         revision{delta.to_.value() > 0 ? delta.to_.value() - 1 : 0});
 }
 
+config_delta combine(const std::vector<config_delta>& deltas)
+{
+    config_delta combined = deltas.back();
+    combined.base_ = base_revision(deltas.front());
+    combined.changes_.clear();
+    std::map<std::pair<table_id, row_key>, std::size_t> positions;
+    for (const auto& delta : deltas)
+    {
+        for (const auto& change : delta.changes_)
+        {
+            const auto [position, is_new] = positions.try_emplace(
+                {change.table_, change.key_}, combined.changes_.size());
+            if (is_new)
+            {
+                combined.changes_.push_back(change);
+            }
+            else
+            {
+                combined.changes_[position->second] = change;
+            }
+        }
+    }
+    return combined;
+}
+
 nlohmann::json changes_to_json(const std::vector<row_change>& changes)
 {
     auto upserts = nlohmann::json::array();
--- a/test/node/test_config_keeper.cpp
+++ b/test/node/test_config_keeper.cpp
@@ -252,6 +252,25 @@
         }));
 }
 
+// Guards against a node that falls further behind because it builds a snapshot
+// for each of the revisions that it missed.
+Test(config_keeper, missed_revisions_are_applied_as_one)
+{
+    constexpr std::size_t missed = 9;
+    fixture under_test;
+    auto& config = under_test.config_;
+    const auto deltas = make_deltas(missed);
+    cr_assert(config.apply(deltas, apply_source::repair).has_value());
+    cr_assert(config.current_revision() == revision{missed});
+    cr_assert(
+        config.current()->tables().hash_ == deltas.back().delta_.result_hash_);
+    cr_assert(config.deltas_after(revision{0})->size() == missed);
+    cr_assert(
+        under_test.metrics_.to_text().find(
+            "hemlockshelf_config_applies_total{source=\"repair\"} 1\n") !=
+        std::string::npos);
+}
+
 // Guards against a corrupt delta that is queued and applied later.
 Test(config_keeper, a_damaged_delta_is_dropped)
 {
