--- a/test/platform/test_published_configurations.cpp
+++ b/test/platform/test_published_configurations.cpp
@@ -187,3 +187,30 @@
     cr_assert(read && read->documents_ == 1);
     cr_assert(read->newest_ && read->newest_->number() == revision{5});
 }
+
+// Guards against a read of several documents in which each is prepared,
+// although the newest one replaces the others.
+Test(published_configurations, prepares_only_the_newest_of_several)
+{
+    store_fixture store;
+    store.service_.keep_each_change();
+    publish(store, configuration("r3").dump());
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
+    cr_assert(wait_for_next(source, {}) == revision{3});
+    // Only a document that is prepared is found to lack its resources.
+    publish(store, "{\"version\":\"r4\"}");
+    publish(store, configuration("r7").dump());
+    publish(store, "{\"version\":\"r5\"}");
+    const auto read = source.wait_for_newer(*empty_snapshot(revision{3}), 1s);
+    cr_assert(read && read->newest_ != nullptr);
+    cr_assert(read->newest_->number() == revision{7});
+    cr_assert(read->documents_ == 3);
+    cr_assert(read->rejected_.empty());
+    publish(store, configuration("r8").dump());
+    publish(store, "{\"version\":\"r9\"}");
+    const auto next = source.wait_for_newer(*empty_snapshot(revision{7}), 1s);
+    cr_assert(next && next->newest_ != nullptr);
+    cr_assert(next->newest_->number() == revision{8});
+    cr_assert(next->rejected_.size() == 1);
+}
