platform: do not confirm a configuration that may have been replaced unseen

Cause: a reader that starts reads the row alone. If it cannot use what it finds, a usable configuration that was published before is hidden from it, and still it confirmed the older one that it runs, for itself and for all nodes that ask it. The same if the node refused what it had read.

Change: the source says so (may_lack_one) until it has read a usable document, and the poll then confirms nothing.

It became visible as false confirmations of the storm of versions on busy nodes, in which every fourth version cannot be read.

--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -61,7 +61,12 @@
         }
     }
     report.head_ = config.current_revision();
-    report.confirmed_at_ = asked_at;
+    const bool is_refused = read->newest_ != nullptr &&
+                            config.current_revision() < read->newest_->number();
+    if (!is_refused && !read->may_lack_one_)
+    {
+        report.confirmed_at_ = asked_at;
+    }
     return report;
 }
 
--- a/test/platform/test_published_configurations.cpp
+++ b/test/platform/test_published_configurations.cpp
@@ -188,6 +188,23 @@
     cr_assert(read->newest_ && read->newest_->number() == revision{5});
 }
 
+// Guards against confirming an old configuration after a read of the row alone:
+// an unusable one may have replaced a valid one that was never read.
+Test(published_configurations, an_unusable_row_may_hide_a_valid_one)
+{
+    store_fixture store;
+    publish(store, "no document");
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
+    const auto hidden = source.wait_for_newer(*empty_snapshot({}), 0ms);
+    cr_assert(hidden && hidden->may_lack_one_);
+    const auto unchanged = source.wait_for_newer(*empty_snapshot({}), 0ms);
+    cr_assert(unchanged && unchanged->may_lack_one_);
+    publish(store, configuration("r4").dump());
+    const auto found = source.wait_for_newer(*empty_snapshot({}), 1s);
+    cr_assert(found && found->newest_ && !found->may_lack_one_);
+}
+
 // Guards against a read of several documents in which each is prepared,
 // although the newest one replaces the others.
 Test(published_configurations, prepares_only_the_newest_of_several)
