node: refuse calls that an unconfirmed configuration would decide

What callers saw: requests handled by a version that had been replaced more than 3 s before, on nodes that were short of processor time.

It noticed only a control loop that stood still for 2 s. Every other delay, of a push, of an answer, of a reader, left it handling calls by the version that it had. The bound was met by making each step fast, and nothing held when several nodes were slow at once. Class: a promise with a time bound that nothing enforces at the point where it is kept.

Change: the confirmations that renew the credential lease are now passed on in every deployment with published configurations. A node whose confirmation is older than 2.8 s refuses calls as not run if it knows of a newer version, reads the platform itself, has just heard a later confirmation, or its own control loop has been late. A node that is cut off, and a mesh that has lost the platform, go on as before, and so does a node that has refused the newer version. Nodes of a failure domain ask its two watchers in turn, which hear of the readers by their watch, and compare their revision with the answer: a lost push is now found within 0.5 s without the neighbours. An answer counts from its question, so that late ones are still of use.

--- a/adapters/telemetry/log_event_table.hpp
+++ b/adapters/telemetry/log_event_table.hpp
@@ -65,6 +65,8 @@
     member_changed,
     accounts_confirmed,
     accounts_unconfirmed,
+    configuration_confirmed,
+    configuration_unconfirmed,
     lines_left_out,
 };
 
@@ -135,6 +137,8 @@
     log_event_info{log_event_id::member_changed, spdlog::level::info, "member_changed", {log_field_id::peer, log_field_id::state, log_field_id::incarnation_number}, "The node's belief about the upstream beside another node has changed."},
     log_event_info{log_event_id::accounts_confirmed, spdlog::level::info, "accounts_confirmed", {log_field_id::revision_number}, "The accounts of the revision named are confirmed to be current; callers are authenticated by them."},
     log_event_info{log_event_id::accounts_unconfirmed, spdlog::level::warn, "accounts_unconfirmed", {log_field_id::revision_number}, "The accounts could not be confirmed for too long: neither the platform nor a node that reaches it answers. Requests that need an API key are refused as not run."},
+    log_event_info{log_event_id::configuration_confirmed, spdlog::level::info, "configuration_confirmed", {log_field_id::revision_number}, "The revision named is confirmed to be the newest again; calls are handled by it."},
+    log_event_info{log_event_id::configuration_unconfirmed, spdlog::level::warn, "configuration_unconfirmed", {log_field_id::revision_number, log_field_id::loop_delay_ms}, "The node could not confirm in time that no newer configuration was published, and is not cut off: it knows of a newer one, or has too little processor time. Calls are refused as not run."},
     log_event_info{log_event_id::lines_left_out, spdlog::level::warn, "lines_left_out", {log_field_id::lines}, "Lines that were not written since the last such line, because there were too many or the reader of standard output was too slow."},
 };
 // clang-format on
--- a/experiment/publication_storm.cpp
+++ b/experiment/publication_storm.cpp
@@ -109,6 +109,9 @@
         if (is_short_of_processors())
         {
             mesh_.limit_node_processors(options_.node_processors_);
+            // A reader that is late must not miss a version that a broken one
+            // has followed.
+            mesh_.store().keep_each_change();
         }
         publish(documents_.next());
         wait_for_last_version();
--- a/include/hemlockshelf/core/metric_id.hpp
+++ b/include/hemlockshelf/core/metric_id.hpp
@@ -33,6 +33,7 @@
     edits,
     platform_requests,
     credential_age,
+    configuration_age,
 };
 
 enum class metric_type
--- a/include/hemlockshelf/dissemination/loop_delay.hpp
+++ b/include/hemlockshelf/dissemination/loop_delay.hpp
@@ -10,6 +10,10 @@
 /// Time for which a delay of the control loop is remembered.
 constexpr std::chrono::seconds loop_delay_memory{3};
 
+/// Delay from which a loop counts as late. Other nodes of the failure domain
+/// give up on an answer of this node after this time.
+constexpr std::chrono::milliseconds long_loop_delay{250};
+
 /// How late the tasks of an event loop have run. A message that arrives while
 /// the loop is late waits about as long before it is handled.
 struct loop_delay
--- a/node/confirmation_agent.hpp
+++ b/node/confirmation_agent.hpp
@@ -2,20 +2,30 @@
 #define HEMLOCKSHELF_NODE_CONFIRMATION_AGENT_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <vector>
 
 #include "hemlockshelf/accounts/credential_lease.hpp"
+#include "hemlockshelf/dissemination/configuration_lease.hpp"
 #include "node/control_context.hpp"
 #include "node/publication_readers.hpp"
+#include "node/repair_agent.hpp"
 
 namespace hemlockshelf {
 
-/// Renews the node's credential lease: readers of the platform confirm that
-/// their accounts are current, and the other nodes ask them, so that the
-/// platform's load does not grow with the deployment. Idle while no accounts
-/// are in force. Used on the control loop only.
+/// Leases of a node on what it has received.
+struct node_leases
+{
+    credential_lease& accounts_;
+    configuration_lease& configuration_;
+};
+
+/// Renews the node's leases: readers of the platform confirm that their
+/// configuration, and the accounts in it, are current, and the other nodes ask
+/// them, so that the platform's load does not grow with the deployment. Used on
+/// the control loop only.
 class confirmation_agent
 {
 public:
@@ -23,16 +33,21 @@
     confirmation_agent(
         control_context& context,
         const publication_readers& readers,
-        credential_lease& lease,
+        repair_agent& repairs,
+        node_leases leases,
         std::function<void()> read_platform);
 
     /// Asks other nodes for a confirmation if one is due. Called often.
     void tick();
 
     /// Records that at `at` no revision above `newest` was published. Has no
-    /// effect on the lease until that revision is in force.
+    /// effect on the leases until that revision is in force.
     void record(revision newest, boot_time at);
 
+    /// Records the confirmation in a peer's answer, if it has one, to a
+    /// heartbeat that was sent at `asked_at`: the answer may have been delayed.
+    void record_answer(const heartbeat_message& answer, boot_time asked_at);
+
     /// Returns the age of the node's confirmation, for a peer that asks.
     [[nodiscard]] std::optional<std::chrono::milliseconds> age() const;
 
@@ -44,22 +59,37 @@
     };
 
     void apply_pending();
-    void report_state();
+    [[nodiscard]] bool uses_accounts() const;
+    /// Returns whether a node is believed to read the platform.
+    [[nodiscard]] bool has_readers() const;
+    [[nodiscard]] bool reads_platform() const;
+    void update_outlook();
+    void report_accounts();
+    void report_configuration();
     /// Returns the nodes to ask now.
     [[nodiscard]] std::vector<vm_id> choose_sources(bool is_late);
+    [[nodiscard]] bool is_first_level() const;
     void ask(const vm_id& vm);
     void read_platform_if_due(std::chrono::nanoseconds unconfirmed_for);
 
     control_context& context_;
     const publication_readers& readers_;
-    credential_lease& lease_;
+    repair_agent& repairs_;
+    node_leases leases_;
     std::function<void()> read_platform_;
     std::optional<pending_confirmation> pending_;
     boot_time next_ask_{};
     boot_time next_read_{};
-    /// First tick with accounts in force.
+    /// First tick after the node has joined.
     std::optional<boot_time> active_since_;
-    bool was_valid_ = false;
+    /// The latest confirmation, whether or not this node runs its revision, and
+    /// when it was received.
+    boot_time latest_ = boot_time::min();
+    std::optional<boot_time> heard_at_;
+    /// Number of times that nodes were asked.
+    std::size_t rounds_ = 0;
+    bool accounts_were_valid_ = false;
+    bool configuration_was_valid_ = true;
 };
 
 } // namespace hemlockshelf
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -36,9 +36,6 @@
 
 constexpr std::chrono::milliseconds tick_interval{100};
 constexpr std::chrono::seconds housekeeping_interval{5};
-// Deadline of a push within a failure domain: senders give up on a node whose
-// loop is later than this.
-constexpr std::chrono::milliseconds reported_loop_delay{250};
 constexpr std::chrono::seconds delay_report_interval{1};
 // How long a joining node waits for peers to send missing revisions before it
 // reads them from the platform.
@@ -141,15 +138,25 @@
                   on_registered(none);
               }),
           readers_(context_),
-          reader_watch_(context_, readers_, pushes_, repairs_),
-          lease_(settings.accounts_), confirmations_(
-                                          context_,
-                                          readers_,
-                                          lease_,
-                                          [this]
-                                          {
-                                              poller_.poll_now();
-                                          }),
+          reader_watch_(
+              context_,
+              readers_,
+              pushes_,
+              repairs_,
+              [this](const heartbeat_message& answer, boot_time asked_at)
+              {
+                  confirmations_.record_answer(answer, asked_at);
+              }),
+          account_lease_(settings.accounts_),
+          confirmations_(
+              context_,
+              readers_,
+              repairs_,
+              {account_lease_, configuration_lease_},
+              [this]
+              {
+                  poller_.poll_now();
+              }),
           quotas_(context_),
           uses_published_config_(services.configurations_ != nullptr)
     {
@@ -284,13 +291,16 @@
         const node_state now = state_;
         const bool joined =
             now == node_state::serving || now == node_state::draining;
-        return joined && time_.now() - last_tick_.load() <=
-                             settings_.membership_.pause_threshold_;
+        const auto since_tick = time_.now() - last_tick_.load();
+        return joined && since_tick <= settings_.membership_.pause_threshold_ &&
+               (!uses_published_config_ ||
+                configuration_lease_.is_valid(
+                    time_.boot_now(), since_tick - tick_interval));
     }
 
     [[nodiscard]] bool accounts_confirmed() const
     {
-        return lease_.is_valid(time_.boot_now());
+        return account_lease_.is_valid(time_.boot_now());
     }
 
     [[nodiscard]] request_quota& account_quota()
@@ -397,7 +407,7 @@
         metrics_.observe(
             metric_id::control_loop_delay, {},
             std::chrono::duration<double>(delay).count());
-        if (delay > reported_loop_delay && now >= next_delay_report_)
+        if (delay > long_loop_delay && now >= next_delay_report_)
         {
             next_delay_report_ = now + delay_report_interval;
             log_event<log_event_id::control_loop_delayed>(
@@ -435,7 +445,7 @@
                 finish_join();
             }
         }
-        else if (uses_published_config_)
+        if (lifecycle_.state() != node_state::joining && uses_published_config_)
         {
             reader_watch_.find_configuration();
             confirmations_.tick();
@@ -471,6 +481,7 @@
 
     void begin_join()
     {
+        configuration_lease_.require_confirmation();
         publish_state();
         join_deltas_.clear();
         join_grace_until_ = time_.now() + join_grace;
@@ -766,7 +777,8 @@
     directory_agent directory_;
     publication_readers readers_;
     reader_watch reader_watch_;
-    credential_lease lease_;
+    credential_lease account_lease_;
+    configuration_lease configuration_lease_;
     confirmation_agent confirmations_;
     quota_agent quotas_;
     node_lifecycle lifecycle_;
--- a/node/reader_watch.cpp
+++ b/node/reader_watch.cpp
@@ -1,6 +1,7 @@
 #include "node/reader_watch.hpp"
 
 #include <chrono>
+#include <utility>
 #include <vector>
 
 namespace hemlockshelf {
@@ -24,8 +25,10 @@
     control_context& context,
     const publication_readers& readers,
     push_agent& pushes,
-    repair_agent& repairs)
-    : context_(context), readers_(readers), pushes_(pushes), repairs_(repairs)
+    repair_agent& repairs,
+    answer_handler on_heard)
+    : context_(context), readers_(readers), pushes_(pushes), repairs_(repairs),
+      on_heard_(std::move(on_heard))
 {}
 
 void reader_watch::tick()
@@ -84,7 +87,7 @@
     const auto& settings = context_.settings_.dissemination_;
     context_.network_.heartbeat(
         *peer, own_heartbeat(context_), settings.cross_domain_push_deadline_,
-        [this, index, peer = *peer,
+        [this, index, peer = *peer, asked_at = context_.time_.boot_now(),
          ask_further](const result<heartbeat_message>& answer)
         {
             --outstanding_;
@@ -93,6 +96,7 @@
                 first_ = index;
                 failures_ = 0;
                 answered_ = true;
+                on_heard_(*answer, asked_at);
                 on_answer(peer, answer->revision_);
             }
             else if (!answered_)
--- a/node/reader_watch.hpp
+++ b/node/reader_watch.hpp
@@ -2,6 +2,7 @@
 #define HEMLOCKSHELF_NODE_READER_WATCH_HPP
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 
 #include "node/control_context.hpp"
@@ -19,11 +20,16 @@
 class reader_watch
 {
 public:
+    /// Takes a reader's answer and the time of the question.
+    using answer_handler =
+        std::function<void(const heartbeat_message&, boot_time)>;
+
     reader_watch(
         control_context& context,
         const publication_readers& readers,
         push_agent& pushes,
-        repair_agent& repairs);
+        repair_agent& repairs,
+        answer_handler on_heard);
 
     /// Sends a heartbeat to a reader, if it is this node's turn to watch and
     /// the last heartbeats were answered or failed. Further readers are asked
@@ -53,6 +59,7 @@
     const publication_readers& readers_;
     push_agent& pushes_;
     repair_agent& repairs_;
+    answer_handler on_heard_;
     /// Index of the reader that answered last.
     std::size_t first_ = 0;
     /// Heartbeats that failed since one was answered.
--- a/node/repair_agent.cpp
+++ b/node/repair_agent.cpp
@@ -378,6 +378,7 @@
                 log_fields::peer_address(to_string(peer.endpoint_)),
                 log_fields::error_kind(snapshot.error().kind_),
                 log_fields::detail(snapshot.error().message_));
+            refused_ = highest_seen_;
             finish_fetch(done, false);
             return;
         }
--- a/node/repair_agent.hpp
+++ b/node/repair_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKSHELF_NODE_REPAIR_AGENT_HPP
 #define HEMLOCKSHELF_NODE_REPAIR_AGENT_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -59,6 +60,21 @@
 
     void record_revision(revision seen);
 
+    /// Returns whether this node has refused the revision or a later one as a
+    /// whole, and so goes on with an older one.
+    [[nodiscard]] bool has_refused(revision number) const
+    {
+        return number <= refused_;
+    }
+
+    /// Returns whether a revision was reported that this node neither runs nor
+    /// has refused.
+    [[nodiscard]] bool knows_newer() const
+    {
+        return highest_seen_ >
+               std::max(refused_, context_.config_.current_revision());
+    }
+
     /// Records a peer's revision and fetches it after a short delay if it is
     /// newer.
     void compare_revision(const peer_address& peer, revision peer_revision);
@@ -105,6 +121,8 @@
     /// chance.
     std::uint64_t next_domain_;
     revision highest_seen_;
+    /// Highest revision that was known when a snapshot was refused.
+    revision refused_;
     /// Failure domain to contact next because the last contact with it failed.
     std::optional<failure_domain_id> retried_domain_;
     /// Fetches in progress, and the start of the last one.
--- a/src/core/metric_id.cpp
+++ b/src/core/metric_id.cpp
@@ -38,6 +38,7 @@
     metric_info{edits, counter, "hemlockshelf_edits_total", "result", "Edits submitted to this node, by error kind or accepted."},
     metric_info{platform_requests, counter, "hemlockshelf_platform_requests_total", "result", "Requests to the platform, by ok or error kind."},
     metric_info{credential_age, gauge, "hemlockshelf_credential_age_seconds", "", "Time since the accounts in force were confirmed to be current."},
+    metric_info{configuration_age, gauge, "hemlockshelf_configuration_age_seconds", "", "Time since the published configuration in force was confirmed to be the newest."},
 };
 // clang-format on
 
@@ -50,7 +51,7 @@
             return false;
         }
     }
-    return metrics.size() == static_cast<std::size_t>(credential_age) + 1;
+    return metrics.size() == static_cast<std::size_t>(configuration_age) + 1;
 }
 
 static_assert(in_enum_order(), "sinks index the table by id");
--- a/test/node/scripted_peer.hpp
+++ b/test/node/scripted_peer.hpp
@@ -40,6 +40,12 @@
     scripted_peer(const scripted_peer&) = delete;
     scripted_peer& operator=(const scripted_peer&) = delete;
 
+    /// Answers no further messages.
+    void stop()
+    {
+        network_.stop();
+    }
+
     /// Sets the answer to later fetches.
     void set_fetch_answer(config_answer answer)
     {
