--- a/include/hemlockshelf/config/configuration_source.hpp
+++ b/include/hemlockshelf/config/configuration_source.hpp
@@ -23,9 +23,9 @@
     /// Errors of the documents that were checked and rejected. A source checks
     /// only a few documents of each read.
     std::vector<error> rejected_;
-    /// Whether the source may have missed a valid configuration: it has read
-    /// the published state after a time without changes, found only one that
-    /// cannot be used, and has had no usable one since.
+    /// Whether the source may have missed a valid configuration: it has not
+    /// examined everything that was published, found none that can be used in
+    /// the rest, and has had no usable one since.
     bool may_lack_one_ = false;
     /// Number of published documents in the read, and their stored size in
     /// bytes.
