--- a/node/confirmation_agent.cpp
+++ b/node/confirmation_agent.cpp
@@ -66,10 +66,11 @@
     const auto age = leases_.configuration_.age(now);
     const auto unconfirmed_for = age.value_or(now - *active_since_);
     const bool is_late = unconfirmed_for > late_age;
-    const bool is_first = !age && (uses_accounts() || !is_late);
-    next_ask_ = now + (is_first ? first_ask_interval : ask_interval);
-    for (const auto& vm :
-         choose_sources(is_late || (is_first && uses_accounts())))
+    // Without a first confirmation, requests with API keys are refused.
+    const bool waits_for_accounts = !age && uses_accounts();
+    const bool asks_often = !age && (waits_for_accounts || !is_late);
+    next_ask_ = now + (asks_often ? first_ask_interval : ask_interval);
+    for (const auto& vm : choose_sources(is_late || waits_for_accounts))
     {
         ask(vm);
     }
@@ -220,7 +221,7 @@
     log_event<log_event_id::accounts_unconfirmed>(log_fields::revision(held));
 }
 
-std::vector<vm_id> confirmation_agent::choose_sources(bool is_late)
+std::vector<vm_id> confirmation_agent::choose_sources(bool include_random)
 {
     const auto& own = context_.self_;
     std::vector<vm_id> sources;
@@ -247,7 +248,7 @@
             order.at(group * first_level_nodes + rounds_ % first_level_nodes));
     }
     // The nodes of the first level hear of the readers by their watch.
-    if (is_late)
+    if (include_random)
     {
         add_random(readers_.all());
         add_random(peers);
--- a/node/confirmation_agent.hpp
+++ b/node/confirmation_agent.hpp
@@ -66,8 +66,9 @@
     void update_outlook();
     void report_accounts();
     void report_configuration();
-    /// Returns the nodes to ask now.
-    [[nodiscard]] std::vector<vm_id> choose_sources(bool is_late);
+    /// Returns the nodes to ask now, on request also a random reader and a
+    /// random member of the failure domain.
+    [[nodiscard]] std::vector<vm_id> choose_sources(bool include_random);
     [[nodiscard]] bool is_first_level() const;
     void ask(const vm_id& vm);
     void read_platform_if_due(std::chrono::nanoseconds unconfirmed_for);
