--- a/node/config_manager.cpp
+++ b/node/config_manager.cpp
@@ -150,6 +150,7 @@
     const std::vector<accepted_delta>& chain, apply_source source)
 {
     std::vector<config_delta> deltas;
+    deltas.reserve(chain.size());
     for (const auto& delta : chain)
     {
         deltas.push_back(delta.delta_);
