node: copy deltas only when they are combined

A single delta, which is what nearly every push brings, was copied for a combination that was not made. The lease's own constant for a late loop, equal to long_loop_delay, is gone. No change of behaviour.

--- a/node/config_manager.cpp
+++ b/node/config_manager.cpp
@@ -37,6 +37,17 @@
         {}};
 }
 
+config_delta combine_chain(const std::vector<accepted_delta>& chain)
+{
+    std::vector<config_delta> deltas;
+    deltas.reserve(chain.size());
+    for (const auto& delta : chain)
+    {
+        deltas.push_back(delta.delta_);
+    }
+    return combine(deltas);
+}
+
 bool should_keep(const accepted_delta& delta, const config_tables& tables)
 {
     const auto rows = tables.routes_.size() + tables.pools_.size();
@@ -149,13 +160,7 @@
 result<void> config_manager::apply_chain(
     const std::vector<accepted_delta>& chain, apply_source source)
 {
-    std::vector<config_delta> deltas;
-    deltas.reserve(chain.size());
-    for (const auto& delta : chain)
-    {
-        deltas.push_back(delta.delta_);
-    }
-    if (chain.size() > 1 && applier_.apply(combine(deltas)))
+    if (chain.size() > 1 && applier_.apply(combine_chain(chain)))
     {
         for (const auto& delta : chain)
         {
--- a/src/dissemination/configuration_lease.cpp
+++ b/src/dissemination/configuration_lease.cpp
@@ -12,8 +12,6 @@
 // that has just received one is not cut off.
 constexpr std::chrono::seconds heard_recently{2};
 
-constexpr std::chrono::nanoseconds late_loop{long_loop_delay};
-
 } // namespace
 
 bool may_rely_unconfirmed(const confirmation_outlook& outlook)
@@ -36,7 +34,8 @@
 void configuration_lease::set_outlook(confirmation_outlook outlook)
 {
     may_rely_ = may_rely_unconfirmed(outlook);
-    outlook.loop_delay_ = std::max(outlook.loop_delay_, late_loop);
+    outlook.loop_delay_ = std::max<std::chrono::nanoseconds>(
+        outlook.loop_delay_, long_loop_delay);
     may_rely_if_late_ = may_rely_unconfirmed(outlook);
 }
 
