core: share the time of the latest confirmation between the leases

The configuration lease had repeated how the credential lease keeps the time of its last confirmation. Both now use latest_confirmation. No change of behaviour.

--- a/include/hemlockshelf/accounts/credential_lease.hpp
+++ b/include/hemlockshelf/accounts/credential_lease.hpp
@@ -1,11 +1,11 @@
 #ifndef HEMLOCKSHELF_ACCOUNTS_CREDENTIAL_LEASE_HPP
 #define HEMLOCKSHELF_ACCOUNTS_CREDENTIAL_LEASE_HPP
 
-#include <atomic>
 #include <chrono>
 #include <optional>
 
 #include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/latest_confirmation.hpp"
 
 namespace hemlockshelf {
 
@@ -47,7 +47,7 @@
 
 private:
     std::chrono::nanoseconds duration_;
-    std::atomic<boot_time> confirmed_at_{boot_time::min()};
+    latest_confirmation confirmed_;
 };
 
 } // namespace hemlockshelf
--- a/include/hemlockshelf/dissemination/configuration_lease.hpp
+++ b/include/hemlockshelf/dissemination/configuration_lease.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "hemlockshelf/core/clock.hpp"
+#include "hemlockshelf/core/latest_confirmation.hpp"
 
 namespace hemlockshelf {
 
@@ -66,7 +67,7 @@
     age(boot_time now) const;
 
 private:
-    std::atomic<boot_time> confirmed_at_{boot_time::min()};
+    latest_confirmation confirmed_;
     /// Results of `may_rely_unconfirmed`, the second one if the control loop is
     /// late.
     std::atomic<bool> may_rely_{false};
--- a/src/accounts/credential_lease.cpp
+++ b/src/accounts/credential_lease.cpp
@@ -17,9 +17,7 @@
 
 void credential_lease::confirm(boot_time at)
 {
-    auto last = confirmed_at_.load();
-    while (last < at && !confirmed_at_.compare_exchange_weak(last, at))
-    {}
+    confirmed_.record(at);
 }
 
 bool credential_lease::is_valid(boot_time now) const
@@ -35,8 +33,7 @@
 std::optional<std::chrono::nanoseconds>
 credential_lease::age(boot_time now) const
 {
-    const auto last = confirmed_at_.load();
-    return last == boot_time::min() ? std::nullopt : std::optional(now - last);
+    return confirmed_.age(now);
 }
 
 } // namespace hemlockshelf
--- a/src/dissemination/configuration_lease.cpp
+++ b/src/dissemination/configuration_lease.cpp
@@ -26,9 +26,7 @@
 
 void configuration_lease::confirm(boot_time at)
 {
-    auto last = confirmed_at_.load();
-    while (last < at && !confirmed_at_.compare_exchange_weak(last, at))
-    {}
+    confirmed_.record(at);
 }
 
 void configuration_lease::set_outlook(confirmation_outlook outlook)
@@ -56,8 +54,7 @@
 std::optional<std::chrono::nanoseconds>
 configuration_lease::age(boot_time now) const
 {
-    const auto last = confirmed_at_.load();
-    return last == boot_time::min() ? std::nullopt : std::optional(now - last);
+    return confirmed_.age(now);
 }
 
 } // namespace hemlockshelf
