--- a/include/hemlockshelf/core/ids.hpp
+++ b/include/hemlockshelf/core/ids.hpp
@@ -35,6 +35,10 @@
 using sequence = strong_type<struct sequence_tag, std::uint64_t>;
 /// Version assigned to a row by the table service; 0 means absent.
 using row_version = strong_type<struct row_version_tag, std::uint64_t>;
+/// Identifies a continuous history of the platform's tables. The platform may
+/// come back from an older copy, which lacks the latest changes; its era is
+/// then one higher, and row versions are assigned again. 0 if it is not known.
+using platform_era = strong_type<struct platform_era_tag, std::uint64_t>;
 
 /// Number of requests that an upstream can process concurrently.
 using slot_count = strong_type<struct slot_count_tag, std::uint32_t>;
--- a/standins/store/store_service.cpp
+++ b/standins/store/store_service.cpp
@@ -39,6 +39,17 @@
 
 http_response
 store_service::handle(const http_request& request, const std::string& client)
+{
+    auto sent = answer(request, client);
+    if (shows_era_)
+    {
+        sent.set(wire::store_era_header, std::to_string(era_));
+    }
+    return sent;
+}
+
+http_response
+store_service::answer(const http_request& request, const std::string& client)
 {
     ++calls_;
     throw_if_silenced(client);
@@ -124,6 +135,22 @@
     changed_.notify_all();
 }
 
+std::shared_ptr<const store_service::copy> store_service::take_copy() const
+{
+    const std::lock_guard lock(mutex_);
+    return std::make_shared<const copy>(copy{rows_, changes_, version_});
+}
+
+void store_service::return_to(const copy& earlier)
+{
+    const std::lock_guard lock(mutex_);
+    rows_ = earlier.rows_;
+    changes_ = earlier.changes_;
+    version_ = earlier.version_;
+    ++era_;
+    changed_.notify_all();
+}
+
 void store_service::forget_history()
 {
     const std::lock_guard lock(mutex_);
@@ -232,7 +259,7 @@
     const std::chrono::milliseconds wait{
         parse_number(query_parameter(request, "wait_ms"))};
     std::unique_lock lock(mutex_);
-    if (after < history_start_)
+    if (after < history_start_ || after > version_)
     {
         return {json_response(410, {{"error", "forgotten"}})};
     }
--- a/standins/store/store_service.hpp
+++ b/standins/store/store_service.hpp
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -46,6 +47,8 @@
 class store_service
 {
 public:
+    struct copy;
+
     /// Answers a call of the client with the given address. Throws
     /// `withheld_response` if the active fault withholds the answer or the
     /// client is silenced.
@@ -84,6 +87,20 @@
     /// is answered with 410.
     void forget_history();
 
+    /// Returns a copy of the rows, to which the store can go back.
+    [[nodiscard]] std::shared_ptr<const copy> take_copy() const;
+
+    /// Goes back to the copy, as after a loss of the store: what was written
+    /// since is gone, its versions are assigned again, and the era of all
+    /// later answers is one higher.
+    void return_to(const copy& earlier);
+
+    /// Leaves the era out of the answers, as a store that does not report it.
+    void hide_era()
+    {
+        shows_era_ = false;
+    }
+
     /// Returns the number of calls received, including refused ones.
     [[nodiscard]] std::uint64_t calls() const
     {
@@ -111,6 +128,8 @@
         std::size_t rows_ = 0;
     };
 
+    http_response
+    answer(const http_request& request, const std::string& client);
     counted_response execute(const http_request& request);
     http_response transact(const http_request& request);
     counted_response read_range(const http_request& request);
@@ -143,6 +162,16 @@
     std::map<std::string, store_traffic> traffic_;
     std::uint64_t version_ = 0;
     std::uint64_t history_start_ = 0;
+    std::atomic<std::uint64_t> era_ = 1;
+    std::atomic<bool> shows_era_ = true;
+};
+
+/// Rows of the store at one moment.
+struct store_service::copy
+{
+    std::map<row_name, row> rows_;
+    std::vector<std::pair<row_name, row>> changes_;
+    std::uint64_t version_ = 0;
 };
 
 } // namespace hemlockshelf
--- a/test/platform/test_published_configurations.cpp
+++ b/test/platform/test_published_configurations.cpp
@@ -1,5 +1,9 @@
 #include "platform/published_configurations.hpp"
 
+#include <array>
+#include <memory>
+#include <thread>
+
 #include "hemlockshelf/core/manual_clock.hpp"
 #include "platform/wire_names.hpp"
 #include "platform_fixture.hpp"
@@ -143,6 +147,158 @@
     cr_assert(wait_for_next(source, revision{3}) == revision{4});
 }
 
+namespace {
+
+/// What a store lost when it went back to an older copy, by the versions that
+/// it has assigned again since.
+struct lost_history
+{
+    const char* description_;
+    /// Rows that other nodes have written again before the next poll.
+    int rewritten_rows_;
+};
+
+// The reader's position is version 3; the copy has version 1.
+constexpr std::array lost_histories{
+    lost_history{"lower", 0},
+    lost_history{"equal", 1},
+    lost_history{"higher", 2},
+};
+
+/// A reader that runs r9, and the copy of the store before it was published.
+struct reader_before_loss
+{
+    reader_before_loss()
+    {
+        publish(store_, configuration("r7").dump());
+        copy_ = store_.service_.take_copy();
+        publish(store_, configuration("r8").dump());
+        publish(store_, configuration("r9").dump());
+        cr_assert(wait_for_next(source_, {}) == revision{9});
+    }
+
+    /// Publishes again what was lost, and then r14.
+    void write_again(const lost_history& lost)
+    {
+        for (int row = 0; row < lost.rewritten_rows_; ++row)
+        {
+            store_.service_.publish("departures", "vm-1", "{}");
+        }
+        publish(store_, configuration("r14").dump());
+    }
+
+    store_fixture store_;
+    published_configurations source_{
+        store_.target(), store_.time_, store_.metrics_};
+    std::shared_ptr<const store_service::copy> copy_;
+};
+
+/// Returns whether the source returns r14 within a few polls.
+bool finds_what_was_published_since(published_configurations& source)
+{
+    constexpr int polls = 3;
+    for (int poll = 0; poll < polls; ++poll)
+    {
+        const auto read =
+            source.wait_for_newer(*empty_snapshot(revision{9}), 200ms);
+        if (read && read->newest_ != nullptr)
+        {
+            return read->newest_->number() == revision{14};
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against a configuration that never comes into force: the store came
+// back from an older copy before the poll and assigned the reader's version
+// again.
+Test(published_configurations, a_lost_history_before_a_poll_hides_nothing)
+{
+    for (const auto& lost : lost_histories)
+    {
+        reader_before_loss reader;
+        reader.store_.service_.return_to(*reader.copy_);
+        reader.write_again(lost);
+        cr_expect(
+            finds_what_was_published_since(reader.source_), "version %s",
+            lost.description_);
+    }
+}
+
+// Guards against the same while a call for changes waits, whose answer is from
+// the later era.
+Test(published_configurations, a_lost_history_during_a_poll_hides_nothing)
+{
+    for (const auto& lost : lost_histories)
+    {
+        reader_before_loss reader;
+        std::thread loss(
+            [&reader, &lost]
+            {
+                std::this_thread::sleep_for(50ms);
+                reader.store_.service_.return_to(*reader.copy_);
+                reader.write_again(lost);
+            });
+        cr_expect(
+            finds_what_was_published_since(reader.source_), "version %s",
+            lost.description_);
+        loss.join();
+    }
+}
+
+// Guards against the same when the reader has read the row of the later era
+// before anything was published again.
+Test(published_configurations, a_lost_history_after_a_poll_hides_nothing)
+{
+    for (const auto& lost : lost_histories)
+    {
+        reader_before_loss reader;
+        reader.store_.service_.return_to(*reader.copy_);
+        const auto older =
+            reader.source_.wait_for_newer(*empty_snapshot(revision{9}), 0ms);
+        cr_assert(older && older->newest_ == nullptr);
+        reader.write_again(lost);
+        cr_expect(
+            finds_what_was_published_since(reader.source_), "version %s",
+            lost.description_);
+    }
+}
+
+// Guards against a position in the feed that is kept over the second of two
+// losses in a row.
+Test(published_configurations, each_lost_history_is_noticed)
+{
+    reader_before_loss reader;
+    for (int loss = 0; loss < 2; ++loss)
+    {
+        reader.store_.service_.return_to(*reader.copy_);
+        publish(reader.store_, configuration("r8").dump());
+        publish(reader.store_, configuration("r9").dump());
+        const auto read =
+            reader.source_.wait_for_newer(*empty_snapshot(revision{9}), 0ms);
+        cr_assert(read && read->newest_ == nullptr);
+    }
+    reader.store_.service_.return_to(*reader.copy_);
+    reader.write_again(lost_histories.at(1));
+    cr_assert(finds_what_was_published_since(reader.source_));
+}
+
+// Guards against reading the row with each poll of a store that does not report
+// its era.
+Test(published_configurations, a_store_without_an_era_is_read_by_its_feed)
+{
+    store_fixture store;
+    store.service_.hide_era();
+    publish(store, configuration("r3").dump());
+    published_configurations source(
+        store.target(), store.time_, store.metrics_);
+    cr_assert(wait_for_next(source, {}) == revision{3});
+    const auto again = source.wait_for_newer(*empty_snapshot(revision{3}), 0ms);
+    cr_assert(again && again->documents_ == 0);
+}
+
 Test(published_configurations, reports_a_store_that_is_away)
 {
     store_fixture store;
