node: confirm nothing by a platform that has lost the configuration

What callers would see: a key that was withdrawn is accepted beyond the limit.

Cause: each poll that was answered confirms that no configuration newer than the one in force was published, and renews the leases on the configuration and on the accounts. After a return of the store from an older copy the row may be older than the configuration in force. Then the answer says nothing about what was published before: a configuration that withdrew a key, and that no reader had seen, may be lost with it.

Evidence: a_lost_configuration_is_behind_until_it_is_back and a_platform_that_lost_the_configuration_confirms_nothing fail on a copy without the check: the accounts stay confirmed for as long as the platform lacks the configuration.

Change: from an answer of another era on until a read that holds the revision in force or a higher one, a reader confirms nothing (platform_behind, platform_caught_up). Requests with an API key are refused as not run when the credential lease ends, as if the platform were away. Other calls go on: no node knows a newer configuration, so callers have no better one.

--- a/include/hemlockshelf/config/configuration_source.hpp
+++ b/include/hemlockshelf/config/configuration_source.hpp
@@ -27,6 +27,10 @@
     /// examined everything that was published, found none that can be used in
     /// the rest, and has had no usable one since.
     bool may_lack_one_ = false;
+    /// Whether the platform has lost changes and has not held a configuration
+    /// as new as the current one since. Its answers prove nothing about what
+    /// was published before.
+    bool is_behind_ = false;
     /// Number of published documents in the read, and their stored size in
     /// bytes.
     std::size_t documents_ = 0;
--- a/include/hemlockshelf/dissemination/configuration_lease.hpp
+++ b/include/hemlockshelf/dissemination/configuration_lease.hpp
@@ -22,7 +22,8 @@
     /// Whether it has heard of a revision that it does not run and has not
     /// refused.
     bool knows_newer_ = false;
-    /// Whether it reads the platform itself, which has answered its last call.
+    /// Whether it reads the platform itself, which has answered its last call
+    /// and has not lost the configuration in force.
     bool reads_platform_ = false;
     /// Whether it believes that a node reads the platform.
     bool has_readers_ = false;
--- a/node/confirmation_agent.cpp
+++ b/node/confirmation_agent.cpp
@@ -104,6 +104,23 @@
     }
 }
 
+void confirmation_agent::set_platform_behind(bool behind)
+{
+    if (std::exchange(platform_is_behind_, behind) == behind)
+    {
+        return;
+    }
+    const auto held = log_fields::revision(context_.config_.current_revision());
+    if (behind)
+    {
+        log_event<log_event_id::platform_behind>(held);
+    }
+    else
+    {
+        log_event<log_event_id::platform_caught_up>(held);
+    }
+}
+
 void confirmation_agent::record_answer(
     const heartbeat_message& answer, boot_time asked_at)
 {
@@ -153,7 +170,8 @@
 bool confirmation_agent::reads_platform() const
 {
     const auto own = context_.members_.find(context_.self_.vm_);
-    return readers_.own_rank() && own && !own->record_.platform_lost_;
+    return readers_.own_rank() && own && !own->record_.platform_lost_ &&
+           !platform_is_behind_;
 }
 
 void confirmation_agent::update_outlook()
--- a/node/confirmation_agent.hpp
+++ b/node/confirmation_agent.hpp
@@ -44,6 +44,10 @@
     /// effect on the leases until that revision is in force.
     void record(revision newest, boot_time at);
 
+    /// Records whether the platform has lost the configuration in force, so
+    /// that its answers confirm nothing.
+    void set_platform_behind(bool behind);
+
     /// Records the confirmation in a peer's answer, if it has one, to a
     /// heartbeat that was sent at `asked_at`: the answer may have been delayed.
     void record_answer(const heartbeat_message& answer, boot_time asked_at);
@@ -89,6 +93,7 @@
     std::optional<boot_time> heard_at_;
     /// Number of times that nodes were asked.
     std::size_t rounds_ = 0;
+    bool platform_is_behind_ = false;
     bool accounts_were_valid_ = false;
     bool configuration_was_valid_ = true;
 };
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -556,6 +556,7 @@
         {
             return;
         }
+        confirmations_.set_platform_behind(report.platform_is_behind_);
         if (report.confirmed_at_)
         {
             confirmations_.record(report.head_, *report.confirmed_at_);
--- a/node/poll_report.hpp
+++ b/node/poll_report.hpp
@@ -18,6 +18,8 @@
     /// When the platform was asked; its answer says that no revision above
     /// `head_` was published at this time. Only with published configurations.
     std::optional<boot_time> confirmed_at_{};
+    /// See `published_read_result`.
+    bool platform_is_behind_ = false;
     /// Deltas that were read, including those already applied.
     std::vector<accepted_delta> deltas_;
 };
--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -63,7 +63,8 @@
     report.head_ = config.current_revision();
     const bool is_refused = read->newest_ != nullptr &&
                             config.current_revision() < read->newest_->number();
-    if (!is_refused && !read->may_lack_one_)
+    report.platform_is_behind_ = read->is_behind_;
+    if (!is_refused && !read->may_lack_one_ && !read->is_behind_)
     {
         report.confirmed_at_ = asked_at;
     }
--- a/test/node/scripted_source.hpp
+++ b/test/node/scripted_source.hpp
@@ -37,6 +37,7 @@
                 error_kind::platform_unavailable, "refused by the test");
         }
         published_read_result read;
+        read.is_behind_ = is_behind_;
         if (is_newer())
         {
             read.newest_ = published_;
@@ -67,6 +68,13 @@
         changed_.notify_all();
     }
 
+    /// Makes the answers tell that the platform has lost the configuration.
+    void set_behind(bool is_behind)
+    {
+        const std::lock_guard lock(mutex_);
+        is_behind_ = is_behind;
+    }
+
     void publish(std::shared_ptr<const config_snapshot> snapshot)
     {
         const std::lock_guard lock(mutex_);
@@ -83,6 +91,7 @@
     std::condition_variable changed_;
     bool answers_ = true;
     bool fails_next_ = false;
+    bool is_behind_ = false;
     bool cancelled_ = false;
     std::shared_ptr<const config_snapshot> published_;
 };
--- a/test/node/test_confirmation.cpp
+++ b/test/node/test_confirmation.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 
 #include "hemlockshelf/accounts/key_hash.hpp"
+#include "hemlockshelf/dissemination/configuration_lease.hpp"
 #include "test/node/control_node.hpp"
 #include "test/node/one_pool.hpp"
 #include "test/node/scripted_peer.hpp"
@@ -95,3 +96,25 @@
     peer.set_revision(revision{5});
     cr_assert(is_confirmed_within(2s, node, true));
 }
+
+// Guards against a withdrawn key that is accepted because the platform, which
+// has come back from an older copy, seems to confirm the accounts, and against
+// a node that then refuses calls which need no account.
+Test(confirmation, a_platform_that_lost_the_configuration_confirms_nothing)
+{
+    memory_tables tables;
+    scripted_source source;
+    source.publish(snapshot_with_account(5));
+    auto settings = settings_of(1, "salle-belair");
+    settings.accounts_.revocation_limit_ = short_limit;
+    control_node node(settings, polled_services{tables, tables, &source});
+    cr_assert(is_serving_within(5s, node));
+    cr_assert(is_confirmed_within(2s, node, true));
+    source.set_behind(true);
+    cr_assert(is_confirmed_within(short_limit, node, false));
+    std::this_thread::sleep_for(2 * configuration_lifetime);
+    cr_assert(!node.plane_.accounts_confirmed());
+    cr_assert(node.plane_.may_route());
+    source.set_behind(false);
+    cr_assert(is_confirmed_within(2s, node, true));
+}
--- a/test/platform/test_published_configurations.cpp
+++ b/test/platform/test_published_configurations.cpp
@@ -285,6 +285,42 @@
     cr_assert(finds_what_was_published_since(reader.source_));
 }
 
+// Guards against taking an older copy's row for proof that nothing newer was
+// published, until the configuration in force or a newer one is there again.
+Test(published_configurations, a_lost_configuration_is_behind_until_it_is_back)
+{
+    for (const char* const published_again : {"r9", "r14"})
+    {
+        reader_before_loss reader;
+        const auto poll = [&reader]
+        {
+            const auto read = reader.source_.wait_for_newer(
+                *empty_snapshot(revision{9}), 0ms);
+            return read && read->is_behind_;
+        };
+        cr_assert(!poll());
+        reader.store_.service_.return_to(*reader.copy_);
+        cr_assert(poll());
+        publish(reader.store_, configuration("r8").dump());
+        cr_assert(poll());
+        cr_assert(poll());
+        publish(reader.store_, configuration(published_again).dump());
+        cr_expect(!poll(), "%s", published_again);
+    }
+}
+
+// Guards against refusals after a loss of history that the configuration has
+// outlasted, and after the first answer that states an era.
+Test(published_configurations, a_copy_with_the_configuration_is_not_behind)
+{
+    reader_before_loss reader;
+    const auto recent = reader.store_.service_.take_copy();
+    reader.store_.service_.return_to(*recent);
+    const auto read =
+        reader.source_.wait_for_newer(*empty_snapshot(revision{9}), 0ms);
+    cr_assert(read && !read->is_behind_);
+}
+
 // Guards against reading the row with each poll of a store that does not report
 // its era.
 Test(published_configurations, a_store_without_an_era_is_read_by_its_feed)
