node: write departures again after the platform has lost changes

What callers would see: an upstream that had left is in use again after all nodes were killed, although its departure was acknowledged.

Cause: a node that has written the row of its VM's departures remembers that, and acknowledges and writes no more. After a return of the platform from an older copy the row may be gone. Only readers of the configuration talk to the platform regularly, so that the node beside the upstream does not hear of the return.

Evidence: departures_outlast_a_platform_that_lost_them, a_row_of_an_earlier_era_acknowledges_nothing and nodes_that_do_not_read_the_platform_restore_their_rows fail on a copy in which the row does not follow the era; the last one also where the era is not acted on.

Change: clients of the platform keep the latest era in an answer, and heartbeats and their answers carry the latest one that the sender has heard of; only a higher one counts, since answers overlap. What a row is known to hold counts in its era only. A node that hears of a later one reads its row within 1 s, at a random moment, and writes what is missing (platform_restored).

--- a/adapters/cli/request_trace.cpp
+++ b/adapters/cli/request_trace.cpp
@@ -21,6 +21,7 @@
     std::string_view{"member_down"},
     std::string_view{"platform_lost"},
     std::string_view{"platform_regained"},
+    std::string_view{"platform_restored"},
     std::string_view{"platform_behind"},
     std::string_view{"process_paused"},
     std::string_view{"node_serving"},
--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -105,6 +105,8 @@
   confirmationAgeMs @8 :UInt32;
   # One more than the age of the sender's confirmation that its accounts are
   # current; 0 if it has none.
+  platformEra @9 :UInt64;
+  # Latest era of the platform's tables that the sender has heard of; 0 if none.
 }
 
 enum Scope {
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -179,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f11a1cecb624b4eb, 6, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f11a1cecb624b4eb, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1343,6 +1343,8 @@
 
   inline  ::uint32_t getConfirmationAgeMs() const;
 
+  inline  ::uint64_t getPlatformEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1406,6 +1408,9 @@
   inline  ::uint32_t getConfirmationAgeMs();
   inline void setConfirmationAgeMs( ::uint32_t value);
 
+  inline  ::uint64_t getPlatformEra();
+  inline void setPlatformEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4214,6 +4219,20 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Heartbeat::Reader::getPlatformEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getPlatformEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setPlatformEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Push::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/adapters/rpc/control_messages.hpp
+++ b/adapters/rpc/control_messages.hpp
@@ -35,6 +35,8 @@
     /// Age of the sender's confirmation that its accounts are current, in an
     /// answer; nothing if it has none.
     std::optional<std::chrono::milliseconds> confirmation_age_{};
+    /// Latest era of the platform's tables that the sender has heard of.
+    platform_era platform_era_{};
 };
 
 /// Changes that the receiver takes and passes on.
--- a/adapters/rpc/message_codec.cpp
+++ b/adapters/rpc/message_codec.cpp
@@ -204,6 +204,7 @@
         write(wire.initAcknowledged(), *message.acknowledged_);
     }
     wire.setConfirmationAgeMs(to_wire_age(message.confirmation_age_));
+    wire.setPlatformEra(message.platform_era_.value());
 }
 
 heartbeat_message read(wire::Heartbeat::Reader wire)
@@ -223,6 +224,7 @@
     {
         message.confirmation_age_ = std::chrono::milliseconds{age - 1};
     }
+    message.platform_era_ = platform_era{wire.getPlatformEra()};
     return message;
 }
 
--- a/include/hemlockshelf/config/configuration_source.hpp
+++ b/include/hemlockshelf/config/configuration_source.hpp
@@ -31,6 +31,8 @@
     /// as new as the current one since. Its answers prove nothing about what
     /// was published before.
     bool is_behind_ = false;
+    /// Era of the platform's tables, as its answer states it.
+    platform_era era_;
     /// Number of published documents in the read, and their stored size in
     /// bytes.
     std::size_t documents_ = 0;
--- a/include/hemlockshelf/editing/table_service.hpp
+++ b/include/hemlockshelf/editing/table_service.hpp
@@ -86,6 +86,12 @@
         return std::chrono::milliseconds{0};
     }
 
+    /// Returns the latest era that an answer has stated, on any thread.
+    [[nodiscard]] virtual platform_era era() const
+    {
+        return {};
+    }
+
 protected:
     table_service() = default;
     table_service(const table_service&) = default;
--- a/node/confirmation_agent.cpp
+++ b/node/confirmation_agent.cpp
@@ -124,6 +124,7 @@
 void confirmation_agent::record_answer(
     const heartbeat_message& answer, boot_time asked_at)
 {
+    record_platform_era(context_, answer.platform_era_);
     if (answer.confirmation_age_)
     {
         record(answer.revision_, asked_at - *answer.confirmation_age_);
--- a/node/confirmation_agent.hpp
+++ b/node/confirmation_agent.hpp
@@ -48,8 +48,9 @@
     /// that its answers confirm nothing.
     void set_platform_behind(bool behind);
 
-    /// Records the confirmation in a peer's answer, if it has one, to a
-    /// heartbeat that was sent at `asked_at`: the answer may have been delayed.
+    /// Records what a peer's answer tells of the platform: its era and, if it
+    /// has one, the confirmation. The heartbeat was sent at `asked_at`; the
+    /// answer may have been delayed.
     void record_answer(const heartbeat_message& answer, boot_time asked_at);
 
     /// Returns the age of the node's confirmation, for a peer that asks.
--- a/node/control_context.cpp
+++ b/node/control_context.cpp
@@ -101,14 +101,21 @@
         greatest_delay(context.loop_delay_, context.time_.now()));
 }
 
+void record_platform_era(control_context& context, platform_era era)
+{
+    context.platform_era_ = std::max(context.platform_era_, era);
+}
+
 heartbeat_message own_heartbeat(const control_context& context)
 {
     const auto own = context.members_.find(context.self_.vm_);
     const auto snapshot = context.config_.current();
-    return {
+    heartbeat_message message{
         context.self_, own ? own->record_.incarnation_ : incarnation{},
         snapshot->number(), snapshot->tables().hash_,
         root_of(context.members_.digest())};
+    message.platform_era_ = context.platform_era_;
+    return message;
 }
 
 } // namespace hemlockshelf
--- a/node/control_context.hpp
+++ b/node/control_context.hpp
@@ -33,6 +33,8 @@
     std::vector<endpoint> bootstrap_contacts_;
     std::mt19937_64 random_{std::random_device{}()};
     loop_delay loop_delay_{};
+    /// Latest era of the platform's tables that this node has heard of.
+    platform_era platform_era_{};
 };
 
 /// Returns whether a member may answer, that is, it is neither down nor has it
@@ -68,6 +70,10 @@
 /// Returns the greatest delay of the control loop within the last seconds.
 std::chrono::milliseconds recent_loop_delay(const control_context& context);
 
+/// Records an era of the platform's tables. Earlier ones than the latest have
+/// no effect, because answers and messages may be delayed.
+void record_platform_era(control_context& context, platform_era era);
+
 /// Returns a heartbeat with this node's incarnation, revision, configuration
 /// hash and membership digest.
 heartbeat_message own_heartbeat(const control_context& context);
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -43,6 +43,8 @@
 // Longest delay of an announcement on its way to the node. One that arrives
 // later after the start of the process was sent after it.
 constexpr std::chrono::seconds max_announcement_delay{10};
+// Time over which the nodes of a deployment write their departures again.
+constexpr std::chrono::milliseconds departures_spread{1000};
 // Time for the last record to reach the first nodes of its push tree.
 constexpr std::chrono::milliseconds leave_notice_time{250};
 
@@ -322,6 +324,7 @@
 private:
     heartbeat_message on_heartbeat(const heartbeat_message& request) override
     {
+        record_platform_era(context_, request.platform_era_);
         auto answer = heartbeats_.on_heartbeat(request);
         answer.confirmation_age_ = confirmations_.age();
         return answer;
@@ -457,6 +460,7 @@
             // The node has contacts and does not need the directory.
             departures_.load();
         }
+        restore_departures();
         update_poll_mode();
         highest_known_ = repairs_.highest_seen().value();
         // This comes last, so that no calls are routed until a pause has been
@@ -556,6 +560,7 @@
         {
             return;
         }
+        record_platform_era(context_, report.era_);
         confirmations_.set_platform_behind(report.platform_is_behind_);
         if (report.confirmed_at_)
         {
@@ -662,6 +667,32 @@
         }
     }
 
+    /// Writes the departures again after the platform has lost changes.
+    void restore_departures()
+    {
+        if (context_.platform_era_ <= departures_era_)
+        {
+            return;
+        }
+        const bool is_first = departures_era_ == platform_era{};
+        departures_era_ = context_.platform_era_;
+        if (!is_first)
+        {
+            log_event<log_event_id::platform_restored>(
+                log_fields::revision(config_.current_revision()));
+        }
+        // Spread, so that not all nodes call the platform at the same time.
+        const std::chrono::milliseconds delay{
+            context_.random_() %
+            static_cast<std::uint64_t>(departures_spread.count())};
+        network_.after(
+            delay,
+            [this, era = departures_era_]
+            {
+                departures_.restore_in(era);
+            });
+    }
+
     void run_housekeeping()
     {
         context_.members_.remove_expired(time_.now(), settings_.membership_);
@@ -801,6 +832,8 @@
     bool departures_unavailable_ = false;
     /// Whether another node has told what an earlier process acknowledged.
     bool peers_know_upstream_ = false;
+    /// Era of the platform in which the departures are written or checked.
+    platform_era departures_era_;
     /// Whether the node polls the platform before it has joined.
     bool polls_while_joining_ = false;
     /// What the node has read from the platform before it has joined, if no
--- a/node/departure_agent.cpp
+++ b/node/departure_agent.cpp
@@ -84,6 +84,18 @@
     reload_ = true;
 }
 
+void departure_agent::restore_in(platform_era era)
+{
+    const std::lock_guard lock(mutex_);
+    required_era_ = std::max(required_era_, era);
+    // Without a thread, nothing was written in an earlier era.
+    if (thread_.joinable())
+    {
+        waiting_.emplace_back([] {});
+        wake_.notify_all();
+    }
+}
+
 void departure_agent::run()
 {
     std::unique_lock lock(mutex_);
@@ -94,6 +106,7 @@
         {
             row_.forget();
         }
+        row_.require(required_era_);
         lock.unlock();
         const bool updated = update();
         if (updated)
--- a/node/departure_agent.hpp
+++ b/node/departure_agent.hpp
@@ -52,6 +52,10 @@
     /// may have removed it. Thread-safe.
     void reload();
 
+    /// Writes the departures again if the platform has lost them before this
+    /// era. Thread-safe.
+    void restore_in(platform_era era);
+
 private:
     void start();
     void run();
@@ -70,6 +74,7 @@
     std::condition_variable wake_;
     bool stopping_ = false;
     bool reload_ = false;
+    platform_era required_era_;
     std::vector<std::function<void()>> waiting_;
     std::thread thread_;
 };
--- a/node/departure_row.cpp
+++ b/node/departure_row.cpp
@@ -1,5 +1,6 @@
 #include "node/departure_row.hpp"
 
+#include <algorithm>
 #include <cstdint>
 
 #include <fmt/format.h>
@@ -91,13 +92,21 @@
     : tables_(tables), key_(vm.value()), upstream_(upstream)
 {}
 
+platform_era departure_row::latest_era() const
+{
+    return std::max(required_era_, tables_.era());
+}
+
 result<void> departure_row::load()
 {
+    // Before the call, whose answer is from this era or a later one.
+    const auto era = latest_era();
     const auto row = tables_.read(platform_tables::departures, key_);
     if (!row)
     {
         return tl::unexpected<error>(row.error());
     }
+    stored_era_ = era;
     stored_.emplace();
     version_ = row_version{0};
     if (*row)
@@ -115,6 +124,10 @@
 result<void> departure_row::save()
 {
     result<void> outcome;
+    if (stored_era_ < latest_era())
+    {
+        forget();
+    }
     for (int attempt = 0; attempt < max_attempts; ++attempt)
     {
         if (!stored_ || (!version_ && *stored_ != upstream_.departures()))
@@ -147,6 +160,7 @@
 result<void>
 departure_row::write(const std::vector<acknowledged_upstream>& departures)
 {
+    const auto era = latest_era();
     // The check keeps a call that is performed late, of this process or an
     // earlier one, from undoing a newer write.
     auto written = tables_.commit(
@@ -155,6 +169,7 @@
     if (written)
     {
         stored_ = departures;
+        stored_era_ = era;
         version_.reset();
     }
     return written;
@@ -166,8 +181,14 @@
     version_.reset();
 }
 
+void departure_row::require(platform_era era)
+{
+    required_era_ = std::max(required_era_, era);
+}
+
 void departure_row::assume_absent()
 {
+    stored_era_ = latest_era();
     stored_.emplace();
     version_ = row_version{0};
 }
--- a/node/departure_row.hpp
+++ b/node/departure_row.hpp
@@ -33,10 +33,16 @@
     /// Makes the next `save` read the row first.
     void forget();
 
+    /// Makes the next `save` read the row first, unless it was read or written
+    /// in this era of the platform or a later one: the platform may have lost
+    /// the row.
+    void require(platform_era era);
+
     /// Tells that the row does not exist, so that it need not be read.
     void assume_absent();
 
 private:
+    [[nodiscard]] platform_era latest_era() const;
     result<void> write(const std::vector<acknowledged_upstream>& departures);
 
     table_service& tables_;
@@ -46,6 +52,10 @@
     std::optional<row_version> version_;
     /// What the row holds; nullopt if that is not known.
     std::optional<std::vector<acknowledged_upstream>> stored_;
+    /// Era of the platform in which that is known to hold.
+    platform_era stored_era_;
+    /// Latest era that is known of.
+    platform_era required_era_;
 };
 
 /// Returns the condition that no upstream has left the VM.
--- a/node/poll_report.hpp
+++ b/node/poll_report.hpp
@@ -20,6 +20,7 @@
     std::optional<boot_time> confirmed_at_{};
     /// See `published_read_result`.
     bool platform_is_behind_ = false;
+    platform_era era_;
     /// Deltas that were read, including those already applied.
     std::vector<accepted_delta> deltas_;
 };
--- a/node/published_config.cpp
+++ b/node/published_config.cpp
@@ -64,6 +64,7 @@
     const bool is_refused = read->newest_ != nullptr &&
                             config.current_revision() < read->newest_->number();
     report.platform_is_behind_ = read->is_behind_;
+    report.era_ = read->era_;
     if (!is_refused && !read->may_lack_one_ && !read->is_behind_)
     {
         report.confirmed_at_ = asked_at;
--- a/test/node/scripted_source.hpp
+++ b/test/node/scripted_source.hpp
@@ -38,6 +38,7 @@
         }
         published_read_result read;
         read.is_behind_ = is_behind_;
+        read.era_ = era_;
         if (is_newer())
         {
             read.newest_ = published_;
@@ -75,6 +76,13 @@
         is_behind_ = is_behind;
     }
 
+    /// Sets the era of the platform's tables that the answers state.
+    void set_era(platform_era era)
+    {
+        const std::lock_guard lock(mutex_);
+        era_ = era;
+    }
+
     void publish(std::shared_ptr<const config_snapshot> snapshot)
     {
         const std::lock_guard lock(mutex_);
@@ -92,6 +100,7 @@
     bool answers_ = true;
     bool fails_next_ = false;
     bool is_behind_ = false;
+    platform_era era_{1};
     bool cancelled_ = false;
     std::shared_ptr<const config_snapshot> published_;
 };
--- a/test/node/test_departure.cpp
+++ b/test/node/test_departure.cpp
@@ -2,7 +2,11 @@
 #include <memory>
 #include <optional>
 
+#include "hemlockshelf/editing/platform_tables.hpp"
 #include "test/node/control_node.hpp"
+#include "test/node/one_pool.hpp"
+#include "test/node/restored_tables.hpp"
+#include "test/node/scripted_source.hpp"
 
 #include <criterion/criterion.h>
 
@@ -175,3 +179,35 @@
     nodes.node_->upstream_.announce(announce(2000, 1));
     cr_assert(nodes.gets_work_within(2s));
 }
+
+// Guards against a departure that no row holds any more because only nodes that
+// read the platform's configuration notice that the platform has lost changes.
+Test(departure, nodes_that_do_not_read_the_platform_restore_their_rows)
+{
+    restored_tables tables;
+    memory_tables objects;
+    scripted_source source;
+    scripted_source silent;
+    silent.set_answers(false);
+    source.publish(snapshot_of(5));
+    control_node reader(
+        settings_of(1, "salle-belair"),
+        polled_services{tables, objects, &source});
+    cr_assert(is_serving_within(5s, reader));
+    auto settings = settings_of(2, "salle-belair");
+    settings.peers_ = {reader.settings_.control_};
+    control_node node(settings, polled_services{tables, objects, &silent});
+    cr_assert(is_serving_within(5s, node));
+    cr_assert(accepts(node.upstream_, announce(1000, 4)));
+    cr_assert(node.upstream_.withdraw("i-1"));
+    const auto is_stored = [&tables]
+    {
+        return tables.read(platform_tables::departures, "vm-2")->has_value();
+    };
+    node.plane_.store_upstream([] {});
+    cr_assert(becomes_true_within(2s, is_stored));
+    tables.lose_all_rows(false);
+    cr_assert(!is_stored());
+    source.set_era(platform_era{2});
+    cr_assert(becomes_true_within(5s, is_stored));
+}
--- a/test/node/test_departure_row.cpp
+++ b/test/node/test_departure_row.cpp
@@ -14,6 +14,7 @@
 #include "hemlockshelf/editing/platform_tables.hpp"
 #include "standins/platform/memory_tables.hpp"
 #include "test/editing/faulty_tables.hpp"
+#include "test/node/restored_tables.hpp"
 
 #include <criterion/criterion.h>
 
@@ -223,6 +224,46 @@
         tables.read(platform_tables::departures, own_vm.value())->has_value());
 }
 
+// Guards against an instance that is used again after its departure was
+// acknowledged: the platform came back from a copy without the row, and then
+// all nodes were killed.
+Test(departure_row, departures_outlast_a_platform_that_lost_them)
+{
+    for (const bool row_client_knows_era : {false, true})
+    {
+        const manual_clock time;
+        restored_tables tables;
+        process before(time, tables);
+        before.join({});
+        before.upstream_.announce(announce("i-1", 1000, 5, true));
+        cr_assert(before.row_.save());
+        tables.lose_all_rows(row_client_knows_era);
+        before.row_.require(platform_era{2});
+        cr_assert(before.row_.save());
+        process after(time, tables);
+        after.join({});
+        after.upstream_.announce(announce("i-1", 1000, 6));
+        cr_expect(!gets_work(after.upstream_));
+    }
+}
+
+// Guards against a departure that is acknowledged because the platform held it
+// before it came back from an older copy.
+Test(departure_row, a_row_of_an_earlier_era_acknowledges_nothing)
+{
+    const manual_clock time;
+    restored_tables tables;
+    process node(time, tables);
+    node.join({});
+    node.upstream_.announce(announce("i-1", 1000, 5, true));
+    cr_assert(node.row_.save());
+    tables.lose_all_rows(true);
+    node.upstream_.announce(announce("i-1", 1000, 6, true));
+    cr_assert(node.row_.save());
+    cr_assert(
+        tables.read(platform_tables::departures, own_vm.value())->has_value());
+}
+
 namespace {
 
 /// A node on a VM, its upstreams and the platform, driven by random steps.
