node: restore the row of departures after it was held to be gone

What callers would see: an upstream that had left is in use again after all nodes were killed.

Cause: the first node of a failure domain removes the rows of a VM that it holds to be gone. A node that was only cut off refutes that and forgets what its row of departures holds, but read it again only with the next departure.

Evidence: a_node_that_was_held_to_be_gone_restores_its_row fails on a copy without the change.

Change: the refutation also makes the node read the row and write what is missing.

--- a/node/departure_agent.cpp
+++ b/node/departure_agent.cpp
@@ -82,13 +82,19 @@
 {
     const std::lock_guard lock(mutex_);
     reload_ = true;
+    check_again();
 }
 
 void departure_agent::restore_in(platform_era era)
 {
     const std::lock_guard lock(mutex_);
     required_era_ = std::max(required_era_, era);
-    // Without a thread, nothing was written in an earlier era.
+    check_again();
+}
+
+// Requires the lock. Without a thread, nothing has been written.
+void departure_agent::check_again()
+{
     if (thread_.joinable())
     {
         waiting_.emplace_back([] {});
--- a/node/departure_agent.hpp
+++ b/node/departure_agent.hpp
@@ -48,8 +48,8 @@
     /// then calls `done` on the agent's thread. Thread-safe.
     void save(std::function<void()> done);
 
-    /// Makes the agent read the row before the next write, because other nodes
-    /// may have removed it. Thread-safe.
+    /// Writes the departures again if other nodes have removed the row.
+    /// Thread-safe.
     void reload();
 
     /// Writes the departures again if the platform has lost them before this
@@ -58,6 +58,7 @@
 
 private:
     void start();
+    void check_again();
     void run();
     bool update();
     void report_load(bool loaded);
--- a/test/node/test_departure.cpp
+++ b/test/node/test_departure.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "hemlockshelf/editing/platform_tables.hpp"
+#include "node/departure_row.hpp"
 #include "test/node/control_node.hpp"
 #include "test/node/one_pool.hpp"
 #include "test/node/restored_tables.hpp"
@@ -211,3 +212,32 @@
     source.set_era(platform_era{2});
     cr_assert(becomes_true_within(5s, is_stored));
 }
+
+// Guards against a departure that no row holds any more because other nodes
+// held the node to be gone for a while and removed the row.
+Test(departure, a_node_that_was_held_to_be_gone_restores_its_row)
+{
+    memory_tables tables;
+    control_node other(settings_of(1, "salle-belair"), tables);
+    cr_assert(is_serving_within(5s, other));
+    auto settings = settings_of(2, "salle-belair");
+    settings.peers_ = {other.settings_.control_};
+    control_node node(settings, tables);
+    cr_assert(is_serving_within(5s, node));
+    cr_assert(accepts(node.upstream_, announce(1000, 4)));
+    cr_assert(node.upstream_.withdraw("i-1"));
+    const auto is_stored = [&tables]
+    {
+        return tables.read(platform_tables::departures, "vm-2")->has_value();
+    };
+    node.plane_.store_upstream([] {});
+    cr_assert(becomes_true_within(2s, is_stored));
+    // Until the other node has the last record.
+    std::this_thread::sleep_for(1s);
+    const auto known = other.members_.find(vm_id{"vm-2"});
+    cr_assert(known);
+    cr_assert(remove_departure_row(tables, vm_id{"vm-2"}));
+    cr_assert(other.members_.set_liveness(
+        vm_id{"vm-2"}, known->record_.incarnation_, liveness::down));
+    cr_assert(becomes_true_within(5s, is_stored));
+}
