quota: grant in proportion to the shares that a domain's nodes lend

Cause: who grants a failure domain's part of the quotas was the opinion of each node, the first member that is not down. A node that is cut off finds nobody to confirm that others are down and goes on; the others confirm that it is down and the next one takes over. Both grant the whole part.

With two parts of four granted twice, 300 requests run each second instead of 200, and 100 of them come from the two nodes that are cut off, to the end of the cut. The reserve of nodes that reach no grantor would add 7.5 % at most, and tokens that outlive their grantor would for 0.5 s only.

Change: the part of a domain is divided into equal shares, one for each node that has not left. A node lends its share to one grantor at a time, for 2 s, which the grantor counts from its question and the node, with 5 % more, from its answer. Buckets fill and are limited in proportion to the borrowed shares. A process that has started lends nothing for the time of a loan, because the one before may have. A grantor that stops as planned stops granting first; its last record ends the loans to it. So the grantors of a domain never grant more than its part together, whoever they hold to be gone. lendShare is sent within a failure domain, every 500 ms, if an account has a limit; hemlockshelf_quota_share shows the sum.

In two_nodes_share_a_quota the load now begins 3.2 s after the start instead of 1 s, since nothing is lent before; its bounds are the same.

--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -160,4 +160,6 @@
   reportRollout @6 (sender :Sender, counts :List(RolloutCounts))
       -> (plans :List(RolloutPlan));
   # Counts since the start of the sender; the answer has the receiver's plans.
+  lendShare @7 (sender :Sender) -> (lent :Bool);
+  # Asks for the receiver's share of the quotas, for 2 s from the question on.
 }
--- a/adapters/rpc/control.capnp.c++
+++ b/adapters/rpc/control.capnp.c++
@@ -1508,7 +1508,7 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(Kind_dbaf89666b59f675, dbaf89666b59f675);
-static const ::capnp::_::AlignedData<93> b_c7507128cb16342e = {
+static const ::capnp::_::AlignedData<104> b_c7507128cb16342e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      46,  52,  22, 203,  40, 113,  80, 199,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -1518,70 +1518,78 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 199,   1,   0,   0,
-     69,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,   7,   2,   0,   0,
+    113,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  67, 111,
     110, 116, 114, 111, 108,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     28,   0,   0,   0,   3,   0,   5,   0,
+     32,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     192,   1, 119,   4, 234, 226,  39, 175,
      46,  83,   6, 245,  61,  44,  26, 178,
-    209,   0,   0,   0,  82,   0,   0,   0,
+    241,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    201,   0,   0,   0,   7,   0,   0,   0,
+    233,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       2, 115, 192, 215,  11, 242, 235, 196,
       1,  64, 167,  91,   0,  34, 195, 254,
-    189,   0,   0,   0,  42,   0,   0,   0,
+    221,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    177,   0,   0,   0,   7,   0,   0,   0,
+    209,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      89, 171,  63, 244,  63,  95, 187, 222,
     250, 233, 251, 152, 157, 247, 246, 234,
-    165,   0,   0,   0,  98,   0,   0,   0,
+    197,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,   7,   0,   0,   0,
+    189,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     138, 255,   8,  23,  13, 210,  94, 252,
     120,  94, 150,  11, 104,  48, 155, 139,
-    145,   0,   0,   0, 106,   0,   0,   0,
+    177,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    137,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     107,  67, 120, 187,  95,  11,  20, 199,
     247, 190, 167, 112, 254, 171, 195, 193,
-    125,   0,   0,   0,  50,   0,   0,   0,
+    157,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    113,   0,   0,   0,   7,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      31, 205, 226, 250,  79,  16, 184, 177,
      16,  83, 211,  49, 245,  74, 121, 161,
-    101,   0,   0,   0,  98,   0,   0,   0,
+    133,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     93,   0,   0,   0,   7,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     162, 216, 190, 159, 200,   7, 133, 151,
       6, 191,  69,  24, 179,  62,  10, 141,
-     81,   0,   0,   0, 114,   0,   0,   0,
+    113,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,   7,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+    165,  56,  61, 104, 184, 179, 200, 156,
+     58, 150,  98, 115, 216,  71,  63, 242,
+     93,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -1601,6 +1609,9 @@
     114, 101, 112, 111, 114, 116,  82, 111,
     108, 108, 111, 117, 116,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    108, 101, 110, 100,  83, 104,  97, 114,
+    101,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_c7507128cb16342e = b_c7507128cb16342e.words;
@@ -1609,6 +1620,7 @@
   &s_8b9b30680b965e78,
   &s_8d0a3eb31845bf06,
   &s_978507c89fbed8a2,
+  &s_9cc8b3b8683d38a5,
   &s_a1794af531d35310,
   &s_af27e2ea047701c0,
   &s_b1b8104ffae2cd1f,
@@ -1618,13 +1630,14 @@
   &s_c7140b5fbb78436b,
   &s_debb5f3ff43fab59,
   &s_eaf6f79d98fbe9fa,
+  &s_f23f47d87362963a,
   &s_fc5ed20d1708ff8a,
   &s_fec322005ba74001,
 };
-static const uint16_t m_c7507128cb16342e[] = {2, 5, 0, 3, 4, 1, 6};
+static const uint16_t m_c7507128cb16342e[] = {2, 5, 0, 7, 3, 4, 1, 6};
 const ::capnp::_::RawSchema s_c7507128cb16342e = {
-  0xc7507128cb16342e, b_c7507128cb16342e.words, 93, d_c7507128cb16342e, m_c7507128cb16342e,
-  14, 7, nullptr, nullptr, nullptr, { &s_c7507128cb16342e, nullptr, nullptr, 0, 0, nullptr }
+  0xc7507128cb16342e, b_c7507128cb16342e.words, 104, d_c7507128cb16342e, m_c7507128cb16342e,
+  16, 8, nullptr, nullptr, nullptr, { &s_c7507128cb16342e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_af27e2ea047701c0 = {
@@ -2439,6 +2452,97 @@
   1, 1, i_8d0a3eb31845bf06, nullptr, nullptr, { &s_8d0a3eb31845bf06, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_9cc8b3b8683d38a5 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    165,  56,  61, 104, 184, 179, 200, 156,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  67, 111,
+    110, 116, 114, 111, 108,  46, 108, 101,
+    110, 100,  83, 104,  97, 114, 101,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 110, 100, 101, 114,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    178, 211,   9,  73, 117,  24, 145, 146,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9cc8b3b8683d38a5 = b_9cc8b3b8683d38a5.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_9cc8b3b8683d38a5[] = {
+  &s_929118754909d3b2,
+};
+static const uint16_t m_9cc8b3b8683d38a5[] = {0};
+static const uint16_t i_9cc8b3b8683d38a5[] = {0};
+const ::capnp::_::RawSchema s_9cc8b3b8683d38a5 = {
+  0x9cc8b3b8683d38a5, b_9cc8b3b8683d38a5.words, 33, d_9cc8b3b8683d38a5, m_9cc8b3b8683d38a5,
+  1, 1, i_9cc8b3b8683d38a5, nullptr, nullptr, { &s_9cc8b3b8683d38a5, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_f23f47d87362963a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     58, 150,  98, 115, 216,  71,  63, 242,
+     22,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  67, 111,
+    110, 116, 114, 111, 108,  46, 108, 101,
+    110, 100,  83, 104,  97, 114, 101,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    108, 101, 110, 116,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f23f47d87362963a = b_f23f47d87362963a.words;
+#if !CAPNP_LITE
+static const uint16_t m_f23f47d87362963a[] = {0};
+static const uint16_t i_f23f47d87362963a[] = {0};
+const ::capnp::_::RawSchema s_f23f47d87362963a = {
+  0xf23f47d87362963a, b_f23f47d87362963a.words, 33, nullptr, m_f23f47d87362963a,
+  0, 1, i_f23f47d87362963a, nullptr, nullptr, { &s_f23f47d87362963a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2598,6 +2702,16 @@
       "control.capnp:Control", "reportRollout",
       0xc7507128cb16342eull, 6);
 }
+::capnp::Request< ::hemlockshelf::wire::Control::LendShareParams,  ::hemlockshelf::wire::Control::LendShareResults>
+Control::Client::lendShareRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::hemlockshelf::wire::Control::LendShareParams,  ::hemlockshelf::wire::Control::LendShareResults>(
+      0xc7507128cb16342eull, 7, sizeHint);
+}
+::kj::Promise<void> Control::Server::lendShare(LendShareContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Control", "lendShare",
+      0xc7507128cb16342eull, 7);
+}
 ::capnp::Capability::Server::DispatchCallResult Control::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2654,6 +2768,12 @@
              ::hemlockshelf::wire::Control::ReportRolloutParams,  ::hemlockshelf::wire::Control::ReportRolloutResults>(context)),
         false
       };
+    case 7:
+      return {
+        lendShare(::capnp::Capability::Server::internalGetTypedContext<
+             ::hemlockshelf::wire::Control::LendShareParams,  ::hemlockshelf::wire::Control::LendShareResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2781,6 +2901,22 @@
 constexpr ::capnp::_::RawSchema const* Control::ReportRolloutResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Control::LendShareParams
+constexpr uint16_t Control::LendShareParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::LendShareParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::LendShareParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::LendShareParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Control::LendShareResults
+constexpr uint16_t Control::LendShareResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::LendShareResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::LendShareResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::LendShareResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/adapters/rpc/control.capnp.h
+++ b/adapters/rpc/control.capnp.h
@@ -59,6 +59,8 @@
 CAPNP_DECLARE_SCHEMA(a1794af531d35310);
 CAPNP_DECLARE_SCHEMA(978507c89fbed8a2);
 CAPNP_DECLARE_SCHEMA(8d0a3eb31845bf06);
+CAPNP_DECLARE_SCHEMA(9cc8b3b8683d38a5);
+CAPNP_DECLARE_SCHEMA(f23f47d87362963a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -242,6 +244,8 @@
   struct GrantTokensResults;
   struct ReportRolloutParams;
   struct ReportRolloutResults;
+  struct LendShareParams;
+  struct LendShareResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -461,6 +465,36 @@
   };
 };
 
+struct Control::LendShareParams {
+  LendShareParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9cc8b3b8683d38a5, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::LendShareResults {
+  LendShareResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f23f47d87362963a, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Sender::Reader {
@@ -1700,6 +1734,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::hemlockshelf::wire::Control::ReportRolloutParams,  ::hemlockshelf::wire::Control::ReportRolloutResults> reportRolloutRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hemlockshelf::wire::Control::LendShareParams,  ::hemlockshelf::wire::Control::LendShareResults> lendShareRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1744,6 +1780,10 @@
   typedef  ::hemlockshelf::wire::Control::ReportRolloutResults ReportRolloutResults;
   typedef ::capnp::CallContext<ReportRolloutParams, ReportRolloutResults> ReportRolloutContext;
   virtual ::kj::Promise<void> reportRollout(ReportRolloutContext context);
+  typedef  ::hemlockshelf::wire::Control::LendShareParams LendShareParams;
+  typedef  ::hemlockshelf::wire::Control::LendShareResults LendShareResults;
+  typedef ::capnp::CallContext<LendShareParams, LendShareResults> LendShareContext;
+  virtual ::kj::Promise<void> lendShare(LendShareContext context);
 
   inline  ::hemlockshelf::wire::Control::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2950,6 +2990,164 @@
 };
 #endif  // !CAPNP_LITE
 
+class Control::LendShareParams::Reader {
+public:
+  typedef LendShareParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::hemlockshelf::wire::Sender::Reader getSender() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::LendShareParams::Builder {
+public:
+  typedef LendShareParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::hemlockshelf::wire::Sender::Builder getSender();
+  inline void setSender( ::hemlockshelf::wire::Sender::Reader value);
+  inline  ::hemlockshelf::wire::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value);
+  inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> disownSender();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::LendShareParams::Pipeline {
+public:
+  typedef LendShareParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hemlockshelf::wire::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::LendShareResults::Reader {
+public:
+  typedef LendShareResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getLent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::LendShareResults::Builder {
+public:
+  typedef LendShareResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getLent();
+  inline void setLent(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::LendShareResults::Pipeline {
+public:
+  typedef LendShareResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Sender::Reader::hasVm() const {
@@ -5207,6 +5405,59 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Control::LendShareParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::LendShareParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockshelf::wire::Sender::Reader Control::LendShareParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hemlockshelf::wire::Sender::Builder Control::LendShareParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockshelf::wire::Sender::Pipeline Control::LendShareParams::Pipeline::getSender() {
+  return  ::hemlockshelf::wire::Sender::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Control::LendShareParams::Builder::setSender( ::hemlockshelf::wire::Sender::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockshelf::wire::Sender::Builder Control::LendShareParams::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::LendShareParams::Builder::adoptSender(
+    ::capnp::Orphan< ::hemlockshelf::wire::Sender>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockshelf::wire::Sender> Control::LendShareParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::hemlockshelf::wire::Sender>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::LendShareResults::Reader::getLent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Control::LendShareResults::Builder::getLent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Control::LendShareResults::Builder::setLent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/adapters/rpc/control_handler.hpp
+++ b/adapters/rpc/control_handler.hpp
@@ -35,6 +35,12 @@
         return {};
     }
 
+    /// Returns whether the node lends its share of the quotas to the sender.
+    virtual bool on_lend_share(const message_sender& /*sender*/)
+    {
+        return false;
+    }
+
 protected:
     control_handler() = default;
     control_handler(const control_handler&) = default;
--- a/adapters/rpc/control_network.cpp
+++ b/adapters/rpc/control_network.cpp
@@ -482,4 +482,25 @@
         std::move(done));
 }
 
+void control_network::lend_share(
+    const peer_address& peer,
+    const message_sender& sender,
+    std::chrono::milliseconds deadline,
+    callback<bool> done)
+{
+    impl_->loop().call<bool>(
+        "lend_share", peer, deadline,
+        [&sender](wire::Control::Client& client)
+        {
+            auto call = client.lendShareRequest();
+            write(call.initSender(), sender);
+            return call.send();
+        },
+        [](const auto& response, byte_meter&)
+        {
+            return response.getLent();
+        },
+        std::move(done));
+}
+
 } // namespace hemlockshelf
--- a/adapters/rpc/control_network.hpp
+++ b/adapters/rpc/control_network.hpp
@@ -83,6 +83,13 @@
         std::chrono::milliseconds deadline,
         callback<grant_answer> done);
 
+    /// The answer tells whether the peer has lent its share of the quotas.
+    void lend_share(
+        const peer_address& peer,
+        const message_sender& sender,
+        std::chrono::milliseconds deadline,
+        callback<bool> done);
+
 private:
     class impl;
     std::unique_ptr<impl> impl_;
--- a/adapters/rpc/control_service.cpp
+++ b/adapters/rpc/control_service.cpp
@@ -103,4 +103,12 @@
     return kj::READY_NOW;
 }
 
+kj::Promise<void> control_service::lendShare(LendShareContext context)
+{
+    const auto sender = read(context.getParams().getSender());
+    attribute(sender);
+    context.getResults().setLent(handler_.on_lend_share(sender));
+    return kj::READY_NOW;
+}
+
 } // namespace hemlockshelf
--- a/adapters/rpc/control_service.hpp
+++ b/adapters/rpc/control_service.hpp
@@ -28,6 +28,7 @@
     kj::Promise<void> memberDigest(MemberDigestContext context) override;
     kj::Promise<void> probe(ProbeContext context) override;
     kj::Promise<void> grantTokens(GrantTokensContext context) override;
+    kj::Promise<void> lendShare(LendShareContext context) override;
 
 private:
     void attribute(const message_sender& sender);
--- a/include/hemlockshelf/core/metric_id.hpp
+++ b/include/hemlockshelf/core/metric_id.hpp
@@ -34,6 +34,7 @@
     platform_requests,
     credential_age,
     configuration_age,
+    quota_share,
 };
 
 enum class metric_type
--- a/include/hemlockshelf/quota/token_grantor.hpp
+++ b/include/hemlockshelf/quota/token_grantor.hpp
@@ -3,10 +3,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <set>
 #include <unordered_map>
 
 #include "hemlockshelf/core/clock.hpp"
 #include "hemlockshelf/core/ids.hpp"
+#include "hemlockshelf/quota/borrowed_shares.hpp"
 #include "hemlockshelf/quota/quota_settings.hpp"
 
 namespace hemlockshelf {
@@ -25,14 +27,31 @@
     friend bool operator==(const token_grant&, const token_grant&) = default;
 };
 
-/// Grants the tokens of one failure domain's part of every quota. A token
-/// admits one request. Not thread-safe.
+/// Grants the tokens of one failure domain's part of every quota, in proportion
+/// to the shares that the domain's nodes have lent it. A token admits one
+/// request. Not thread-safe.
 class token_grantor
 {
 public:
-    /// `now` is when the node has become the grantor: its buckets were empty
-    /// then, because the tokens of the previous grantor may still be in use.
-    token_grantor(const quota_settings& settings, boot_time now);
+    /// The buckets of a new grantor are empty, because the tokens of the
+    /// previous one may still be in use.
+    explicit token_grantor(const quota_settings& settings);
+
+    /// Sets the nodes of the failure domain, as for `borrowed_shares`.
+    void set_members(std::set<vm_id> members, boot_time now);
+
+    /// Records that a node has lent its share until `until`.
+    void record_loan(const vm_id& lender, boot_time until, boot_time now);
+
+    /// Adapts the buckets to loans that have begun or ended. Must be called
+    /// often, so that tokens are not kept for the next loan.
+    void update(boot_time now);
+
+    /// Returns the borrowed share of the part, from 0 to 1.
+    [[nodiscard]] double share(boot_time now) const
+    {
+        return shares_.share(now);
+    }
 
     /// Grants up to `count` tokens of an account. `quota` is the account's
     /// current one, which may differ from that of earlier calls.
@@ -46,11 +65,21 @@
     struct token_bucket_state
     {
         double tokens_ = 0;
-        boot_time refilled_at_;
+        /// Value of `borrowed_shares::accrued` up to which the bucket is
+        /// filled.
+        std::chrono::duration<double> filled_to_{0};
+        account_quota quota_;
     };
 
+    [[nodiscard]] double capacity(const account_quota& quota) const;
+    /// Requires that `share_` is up to date.
+    void fill(token_bucket_state& bucket, std::chrono::duration<double> accrued)
+        const;
+
     double parts_;
-    boot_time since_;
+    borrowed_shares shares_;
+    /// The share by which the buckets are limited.
+    double share_ = 0;
     std::unordered_map<client_account_id, token_bucket_state> buckets_;
 };
 
--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -250,6 +250,8 @@
             {
                 lifecycle_.drain();
                 lifecycle_.leave();
+                // Before the notice, which ends the loans of the others.
+                quotas_.stop();
                 records_.leave();
                 publish_state();
                 network_.after(
@@ -370,6 +372,11 @@
         return quotas_.on_grant(request);
     }
 
+    bool on_lend_share(const message_sender& sender) override
+    {
+        return quotas_.on_lend_share(sender);
+    }
+
     config_answer on_fetch(const fetch_request& request) override
     {
         contacts_.record_contact(request.sender_, true);
--- a/node/quota_agent.cpp
+++ b/node/quota_agent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -25,6 +26,10 @@
 // Time after which a round is given up whose answers have been lost.
 constexpr std::chrono::milliseconds longest_round_time{1000};
 
+// A loan outlasts three questions that are lost or late.
+constexpr std::chrono::milliseconds loan_interval = share_loan_time / 4;
+constexpr std::chrono::milliseconds loan_deadline = share_loan_time / 2;
+
 std::optional<vm_id> choose_grantor(
     const failure_domain_id& domain,
     const member_table::entry_pointers& members)
@@ -58,7 +63,8 @@
 } // namespace
 
 quota_agent::quota_agent(control_context& context)
-    : context_(context), settings_(context.settings_.quota_)
+    : context_(context), settings_(context.settings_.quota_),
+      own_share_(context.time_.boot_now())
 {}
 
 std::optional<result<void>> quota_agent::try_admit(
@@ -302,7 +308,7 @@
 grant_answer quota_agent::on_grant(const grant_request& request)
 {
     grant_answer answer;
-    if (!own_part_)
+    if (!own_part_ || own_part_->share(context_.time_.boot_now()) == 0)
     {
         return answer;
     }
@@ -334,9 +340,25 @@
         context_.time_.boot_now());
 }
 
+bool quota_agent::on_lend_share(const message_sender& sender)
+{
+    const auto entry = context_.members_.find(sender.vm_);
+    const bool has_left =
+        entry && entry->record_.state_ == upstream_state::left;
+    return sender.failure_domain_ == context_.self_.failure_domain_ &&
+           !has_left && own_share_.lend(sender.vm_, context_.time_.boot_now());
+}
+
 void quota_agent::reset()
 {
     own_part_.reset();
+    own_share_.release(context_.self_.vm_);
+}
+
+void quota_agent::stop()
+{
+    is_stopped_ = true;
+    reset();
 }
 
 void quota_agent::tick()
@@ -347,17 +369,102 @@
     }
     update_grantors();
     most_members_ = std::max(most_members_, context_.members_.size());
-    const bool is_grantor =
-        !grantors_.empty() && grantors_.front() == context_.self_.vm_;
+    update_own_part();
+    give_up_old_rounds();
+}
+
+void quota_agent::update_own_part()
+{
+    const auto& borrower = own_share_.borrower();
+    const auto entry =
+        borrower ? context_.members_.find(*borrower) : std::nullopt;
+    if (entry && entry->record_.state_ == upstream_state::left)
+    {
+        own_share_.release(entry->record_.vm_);
+    }
+    const bool is_grantor = !is_stopped_ && !grantors_.empty() &&
+                            grantors_.front() == context_.self_.vm_;
     if (!is_grantor)
     {
-        own_part_.reset();
+        reset();
+        context_.metrics_.set(metric_id::quota_share, {}, 0);
+        return;
     }
-    else if (!own_part_)
+    if (!own_part_)
     {
-        own_part_.emplace(settings_, context_.time_.boot_now());
+        own_part_.emplace(settings_);
+        sharing_members_.reset();
+        next_loans_ = {};
     }
-    give_up_old_rounds();
+    borrow_shares();
+    const auto now = context_.time_.boot_now();
+    own_part_->update(now);
+    context_.metrics_.set(metric_id::quota_share, {}, own_part_->share(now));
+}
+
+void quota_agent::borrow_shares()
+{
+    const auto now = context_.time_.boot_now();
+    auto members =
+        context_.members_.members_in_domain(context_.self_.failure_domain_);
+    if (members != sharing_members_)
+    {
+        // Those that do not answer may lend their shares to another grantor.
+        std::set<vm_id> sharing{context_.self_.vm_};
+        for (const auto& entry : *members)
+        {
+            if (entry->record_.state_ != upstream_state::left)
+            {
+                sharing.insert(entry->record_.vm_);
+            }
+        }
+        own_part_->set_members(std::move(sharing), now);
+        sharing_members_ = std::move(members);
+    }
+    if (now < next_loans_ || !has_limited_accounts())
+    {
+        return;
+    }
+    next_loans_ = now + loan_interval;
+    if (own_share_.lend(context_.self_.vm_, now))
+    {
+        own_part_->record_loan(context_.self_.vm_, now + share_loan_time, now);
+    }
+    for (const auto& vm : peers_in(context_, context_.self_.failure_domain_))
+    {
+        borrow_from(vm);
+    }
+}
+
+void quota_agent::borrow_from(const vm_id& vm)
+{
+    const auto peer = address_of(context_, vm);
+    if (!peer)
+    {
+        return;
+    }
+    // The loan counts from the question: the answer may have been delayed.
+    const auto asked_at = context_.time_.boot_now();
+    context_.network_.lend_share(
+        *peer, context_.self_, loan_deadline,
+        [this, vm, asked_at](const result<bool>& lent)
+        {
+            if (lent && *lent && own_part_)
+            {
+                own_part_->record_loan(
+                    vm, asked_at + share_loan_time, context_.time_.boot_now());
+            }
+        });
+}
+
+bool quota_agent::has_limited_accounts() const
+{
+    return std::ranges::any_of(
+        context_.config_.current()->tables().accounts_,
+        [](const auto& item)
+        {
+            return item.second->requests_per_second_ > 0;
+        });
 }
 
 void quota_agent::give_up_old_rounds()
--- a/node/quota_agent.hpp
+++ b/node/quota_agent.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "adapters/http/request_quota.hpp"
+#include "hemlockshelf/quota/share_lender.hpp"
 #include "hemlockshelf/quota/token_grantor.hpp"
 #include "hemlockshelf/quota/token_holder.hpp"
 #include "node/control_context.hpp"
@@ -19,7 +20,9 @@
 
 /// Keeps the quotas of client accounts over all nodes: one node of each failure
 /// domain grants an equal part of every quota, the others request tokens from
-/// it and, if it has none left, from those of the other failure domains. The
+/// it and, if it has none left, from those of the other failure domains. Since
+/// nodes may differ on who grants, each lends its share of the part to one of
+/// them at a time, and a grantor grants in proportion to what it is lent. The
 /// members of `request_quota` may be called from any thread, the others on the
 /// control loop only.
 class quota_agent final : public request_quota
@@ -39,10 +42,17 @@
 
     grant_answer on_grant(const grant_request& request);
 
+    /// Lends this node's share to a grantor of its failure domain. Returns
+    /// whether it did.
+    bool on_lend_share(const message_sender& sender);
+
     /// Forgets the tokens to grant, after a pause in which another node may
     /// have taken over.
     void reset();
 
+    /// Stops granting, so that the other nodes may lend their shares anew.
+    void stop();
+
 private:
     struct waiting_request
     {
@@ -87,6 +97,11 @@
     void give_up_old_rounds();
     [[nodiscard]] token_grant grant(const token_demand& demand);
     void update_grantors();
+    void update_own_part();
+    /// Asks the nodes of the failure domain for their shares, if that is due.
+    void borrow_shares();
+    void borrow_from(const vm_id& vm);
+    [[nodiscard]] bool has_limited_accounts() const;
 
     control_context& context_;
     const quota_settings& settings_;
@@ -103,6 +118,11 @@
     std::size_t most_members_ = 1;
     /// If this node is the grantor of its failure domain.
     std::optional<token_grantor> own_part_;
+    /// Members of the failure domain that `own_part_` is divided among.
+    std::shared_ptr<const member_table::entry_pointers> sharing_members_;
+    share_lender own_share_;
+    boot_time next_loans_{};
+    bool is_stopped_ = false;
 };
 
 } // namespace hemlockshelf
--- a/src/core/metric_id.cpp
+++ b/src/core/metric_id.cpp
@@ -39,6 +39,7 @@
     metric_info{platform_requests, counter, "hemlockshelf_platform_requests_total", "result", "Requests to the platform, by ok or error kind."},
     metric_info{credential_age, gauge, "hemlockshelf_credential_age_seconds", "", "Time since the accounts in force were confirmed to be current."},
     metric_info{configuration_age, gauge, "hemlockshelf_configuration_age_seconds", "", "Time since the published configuration in force was confirmed to be the newest."},
+    metric_info{quota_share, gauge, "hemlockshelf_quota_share", "", "Share of its failure domain's part of the accounts' quotas that the node grants, 0 to 1. Over the nodes of a failure domain the sum is 1 at most."},
 };
 // clang-format on
 
@@ -51,7 +52,7 @@
             return false;
         }
     }
-    return metrics.size() == static_cast<std::size_t>(configuration_age) + 1;
+    return metrics.size() == static_cast<std::size_t>(quota_share) + 1;
 }
 
 static_assert(in_enum_order(), "sinks index the table by id");
--- a/test/node/test_quota.cpp
+++ b/test/node/test_quota.cpp
@@ -6,6 +6,7 @@
 #include "hemlockshelf/accounts/key_hash.hpp"
 #include "test/node/control_node.hpp"
 #include "test/node/one_pool.hpp"
+#include "test/node/scripted_peer.hpp"
 #include "test/node/scripted_source.hpp"
 
 #include <criterion/criterion.h>
@@ -15,6 +16,10 @@
 
 namespace {
 
+/// Time after the start of a node in which it lends no share of a quota, and
+/// two questions for it.
+constexpr std::chrono::milliseconds sharing_begins{3200};
+
 const client_account_id account{"mesh/observatory"};
 constexpr account_quota quota{100, 100};
 
@@ -101,7 +106,7 @@
     settings.peers_ = {first.settings_.control_};
     control_node second(settings, polled_services{tables, tables, &source});
     cr_assert(is_serving_within(5s, second));
-    std::this_thread::sleep_for(1s);
+    std::this_thread::sleep_for(sharing_begins);
     outcomes counted;
     std::thread other(
         [&]
@@ -145,3 +150,54 @@
     cr_assert(counted.unavailable_ > 0);
     cr_assert_eq(counted.exceeded_, 0);
 }
+
+// Guards against two nodes of a failure domain that both grant its whole part:
+// the one that is cut off goes on, and the next one takes over.
+Test(quota, a_node_that_is_lent_nothing_grants_its_own_share)
+{
+    memory_tables tables;
+    scripted_source source;
+    source.publish(snapshot_with_quota());
+    scripted_peer peer(settings_of(2, "salle-belair"));
+    auto settings = settings_with_quota(1);
+    // The largest link makes it the grantor.
+    settings.link_ = bit_rate{1'000'000'000};
+    control_node node(settings, polled_services{tables, tables, &source});
+    cr_assert(is_serving_within(5s, node));
+    node.members_.merge(peer.record());
+    std::this_thread::sleep_for(sharing_begins);
+    outcomes counted;
+    send_requests(node, 3s, counted);
+    // Half of the rate for 4 s, and of the burst.
+    cr_assert(
+        counted.admitted_ >= 100 && counted.admitted_ <= 250, "%d admitted",
+        counted.admitted_.load());
+    const auto text = node.metrics_.to_text();
+    cr_assert(
+        text.find("hemlockshelf_quota_share 0.5") != std::string::npos, "%s",
+        text.c_str());
+}
+
+// Guards against a quota that nobody grants after a planned stop of the
+// grantor, until its loans would have ended.
+Test(quota, the_next_grantor_takes_over_from_one_that_stops)
+{
+    memory_tables tables;
+    scripted_source source;
+    source.publish(snapshot_with_quota());
+    auto first_settings = settings_with_quota(1);
+    first_settings.link_ = bit_rate{1'000'000'000};
+    control_node first(
+        first_settings, polled_services{tables, tables, &source});
+    cr_assert(is_serving_within(5s, first));
+    auto settings = settings_with_quota(2);
+    settings.peers_ = {first.settings_.control_};
+    control_node second(settings, polled_services{tables, tables, &source});
+    cr_assert(is_serving_within(5s, second));
+    std::this_thread::sleep_for(sharing_begins);
+    first.plane_.stop();
+    outcomes counted;
+    send_requests(second, 2s, counted);
+    cr_assert(
+        counted.admitted_ >= 120, "%d admitted", counted.admitted_.load());
+}
--- a/test/quota/test_quota_sum.cpp
+++ b/test/quota/test_quota_sum.cpp
@@ -59,7 +59,7 @@
     {
         for (std::size_t domain = 0; domain < domains; ++domain)
         {
-            grantors_.emplace_back(settings_of_four_domains(), start);
+            grantors_.push_back(make_grantor(start));
         }
     }
 
@@ -77,12 +77,22 @@
     }
 
 private:
+    /// Returns a grantor that has borrowed all shares of its failure domain.
+    static token_grantor make_grantor(boot_time now)
+    {
+        const vm_id lender{"vm-1"};
+        token_grantor grantor(settings_of_four_domains());
+        grantor.set_members({lender}, now);
+        grantor.record_loan(lender, now + 1h, now);
+        return grantor;
+    }
+
     void replace_grantor_if_due(boot_time now)
     {
         if (load_.replace_grantor_.count() > 0 &&
             (now - start) % load_.replace_grantor_ == 0ms)
         {
-            grantors_.front() = token_grantor(settings_of_four_domains(), now);
+            grantors_.front() = make_grantor(now);
         }
     }
 
