quota: count the nodes of the directory among those that share a part

What callers would see: more requests than the quota allows while nodes that were killed start again behind a cut.

Cause: a node that starts while it is cut off from its peers, but not from the platform, has no record of them. It divides the part of its failure domain by one and grants it whole, as the nodes on the other side do.

Change: nodes of the failure domain that are in the platform's directory, which a node reads when it joins, count among those that share the part until there is a record of them.

--- a/node/control_plane.cpp
+++ b/node/control_plane.cpp
@@ -716,7 +716,7 @@
     }
 
     /// Replaces the contacts of the context by those of the settings and of the
-    /// directory. Returns those of the directory.
+    /// directory. Returns those of the directory, and records its nodes.
     std::vector<endpoint> contacts_of(const std::vector<directory_row>& rows)
     {
         std::vector<endpoint> contacts;
@@ -725,6 +725,7 @@
         {
             contacts.push_back(row.control_);
         }
+        quotas_.set_directory(rows);
         context_.bootstrap_contacts_ = settings_.peers_;
         context_.bootstrap_contacts_.insert(
             context_.bootstrap_contacts_.end(), contacts.begin(),
--- a/node/quota_agent.cpp
+++ b/node/quota_agent.cpp
@@ -349,6 +349,20 @@
            !has_left && own_share_.lend(sender.vm_, context_.time_.boot_now());
 }
 
+void quota_agent::set_directory(const std::vector<directory_row>& rows)
+{
+    listed_nodes_.clear();
+    for (const auto& row : rows)
+    {
+        if (row.failure_domain_ == context_.self_.failure_domain_ &&
+            !context_.members_.find(row.vm_))
+        {
+            listed_nodes_.insert(row.vm_);
+        }
+    }
+    sharing_members_.reset();
+}
+
 void quota_agent::reset()
 {
     own_part_.reset();
@@ -409,16 +423,7 @@
         context_.members_.members_in_domain(context_.self_.failure_domain_);
     if (members != sharing_members_)
     {
-        // Those that do not answer may lend their shares to another grantor.
-        std::set<vm_id> sharing{context_.self_.vm_};
-        for (const auto& entry : *members)
-        {
-            if (entry->record_.state_ != upstream_state::left)
-            {
-                sharing.insert(entry->record_.vm_);
-            }
-        }
-        own_part_->set_members(std::move(sharing), now);
+        own_part_->set_members(sharing_nodes(*members), now);
         sharing_members_ = std::move(members);
     }
     if (now < next_loans_ || !has_limited_accounts())
@@ -436,6 +441,24 @@
     }
 }
 
+std::set<vm_id>
+quota_agent::sharing_nodes(const member_table::entry_pointers& members)
+{
+    std::set<vm_id> sharing{context_.self_.vm_};
+    for (const auto& entry : members)
+    {
+        const auto& record = entry->record_;
+        listed_nodes_.erase(record.vm_);
+        // Those that do not answer may lend their shares to another grantor.
+        if (record.state_ != upstream_state::left)
+        {
+            sharing.insert(record.vm_);
+        }
+    }
+    sharing.insert(listed_nodes_.begin(), listed_nodes_.end());
+    return sharing;
+}
+
 void quota_agent::borrow_from(const vm_id& vm)
 {
     const auto peer = address_of(context_, vm);
--- a/node/quota_agent.hpp
+++ b/node/quota_agent.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "hemlockshelf/quota/token_grantor.hpp"
 #include "hemlockshelf/quota/token_holder.hpp"
 #include "node/control_context.hpp"
+#include "node/directory.hpp"
 
 namespace hemlockshelf {
 
@@ -46,6 +48,11 @@
     /// whether it did.
     bool on_lend_share(const message_sender& sender);
 
+    /// Records the nodes in the platform's directory. Those of which this node
+    /// has no record may grant as well: it may have started while it is cut off
+    /// from them.
+    void set_directory(const std::vector<directory_row>& rows);
+
     /// Forgets the tokens to grant, after a pause in which another node may
     /// have taken over.
     void reset();
@@ -98,6 +105,9 @@
     [[nodiscard]] token_grant grant(const token_demand& demand);
     void update_grantors();
     void update_own_part();
+    /// Returns the nodes among which the failure domain's part is divided.
+    [[nodiscard]] std::set<vm_id>
+    sharing_nodes(const member_table::entry_pointers& members);
     /// Asks the nodes of the failure domain for their shares, if that is due.
     void borrow_shares();
     void borrow_from(const vm_id& vm);
@@ -120,6 +130,8 @@
     std::optional<token_grantor> own_part_;
     /// Members of the failure domain that `own_part_` is divided among.
     std::shared_ptr<const member_table::entry_pointers> sharing_members_;
+    /// Nodes of the failure domain that are in the directory only.
+    std::set<vm_id> listed_nodes_;
     share_lender own_share_;
     boot_time next_loans_{};
     bool is_stopped_ = false;
--- a/test/node/test_quota.cpp
+++ b/test/node/test_quota.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "hemlockshelf/accounts/key_hash.hpp"
+#include "node/directory.hpp"
 #include "test/node/control_node.hpp"
 #include "test/node/one_pool.hpp"
 #include "test/node/scripted_peer.hpp"
@@ -201,3 +202,26 @@
     cr_assert(
         counted.admitted_ >= 120, "%d admitted", counted.admitted_.load());
 }
+
+// Guards against a node that has started while it is cut off from the others of
+// its failure domain and grants the whole part, as one of them does.
+Test(quota, a_node_that_starts_cut_off_grants_its_own_share)
+{
+    memory_tables tables;
+    scripted_source source;
+    source.publish(snapshot_with_quota());
+    const silent_server unreachable({unique_address(2).address_, 17005});
+    auto settings = settings_with_quota(1);
+    cr_assert(write_directory_row(
+        tables,
+        {settings.failure_domain_, vm_id{"vm-9"}, unreachable.endpoint_}));
+    control_node node(settings, polled_services{tables, tables, &source});
+    cr_assert(is_serving_within(10s, node));
+    std::this_thread::sleep_for(sharing_begins);
+    outcomes counted;
+    send_requests(node, 3s, counted);
+    // Half of the rate for 4 s, and of the burst.
+    cr_assert(
+        counted.admitted_ >= 100 && counted.admitted_ <= 250, "%d admitted",
+        counted.admitted_.load());
+}
