quota: shorten the loans of shares to 1 s

Cause: a new process lends its share after the time of a loan only. After a restart of all nodes nobody granted tokens for that time.

Change: loans of 1 s, asked for every 333 ms, with 50 ms more for the lender.

--- a/adapters/rpc/control.capnp
+++ b/adapters/rpc/control.capnp
@@ -161,5 +161,5 @@
       -> (plans :List(RolloutPlan));
   # Counts since the start of the sender; the answer has the receiver's plans.
   lendShare @7 (sender :Sender) -> (lent :Bool);
-  # Asks for the receiver's share of the quotas, for 2 s from the question on.
+  # Asks for the receiver's share of the quotas, for 1 s from the question on.
 }
--- a/include/hemlockshelf/quota/share_lender.hpp
+++ b/include/hemlockshelf/quota/share_lender.hpp
@@ -10,11 +10,12 @@
 namespace hemlockshelf {
 
 /// How long a loan of a share lasts. The borrower counts from its question, the
-/// lender from its answer, so that the borrower's time ends first.
-inline constexpr std::chrono::milliseconds share_loan_time{2000};
+/// lender from its answer, so that the borrower's time ends first. A longer time
+/// would delay grants after a restart, since a new process waits for as long.
+inline constexpr std::chrono::milliseconds share_loan_time{1000};
 
 /// Added by the lender, because clocks may run at different rates.
-inline constexpr std::chrono::milliseconds share_loan_margin{100};
+inline constexpr std::chrono::milliseconds share_loan_margin{50};
 
 /// Lends the share of one node to one grantor at a time. The part of a failure
 /// domain in a quota is divided into equal shares, one for each of its nodes,
--- a/node/quota_agent.cpp
+++ b/node/quota_agent.cpp
@@ -26,8 +26,8 @@
 // Time after which a round is given up whose answers have been lost.
 constexpr std::chrono::milliseconds longest_round_time{1000};
 
-// A loan outlasts three questions that are lost or late.
-constexpr std::chrono::milliseconds loan_interval = share_loan_time / 4;
+// A loan outlasts two questions that are lost or late.
+constexpr std::chrono::milliseconds loan_interval = share_loan_time / 3;
 constexpr std::chrono::milliseconds loan_deadline = share_loan_time / 2;
 
 std::optional<vm_id> choose_grantor(
--- a/test/quota/test_share_loans.cpp
+++ b/test/quota/test_share_loans.cpp
@@ -27,7 +27,7 @@
 using real_time = std::chrono::nanoseconds;
 
 constexpr std::chrono::milliseconds step{20};
-constexpr std::chrono::milliseconds loan_interval = share_loan_time / 4;
+constexpr std::chrono::milliseconds loan_interval = share_loan_time / 3;
 constexpr std::chrono::seconds troubled_time{60};
 constexpr std::chrono::milliseconds longest_delay{1500};
 // A delayed question of another node brings a last loan to it, and two
