--- a/include/hemlockshelf/quota/share_lender.hpp
+++ b/include/hemlockshelf/quota/share_lender.hpp
@@ -10,8 +10,9 @@
 namespace hemlockshelf {
 
 /// How long a loan of a share lasts. The borrower counts from its question, the
-/// lender from its answer, so that the borrower's time ends first. A longer time
-/// would delay grants after a restart, since a new process waits for as long.
+/// lender from its answer, so that the borrower's time ends first. A longer
+/// time would delay grants after a restart, since a new process waits for as
+/// long.
 inline constexpr std::chrono::milliseconds share_loan_time{1000};
 
 /// Added by the lender, because clocks may run at different rates.
