tests: share the checks of departures' rows and of half a quota

Two tests each repeated how a departure reaches the platform and what a node with half of the shares may admit. Assertions and bounds are the same.

--- a/test/node/test_departure.cpp
+++ b/test/node/test_departure.cpp
@@ -181,6 +181,22 @@
     cr_assert(nodes.gets_work_within(2s));
 }
 
+namespace {
+
+/// Returns whether the platform comes to hold departures of the second node.
+bool has_row_within(std::chrono::milliseconds time, table_service& tables)
+{
+    return becomes_true_within(
+        time,
+        [&tables]
+        {
+            return tables.read(platform_tables::departures, "vm-2")
+                ->has_value();
+        });
+}
+
+} // namespace
+
 // Guards against a departure that no row holds any more because only nodes that
 // read the platform's configuration notice that the platform has lost changes.
 Test(departure, nodes_that_do_not_read_the_platform_restore_their_rows)
@@ -201,16 +217,12 @@
     cr_assert(is_serving_within(5s, node));
     cr_assert(accepts(node.upstream_, announce(1000, 4)));
     cr_assert(node.upstream_.withdraw("i-1"));
-    const auto is_stored = [&tables]
-    {
-        return tables.read(platform_tables::departures, "vm-2")->has_value();
-    };
     node.plane_.store_upstream([] {});
-    cr_assert(becomes_true_within(2s, is_stored));
+    cr_assert(has_row_within(2s, tables));
     tables.lose_all_rows(false);
-    cr_assert(!is_stored());
+    cr_assert(!has_row_within(0s, tables));
     source.set_era(platform_era{2});
-    cr_assert(becomes_true_within(5s, is_stored));
+    cr_assert(has_row_within(5s, tables));
 }
 
 // Guards against a departure that no row holds any more because other nodes
@@ -226,12 +238,8 @@
     cr_assert(is_serving_within(5s, node));
     cr_assert(accepts(node.upstream_, announce(1000, 4)));
     cr_assert(node.upstream_.withdraw("i-1"));
-    const auto is_stored = [&tables]
-    {
-        return tables.read(platform_tables::departures, "vm-2")->has_value();
-    };
     node.plane_.store_upstream([] {});
-    cr_assert(becomes_true_within(2s, is_stored));
+    cr_assert(has_row_within(2s, tables));
     // Until the other node has the last record.
     std::this_thread::sleep_for(1s);
     const auto known = other.members_.find(vm_id{"vm-2"});
@@ -239,5 +247,5 @@
     cr_assert(remove_departure_row(tables, vm_id{"vm-2"}));
     cr_assert(other.members_.set_liveness(
         vm_id{"vm-2"}, known->record_.incarnation_, liveness::down));
-    cr_assert(becomes_true_within(5s, is_stored));
+    cr_assert(has_row_within(5s, tables));
 }
--- a/test/node/test_quota.cpp
+++ b/test/node/test_quota.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-/// Time after the start of a node in which it lends no share of a quota, and
-/// two questions for it.
+/// Longer than the time after its start in which a node lends no share of a
+/// quota, and two questions for it.
 constexpr std::chrono::milliseconds sharing_begins{3200};
 
 const client_account_id account{"mesh/observatory"};
@@ -152,6 +152,20 @@
     cr_assert_eq(counted.exceeded_, 0);
 }
 
+namespace {
+
+void assert_admits_half(control_node& node)
+{
+    outcomes counted;
+    send_requests(node, 3s, counted);
+    // Half of the rate for 4 s, and of the burst.
+    cr_assert(
+        counted.admitted_ >= 100 && counted.admitted_ <= 250, "%d admitted",
+        counted.admitted_.load());
+}
+
+} // namespace
+
 // Guards against two nodes of a failure domain that both grant its whole part:
 // the one that is cut off goes on, and the next one takes over.
 Test(quota, a_node_that_is_lent_nothing_grants_its_own_share)
@@ -167,12 +181,7 @@
     cr_assert(is_serving_within(5s, node));
     node.members_.merge(peer.record());
     std::this_thread::sleep_for(sharing_begins);
-    outcomes counted;
-    send_requests(node, 3s, counted);
-    // Half of the rate for 4 s, and of the burst.
-    cr_assert(
-        counted.admitted_ >= 100 && counted.admitted_ <= 250, "%d admitted",
-        counted.admitted_.load());
+    assert_admits_half(node);
     const auto text = node.metrics_.to_text();
     cr_assert(
         text.find("hemlockshelf_quota_share 0.5") != std::string::npos, "%s",
@@ -218,10 +227,5 @@
     control_node node(settings, polled_services{tables, tables, &source});
     cr_assert(is_serving_within(10s, node));
     std::this_thread::sleep_for(sharing_begins);
-    outcomes counted;
-    send_requests(node, 3s, counted);
-    // Half of the rate for 4 s, and of the burst.
-    cr_assert(
-        counted.admitted_ >= 100 && counted.admitted_ <= 250, "%d admitted",
-        counted.admitted_.load());
+    assert_admits_half(node);
 }
--- a/test/platform/test_published_configurations.cpp
+++ b/test/platform/test_published_configurations.cpp
@@ -310,7 +310,7 @@
 }
 
 // Guards against refusals after a loss of history that the configuration has
-// outlasted, and after the first answer that states an era.
+// outlasted.
 Test(published_configurations, a_copy_with_the_configuration_is_not_behind)
 {
     reader_before_loss reader;
